--- /dev/null
+++ b/crates/policy/src/policy.rs
@@ -0,0 +1,469 @@
+//! All decisions of one balancer. How it is called: `place` says where a flow goes, `after` what to do
+//! about an outcome (a probe's result and an elapsed wait are outcomes too), `wait` how long to wait for
+//! the next. `list`, `list_failed`, `inherit` and `told_load` bring news and return nothing. The plain
+//! types of the interface are in `types.rs`; times are nanoseconds of the caller's clock.
+//!
+//! The design (docs/design.md): servers are probed for load over capacity, β. Past T_H our largest
+//! connections there are moved off until they cover our part of the excess. A smooth weighted round robin
+//! places clients and passes over servers that are hot or hold well over their mean of our connections.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use nanorand::{Rng, WyRand};
+
+use crate::types::*;
+
+/// A server is hot above this load over capacity. The paper has 0.9.
+const T_H: f64 = 0.9;
+/// The design's start for the probe interval; its bound is 10 s.
+const PROBE_EVERY: Time = 2 * SEC;
+/// A figure is kept so long when probes fail: two intervals and a report's age.
+const KEEP_FIGURE: Time = 5 * SEC;
+/// Reports lag by their refresh and delay, so a figure that comes sooner can't show the last moves.
+const SETTLE: Time = 2 * SEC;
+/// First time-out of a server after a failed connect; it doubles with each further one.
+const REST: Time = 500 * MS;
+/// Own sends are looked at over this span to tell our usual rate.
+const RATE_SPAN: Time = 20 * SEC;
+
+/// One server: what the list says and the last few samples of everything measured.
+struct Server {
+    listed: Listed,
+    /// Rotation credit.
+    turn: f64,
+    /// Reports, newest last.
+    reports: VecDeque<(Time, f64)>,
+    /// Failed connects since the last established one.
+    failed: VecDeque<Time>,
+    /// Failed probes since the last that passed.
+    unprobed: VecDeque<Time>,
+    last_established: Time,
+    next_probe: Time,
+    shed: Option<Time>,
+    /// Connects that the cold budget allows now, as of the time beside it.
+    credit: (f64, Time),
+}
+
+/// A connection of ours, or a connect in flight.
+struct Own {
+    rs: Rs,
+    group: Option<String>,
+    established: bool,
+    /// As told, where it is.
+    load: Option<f64>,
+    /// β over the server's connections, at the first probe after it was placed.
+    estimate: Option<f64>,
+}
+
+/// The part of the rule on cold servers that is this balancer's.
+struct Cold {
+    start: f64,
+    warm_up: Time,
+    multiple: f64,
+}
+
+pub struct Policy {
+    rng: WyRand,
+    service_types: Vec<ServiceType>,
+    hall: u64,
+    max_connects: usize,
+    margin: Time,
+    come_back: Option<Time>,
+    second_copies: bool,
+    may_call_off: bool,
+    probes: bool,
+    next_ask: Option<Time>,
+    cold: Cold,
+    servers: BTreeMap<Rs, Server>,
+    own: BTreeMap<FlowId, Own>,
+    /// When our last connects were made.
+    sends: VecDeque<Time>,
+    began: Option<Time>,
+    holding: bool,
+}
+
+impl Policy {
+    /// A balancer that knows no servers yet.
+    pub fn new(seed: u64, hall: u64, service_types: Vec<ServiceType>) -> Self {
+        Policy {
+            rng: WyRand::new_seed(seed),
+            service_types,
+            hall,
+            max_connects: 1,
+            margin: 10 * MS,
+            come_back: None,
+            second_copies: false,
+            may_call_off: false,
+            probes: false,
+            next_ask: None,
+            cold: Cold { start: 0.1, warm_up: 30 * SEC, multiple: 1.0 },
+            servers: BTreeMap::new(),
+            own: BTreeMap::new(),
+            sends: VecDeque::new(),
+            began: None,
+            holding: false,
+        }
+    }
+
+    /// How many connects a flow may have, and how long before its connect timeout we answer.
+    pub fn connects(mut self, most: usize, margin: Time, second_copies: bool, may_call_off: bool) -> Self {
+        (self.max_connects, self.margin) = (most.max(1), margin);
+        (self.second_copies, self.may_call_off) = (second_copies, may_call_off);
+        self
+    }
+
+    /// The longest time to come back that clients are told, where they are told any.
+    pub fn come_back(mut self, longest: Option<Time>) -> Self {
+        self.come_back = longest;
+        self
+    }
+
+    pub fn probing(mut self, allowed: bool) -> Self {
+        self.probes = allowed;
+        self
+    }
+
+    /// The list has to be asked for.
+    pub fn asking(mut self, ask: bool) -> Self {
+        self.next_ask = ask.then_some(0);
+        self
+    }
+
+    /// A cold server has this share of its capacity, is warm after so long and may get so many times it.
+    pub fn cold(mut self, start: f64, warm_up: Time, multiple: f64) -> Self {
+        self.cold = Cold { start, warm_up, multiple };
+        self
+    }
+
+    /// News of the list: changed entries, or all of them.
+    pub fn list(&mut self, now: Time, entries: &[Listed], whole: bool) {
+        if whole {
+            for server in self.servers.values_mut() {
+                server.listed.state = State::Gone;
+            }
+        }
+        for entry in entries {
+            let fresh = Server {
+                listed: *entry,
+                turn: self.rng.generate::<f64>(),
+                reports: VecDeque::new(),
+                failed: VecDeque::new(),
+                unprobed: VecDeque::new(),
+                last_established: 0,
+                // Guards against all balancers probing a server in step.
+                next_probe: now + self.rng.generate_range(0..PROBE_EVERY),
+                shed: None,
+                // Balancers don't agree on who goes first: each draws its first credit.
+                credit: (self.rng.generate::<f64>(), now),
+            };
+            match self.servers.get_mut(&entry.rs) {
+                Some(known) if known.listed.started == entry.started => known.listed = *entry,
+                // A restart under the same id: nothing measured holds any more.
+                _ => drop(self.servers.insert(entry.rs, fresh)),
+            }
+        }
+        let in_use: Vec<Rs> = self.own.values().map(|own| own.rs).collect();
+        self.servers.retain(|rs, server| server.listed.state != State::Gone || in_use.contains(rs));
+    }
+
+    /// The list could not be had; it is asked for again after a while.
+    pub fn list_failed(&mut self, now: Time) {
+        self.next_ask = Some(now + SEC + self.rng.generate_range(0..SEC));
+    }
+
+    /// A connection that flowed through this balancer before it started.
+    pub fn inherit(&mut self, flow: FlowId, rs: Rs, group: Option<String>) {
+        self.own.insert(flow, Own { rs, group, established: true, load: None, estimate: None });
+    }
+
+    /// A connection's load now.
+    pub fn told_load(&mut self, flow: FlowId, load: f64) {
+        if let Some(own) = self.own.get_mut(&flow)
+            && load.is_finite()
+            && load >= 0.0
+        {
+            own.load = Some(load);
+        }
+    }
+
+    /// Where to send this flow.
+    pub fn place(&mut self, now: Time, flow: &Flow) -> Place {
+        self.began.get_or_insert(now);
+        let left = flow.give_up.saturating_sub(now + self.margin);
+        let two_out = !self.second_copies && flow.connects.iter().any(|c| c.out);
+        if left == 0 || two_out || flow.connects.len() >= self.max_connects {
+            return self.give_up(flow);
+        }
+        // Rules 2 and 3: only ready servers, and only where a repeat can do no harm.
+        let allowed: Vec<Rs> = self.servers.values().map(|s| s.listed.rs).collect();
+        let allowed: Vec<Rs> = allowed.into_iter().filter(|rs| self.may_send(now, flow, *rs)).collect();
+        let tried = |rs: &Rs| flow.connects.iter().any(|c| c.rs == *rs);
+        // Rule 4: cold servers only within our part of their budget.
+        let warm: Vec<Rs> = allowed.iter().copied().filter(|rs| self.has_credit(now, *rs)).collect();
+        let (means, mean_beta) = (self.own_counts(), self.mean_beta(now));
+        let mean_own = self.own.len() as f64 / warm.len().max(1) as f64;
+        let healthy = prefer(&warm, |rs| !tried(rs) && self.healthy(now, *rs));
+        let cool = prefer(&healthy, |rs| self.beta(now, *rs).unwrap_or(mean_beta) <= T_H);
+        let even = prefer(&cool, |rs| *means.get(rs).unwrap_or(&0) as f64 <= 1.5 * mean_own + 1.0);
+        let near = prefer(&even, |rs| self.servers[rs].listed.hall == self.hall);
+        let Some(rs) = self.turn(&near) else {
+            let waited = now.saturating_sub(flow.taken);
+            if waited < self.service_type(flow).setup_target / 2 {
+                self.holding = true;
+                return Place::NotYet;
+            }
+            return self.give_up(flow);
+        };
+        // The time-out leaves room for another connect where there is one to be made.
+        let last = flow.connects.len() + 1 == self.max_connects || healthy.len() < 2;
+        let limit = if last { left } else { self.service_type(flow).setup_target.max(left / 2).min(left) };
+        self.spend(now, rs);
+        let own = Own { rs, group: flow.group.clone(), established: false, load: None, estimate: None };
+        self.own.insert(flow.id, own);
+        Place::To(rs, limit)
+    }
+
+    /// What to do after this outcome.
+    pub fn after(&mut self, now: Time, outcome: Outcome) -> Todo {
+        let mut todo = Todo::default();
+        match outcome {
+            Outcome::Established { flow, .. } => {
+                if let Some(own) = self.own.get_mut(&flow) {
+                    own.established = true;
+                    if let Some(server) = self.servers.get_mut(&own.rs) {
+                        server.failed.clear();
+                        server.last_established = now;
+                    }
+                }
+            }
+            Outcome::Ended { flow, rs, end, owed } => {
+                let own = self.own.remove(&flow);
+                let bad = matches!(end, End::Unreachable | End::TimedOut | End::Full | End::Error | End::Cut);
+                if let Some(server) = self.servers.get_mut(&rs)
+                    && bad
+                    && own.is_some_and(|own| !own.established)
+                {
+                    keep(&mut server.failed, now);
+                }
+                todo.place = owed.map(|flow| self.place(now, flow));
+            }
+            Outcome::Left { flow } => {
+                if self.may_call_off && self.own.get(&flow).is_some_and(|own| !own.established) {
+                    todo.call_off.push(flow);
+                }
+            }
+            Outcome::Probed { rs, passed, report } => {
+                if let Some(server) = self.servers.get_mut(&rs) {
+                    if passed {
+                        server.unprobed.clear();
+                    } else {
+                        keep(&mut server.unprobed, now);
+                    }
+                    if let Some(beta) = report.beta.filter(|b| passed && b.is_finite() && *b >= 0.0) {
+                        keep(&mut server.reports, (now, beta));
+                        let count = report.connections.filter(|c| *c >= 1.0);
+                        for own in self.own.values_mut().filter(|own| own.rs == rs && own.established) {
+                            own.estimate = own.estimate.or(count.map(|c| beta / c));
+                        }
+                        todo.shift = self.shed(now, rs, beta);
+                    }
+                }
+            }
+            Outcome::Elapsed => self.holding = false,
+        }
+        for server in self.servers.values_mut() {
+            if self.probes && server.next_probe <= now && server.listed.state == State::Ready {
+                server.next_probe = now + PROBE_EVERY;
+                todo.probe.push(server.listed.rs);
+            }
+        }
+        if self.next_ask.is_some_and(|at| at <= now) {
+            (todo.ask_list, self.next_ask) = (true, None);
+        }
+        todo
+    }
+
+    /// How long to wait for the next outcome at most.
+    pub fn wait(&self, now: Time) -> Option<Time> {
+        let ready = self.servers.values().filter(|s| self.probes && s.listed.state == State::Ready);
+        let held = self.holding.then_some(now + 50 * MS);
+        let next = ready.map(|s| s.next_probe).chain(self.next_ask).chain(held).min();
+        next.map(|at| at.saturating_sub(now))
+    }
+
+    fn service_type(&self, flow: &Flow) -> ServiceType {
+        let unknown = ServiceType { setup_target: 0, value: 0.0, repeat: Repeat::OnceOnly };
+        self.service_types.get(flow.service_type).copied().unwrap_or(unknown)
+    }
+
+    /// The answer for a flow that is given up: rejected where the client may safely come again.
+    fn give_up(&mut self, flow: &Flow) -> Place {
+        let may_have_run = flow.connects.iter().any(|c| !c.never_ran);
+        match self.service_type(flow).repeat {
+            Repeat::OnceOnly if may_have_run => Place::Abort,
+            Repeat::Referenced(scope, _) if may_have_run && scope != Scope::All => Place::Abort,
+            // Spread, so that clients that were rejected together don't come again together.
+            _ => Place::Reject(
+                self.come_back.map(|most| self.rng.generate_range(most.min(250 * MS) / 2..=most.min(SEC))),
+            ),
+        }
+    }
+
+    /// Rules 2 and 3 for one server.
+    fn may_send(&self, now: Time, flow: &Flow, rs: Rs) -> bool {
+        let Some(server) = self.servers.get(&rs) else { return false };
+        if server.listed.state != State::Ready {
+            return false;
+        }
+        let mut ran = flow.connects.iter().filter(|c| !c.never_ran);
+        match self.service_type(flow).repeat {
+            Repeat::Repeatable => true,
+            Repeat::OnceOnly => ran.next().is_none(),
+            Repeat::Referenced(scope, window) => ran.all(|c| {
+                let same = self.servers.get(&c.rs).is_some_and(|first| match scope {
+                    Scope::All => true,
+                    Scope::Hall => first.listed.hall == server.listed.hall,
+                    Scope::Cell => first.listed.cell == server.listed.cell,
+                });
+                // The margin covers the way to the server.
+                (same || scope == Scope::All) && now + self.margin < c.at + window
+            }),
+        }
+    }
+
+    /// Whether a server answers: not resting after failed connects, nor silent to probes and flows alike.
+    fn healthy(&self, now: Time, rs: Rs) -> bool {
+        let server = &self.servers[&rs];
+        let resting =
+            server.failed.back().is_some_and(|last| now < last + (REST << server.failed.len().min(4)));
+        // A broken probe path alone tells nothing while flows are established.
+        let silent = server.unprobed.len() >= 2 && server.last_established < server.unprobed[0];
+        !resting && !silent
+    }
+
+    /// The server's β while the figure is fresh enough.
+    fn beta(&self, now: Time, rs: Rs) -> Option<f64> {
+        let &(at, beta) = self.servers[&rs].reports.back()?;
+        (now < at + KEEP_FIGURE + PROBE_EVERY).then_some(beta)
+    }
+
+    fn mean_beta(&self, now: Time) -> f64 {
+        let known: Vec<f64> = self.servers.keys().filter_map(|rs| self.beta(now, *rs)).collect();
+        if known.is_empty() { 0.0 } else { known.iter().sum::<f64>() / known.len() as f64 }
+    }
+
+    fn own_counts(&self) -> BTreeMap<Rs, usize> {
+        let mut counts = BTreeMap::new();
+        for own in self.own.values() {
+            *counts.entry(own.rs).or_default() += 1;
+        }
+        counts
+    }
+
+    /// The share of its capacity that a server has at least.
+    fn warmth(&self, now: Time, server: &Server) -> f64 {
+        let age = now.saturating_sub(server.listed.started);
+        if server.listed.started == 0 || age >= self.cold.warm_up {
+            return 1.0;
+        }
+        self.cold.start + (1.0 - self.cold.start) * age as f64 / self.cold.warm_up as f64
+    }
+
+    /// Connects to a cold server that have come free since the last look, one at most.
+    fn credit(&self, now: Time, server: &Server) -> f64 {
+        let ready = self.servers.values().filter(|s| s.listed.state == State::Ready).count().max(1);
+        let began = self.began.unwrap_or(now).max(now.saturating_sub(RATE_SPAN));
+        let span = now.saturating_sub(began).max(SEC) as f64;
+        let recent = self.sends.iter().filter(|at| **at >= began).count() as f64;
+        let rate = recent / span / ready as f64;
+        let (left, at) = server.credit;
+        let grown = self.cold.multiple * self.warmth(now, server) * rate * now.saturating_sub(at) as f64;
+        (left + 0.5 * grown).min(1.0)
+    }
+
+    fn has_credit(&self, now: Time, rs: Rs) -> bool {
+        let server = &self.servers[&rs];
+        self.warmth(now, server) >= 1.0 || self.credit(now, server) >= 1.0
+    }
+
+    fn spend(&mut self, now: Time, rs: Rs) {
+        let credit = self.credit(now, &self.servers[&rs]);
+        self.servers.get_mut(&rs).expect("a listed server").credit = (credit - 1.0, now);
+        self.sends.push_back(now);
+        while self.sends.front().is_some_and(|at| at + RATE_SPAN < now) {
+            self.sends.pop_front();
+        }
+    }
+
+    /// The rotation: smooth weighted round robin over these servers.
+    fn turn(&mut self, among: &[Rs]) -> Option<Rs> {
+        let sane = |w: f64| if w.is_finite() && w > 0.0 { w.clamp(1e-3, 1e3) } else { 1.0 };
+        let mut total = 0.0;
+        for rs in among {
+            let server = self.servers.get_mut(rs)?;
+            let weight = sane(server.listed.weight);
+            server.turn += weight;
+            total += weight;
+        }
+        let turn = |rs: &Rs| self.servers[rs].turn;
+        let first = among.iter().copied().reduce(|a, b| if turn(&b) > turn(&a) { b } else { a })?;
+        self.servers.get_mut(&first)?.turn -= total;
+        Some(first)
+    }
+
+    /// Own connections to move off a hot server.
+    fn shed(&mut self, now: Time, rs: Rs, beta: f64) -> Vec<FlowId> {
+        let server = &self.servers[&rs];
+        // Reports lag: a figure that can't show the last moves yet must not cause a second shedding.
+        if beta <= T_H || server.shed.is_some_and(|at| now < at + SETTLE) {
+            return Vec::new();
+        }
+        // When all are hot, moves only shuffle clients: no more than there is room for elsewhere.
+        let mean = self.mean_beta(now);
+        let others: Vec<f64> = self
+            .servers
+            .values()
+            .filter(|s| s.listed.state == State::Ready && s.listed.rs != rs && self.healthy(now, s.listed.rs))
+            .map(|s| self.beta(now, s.listed.rs).unwrap_or(mean))
+            .collect();
+        let room: f64 = others.iter().map(|b| (T_H - b).max(0.0)).sum();
+        let excess: f64 = others.iter().map(|b| (b - T_H).max(0.0)).sum::<f64>() + beta - T_H;
+        let fraction = (beta - T_H) / beta * (room / excess).min(1.0);
+        let here = || self.own.iter().filter(|(_, own)| own.rs == rs && own.established);
+        let any_told = here().any(|(_, own)| own.load.is_some());
+        let figure = |own: &Own| if any_told { own.load } else { own.estimate };
+        let mut mine: Vec<(FlowId, Option<f64>)> = here().map(|(id, own)| (*id, figure(own))).collect();
+        let told: Vec<f64> = mine.iter().filter_map(|m| m.1).collect();
+        let usual = if told.is_empty() { 1.0 } else { told.iter().sum::<f64>() / told.len() as f64 };
+        let load = |m: &(FlowId, Option<f64>)| m.1.unwrap_or(usual);
+        mine.sort_by(|a, b| load(b).total_cmp(&load(a)).then(a.0.cmp(&b.0)));
+        let goal = fraction * mine.iter().map(load).sum::<f64>();
+        let mut covered = 0.0;
+        let mut moves = Vec::new();
+        for m in &mine {
+            if covered >= goal {
+                break;
+            }
+            covered += load(m);
+            moves.push(m.0);
+        }
+        if !moves.is_empty() {
+            self.servers.get_mut(&rs).expect("a listed server").shed = Some(now);
+        }
+        moves
+    }
+}
+
+/// Those that pass, or all of them where none does.
+fn prefer(of: &[Rs], passes: impl Fn(&Rs) -> bool) -> Vec<Rs> {
+    let some: Vec<Rs> = of.iter().copied().filter(passes).collect();
+    if some.is_empty() { of.to_vec() } else { some }
+}
+
+/// Keeps the last few samples.
+fn keep<T>(samples: &mut VecDeque<T>, sample: T) {
+    samples.push_back(sample);
+    if samples.len() > 8 {
+        samples.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/policy/src/types.rs
@@ -0,0 +1,155 @@
+//! The plain values that the decision module is asked with and answers with.
+
+/// Whole nanoseconds: a moment on the caller's clock, or a span.
+pub type Time = u64;
+pub type FlowId = u64;
+/// A server (real server, rs) by the id that the list gives it.
+pub type Rs = u64;
+
+pub const MS: Time = 1_000_000;
+pub const SEC: Time = 1_000 * MS;
+
+/// Which servers drop repeats of a referenced flow: those that share this with the first one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    All,
+    Hall,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Repeatable,
+    /// Repeats are dropped by the servers in scope for so long after the connect that may have run.
+    Referenced(Scope, Time),
+    OnceOnly,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServiceType {
+    pub setup_target: Time,
+    pub value: f64,
+    pub repeat: Repeat,
+}
+
+/// One connect that was already made for a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Connect {
+    pub rs: Rs,
+    pub at: Time,
+    /// Still in flight.
+    pub out: bool,
+    /// Known not to have run.
+    pub never_ran: bool,
+}
+
+/// A flow in the caller's hands that is owed an answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Flow {
+    pub id: FlowId,
+    pub service_type: usize,
+    pub customer: usize,
+    /// Flows of one group cost a server their common work once.
+    pub group: Option<String>,
+    pub taken: Time,
+    /// When the connect timeout runs out.
+    pub give_up: Time,
+    pub connects: Vec<Connect>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// A server as the list tells of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Listed {
+    pub rs: Rs,
+    pub hall: u64,
+    pub machine: u64,
+    pub cell: u64,
+    pub state: State,
+    pub weight: f64,
+    /// When it last started; 0 is long ago.
+    pub started: Time,
+}
+
+/// What a server tells of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Load over capacity.
+    pub beta: Option<f64>,
+    /// Connections that it holds.
+    pub connections: Option<f64>,
+}
+
+/// How a connect, or the connection it became, has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Done,
+    Error,
+    Full,
+    TimedOut,
+    Unreachable,
+    Cut,
+    CalledOff,
+    NotSent,
+}
+
+/// What has come of an earlier answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome<'a> {
+    Established {
+        flow: FlowId,
+        took: Time,
+    },
+    /// `owed` is the flow, where it still waits for an answer.
+    Ended {
+        flow: FlowId,
+        rs: Rs,
+        end: End,
+        owed: Option<&'a Flow>,
+    },
+    /// The client went away.
+    Left {
+        flow: FlowId,
+    },
+    Probed {
+        rs: Rs,
+        passed: bool,
+        report: Report,
+    },
+    /// The wait has passed.
+    Elapsed,
+}
+
+/// Where a flow goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// To this server, waiting for it so long.
+    To(Rs, Time),
+    /// Hold the flow and ask again after the wait.
+    NotYet,
+    /// Never: rejected, with a time to come back where that may be told.
+    Reject(Option<Time>),
+    /// Never, and it may have run.
+    Abort,
+}
+
+/// What to do after an outcome.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Todo {
+    /// The flow that was still owed an answer.
+    pub place: Option<Place>,
+    /// Servers to probe.
+    pub probe: Vec<Rs>,
+    /// Own connections to move.
+    pub shift: Vec<FlowId>,
+    /// Flows whose connect is to be called off.
+    pub call_off: Vec<FlowId>,
+    /// Ask for the list.
+    pub ask_list: bool,
+}
