--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -206,7 +206,11 @@
         let cool = prefer(&healthy, |rs| self.beta(now, *rs).unwrap_or(mean_beta) <= T_H);
         let even = prefer(&cool, |rs| *means.get(rs).unwrap_or(&0) as f64 <= 1.5 * mean_own + 1.0);
         let near = prefer(&even, |rs| self.servers[rs].listed.hall == self.hall);
-        let Some(rs) = self.turn(&near) else {
+        // Guards against a group's common work being paid for on every server: its holders come first.
+        let kin = prefer(&near, |rs| {
+            flow.group.is_some() && self.own.values().any(|own| own.rs == *rs && own.group == flow.group)
+        });
+        let Some(rs) = self.turn(&kin) else {
             let waited = now.saturating_sub(flow.taken);
             if waited < self.service_type(flow).setup_target / 2 {
                 self.holding = true;
