Count the cold budget from what is established, not from what is sent

Cause: in a retry storm our send rate, and with it the budget for a cold server, rose with the failures.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -76,8 +76,8 @@
     cold: Cold,
     servers: BTreeMap<Rs, Server>,
     own: BTreeMap<FlowId, Own>,
-    /// When our last connects were made.
-    sends: VecDeque<Time>,
+    /// When our last connects were established, and on which kind of machine.
+    settled: VecDeque<(Time, u64)>,
     began: Option<Time>,
     holding: bool,
 }
@@ -99,7 +99,7 @@
             cold: Cold { start: 0.1, warm_up: 30 * SEC, multiple: 1.0 },
             servers: BTreeMap::new(),
             own: BTreeMap::new(),
-            sends: VecDeque::new(),
+            settled: VecDeque::new(),
             began: None,
             holding: false,
         }
@@ -237,6 +237,8 @@
                     if let Some(server) = self.servers.get_mut(&own.rs) {
                         server.failed.clear();
                         server.last_established = now;
+                        self.settled.push_back((now, server.listed.machine));
+                        self.settled.retain(|(at, _)| at + RATE_SPAN >= now);
                     }
                 }
             }
@@ -375,10 +377,14 @@
 
     /// Connects to a cold server that have come free since the last look, one at most.
     fn credit(&self, now: Time, server: &Server) -> f64 {
-        let ready = self.servers.values().filter(|s| s.listed.state == State::Ready).count().max(1);
+        let alike = |s: &&Server| s.listed.state == State::Ready && s.listed.machine == server.listed.machine;
+        let ready = self.servers.values().filter(alike).count().max(1);
         let began = self.began.unwrap_or(now).max(now.saturating_sub(RATE_SPAN));
         let span = now.saturating_sub(began).max(SEC) as f64;
-        let recent = self.sends.iter().filter(|at| **at >= began).count() as f64;
+        // What others of its kind take on, not what is sent: guards against a storm of failing connects
+        // that would raise the budget just when it is needed.
+        let recent = self.settled.iter().filter(|(at, kind)| *at >= began && *kind == server.listed.machine);
+        let recent = recent.count() as f64;
         let rate = recent / span / ready as f64;
         let (left, at) = server.credit;
         let grown = self.cold.multiple * self.warmth(now, server) * rate * now.saturating_sub(at) as f64;
@@ -393,10 +399,6 @@
     fn spend(&mut self, now: Time, rs: Rs) {
         let credit = self.credit(now, &self.servers[&rs]);
         self.servers.get_mut(&rs).expect("a listed server").credit = (credit - 1.0, now);
-        self.sends.push_back(now);
-        while self.sends.front().is_some_and(|at| at + RATE_SPAN < now) {
-            self.sends.pop_front();
-        }
     }
 
     /// The rotation: smooth weighted round robin over these servers.
