--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -25,6 +25,12 @@
 const REST: Time = 500 * MS;
 /// Own sends are looked at over this span to tell our usual rate.
 const RATE_SPAN: Time = 20 * SEC;
+/// Connects that were made together fail together: the window narrows once in this span.
+const ROUND: Time = 250 * MS;
+/// Flows that may wait for their turn, for each connect that may be in flight.
+const QUEUE: f64 = 4.0;
+/// How soon flows that wait are looked at again.
+const LOOK_AGAIN: Time = 20 * MS;
 
 /// One server: what the list says and the last few samples of everything measured.
 struct Server {
@@ -79,7 +85,32 @@
     /// When our last connects were established, and on which kind of machine.
     settled: VecDeque<(Time, u64)>,
     began: Option<Time>,
-    holding: bool,
+    window: Window,
+    /// Flows told «not yet» since the last wait.
+    held: usize,
+}
+
+/// How many connects may be in flight at once: widened by those that are established, narrowed when
+/// servers that answer fail or are late, which is the sign of something they share.
+struct Window {
+    width: f64,
+    /// Widened quickly up to here, then by one a round.
+    steady: f64,
+    narrowed: Time,
+}
+
+impl Window {
+    fn widen(&mut self) {
+        self.width += if self.width < self.steady { 1.0 } else { 1.0 / self.width };
+    }
+
+    /// Once a round at most, since the connects of one round fail together.
+    fn narrow(&mut self, now: Time) {
+        if now >= self.narrowed + ROUND {
+            self.width = (self.width / 2.0).max(1.0);
+            (self.steady, self.narrowed) = (self.width, now);
+        }
+    }
 }
 
 impl Policy {
@@ -101,7 +132,8 @@
             own: BTreeMap::new(),
             settled: VecDeque::new(),
             began: None,
-            holding: false,
+            window: Window { width: 8.0, steady: f64::INFINITY, narrowed: 0 },
+            held: 0,
         }
     }
 
@@ -194,6 +226,10 @@
         if left == 0 || two_out || flow.connects.len() >= self.max_connects {
             return self.give_up(flow);
         }
+        // Guards against a storm of connects that jams what all servers share (the store) and stays.
+        if self.own.values().filter(|own| !own.established).count() as f64 >= self.window.width {
+            return self.hold(now, flow);
+        }
         // Rules 2 and 3: only ready servers, and only where a repeat can do no harm.
         let allowed: Vec<Rs> = self.servers.values().map(|s| s.listed.rs).collect();
         let allowed: Vec<Rs> = allowed.into_iter().filter(|rs| self.may_send(now, flow, *rs)).collect();
@@ -211,12 +247,7 @@
             flow.group.is_some() && self.own.values().any(|own| own.rs == *rs && own.group == flow.group)
         });
         let Some(rs) = self.turn(&kin) else {
-            let waited = now.saturating_sub(flow.taken);
-            if waited < self.service_type(flow).setup_target / 2 {
-                self.holding = true;
-                return Place::NotYet;
-            }
-            return self.give_up(flow);
+            return self.hold(now, flow);
         };
         // The time-out leaves room for another connect where there is one to be made.
         let last = flow.connects.len() + 1 == self.max_connects || healthy.len() < 2;
@@ -234,6 +265,7 @@
             Outcome::Established { flow, .. } => {
                 if let Some(own) = self.own.get_mut(&flow) {
                     own.established = true;
+                    self.window.widen();
                     if let Some(server) = self.servers.get_mut(&own.rs) {
                         server.failed.clear();
                         server.last_established = now;
@@ -245,6 +277,12 @@
             Outcome::Ended { flow, rs, end, owed } => {
                 let own = self.own.remove(&flow);
                 let bad = matches!(end, End::Unreachable | End::TimedOut | End::Full | End::Error | End::Cut);
+                if matches!(end, End::TimedOut | End::Error)
+                    && self.servers.contains_key(&rs)
+                    && self.healthy(now, rs)
+                {
+                    self.window.narrow(now);
+                }
                 if let Some(server) = self.servers.get_mut(&rs)
                     && bad
                     && own.is_some_and(|own| !own.established)
@@ -275,7 +313,7 @@
                     }
                 }
             }
-            Outcome::Elapsed => self.holding = false,
+            Outcome::Elapsed => self.held = 0,
         }
         for server in self.servers.values_mut() {
             if self.probes && server.next_probe <= now && server.listed.state == State::Ready {
@@ -292,7 +330,7 @@
     /// How long to wait for the next outcome at most.
     pub fn wait(&self, now: Time) -> Option<Time> {
         let ready = self.servers.values().filter(|s| self.probes && s.listed.state == State::Ready);
-        let held = self.holding.then_some(now + 50 * MS);
+        let held = (self.held > 0).then_some(now + LOOK_AGAIN);
         let next = ready.map(|s| s.next_probe).chain(self.next_ask).chain(held).min();
         next.map(|at| at.saturating_sub(now))
     }
@@ -302,6 +340,16 @@
         self.service_types.get(flow.service_type).copied().unwrap_or(unknown)
     }
 
+    /// Not yet, while the setup target may still be met and few wait; else never.
+    fn hold(&mut self, now: Time, flow: &Flow) -> Place {
+        let waited = now.saturating_sub(flow.taken);
+        if waited >= self.service_type(flow).setup_target || self.held as f64 >= QUEUE * self.window.width {
+            return self.give_up(flow);
+        }
+        self.held += 1;
+        Place::NotYet
+    }
+
     /// The answer for a flow that is given up: rejected where the client may safely come again.
     fn give_up(&mut self, flow: &Flow) -> Place {
         let may_have_run = flow.connects.iter().any(|c| !c.never_ran);
