--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -15,12 +15,16 @@
 
 /// A server is hot above this load over capacity. The paper has 0.9.
 const T_H: f64 = 0.9;
+/// Nothing more is placed on a server that is asked for all it can do.
+const FULL: f64 = 1.0;
 /// The design's start for the probe interval; its bound is 10 s.
 const PROBE_EVERY: Time = 2 * SEC;
 /// A figure is kept so long when probes fail: two intervals and a report's age.
 const KEEP_FIGURE: Time = 5 * SEC;
 /// Reports lag by their refresh and delay, so a figure that comes sooner can't show the last moves.
 const SETTLE: Time = 2 * SEC;
+/// A report is about this old when it comes: what was placed later isn't in it.
+const REPORT_AGE: Time = SEC;
 /// First time-out of a server after a failed connect; it doubles with each further one.
 const REST: Time = 500 * MS;
 /// Own sends are looked at over this span to tell our usual rate.
@@ -53,6 +57,7 @@
 /// A connection of ours, or a connect in flight.
 struct Own {
     rs: Rs,
+    at: Time,
     group: Option<String>,
     established: bool,
     /// As told, where it is.
@@ -205,7 +210,7 @@
 
     /// A connection that flowed through this balancer before it started.
     pub fn inherit(&mut self, flow: FlowId, rs: Rs, group: Option<String>) {
-        self.own.insert(flow, Own { rs, group, established: true, load: None, estimate: None });
+        self.own.insert(flow, Own { rs, at: 0, group, established: true, load: None, estimate: None });
     }
 
     /// A connection's load now.
@@ -236,11 +241,14 @@
         let tried = |rs: &Rs| flow.connects.iter().any(|c| c.rs == *rs);
         // Rule 4: cold servers only within our part of their budget.
         let warm: Vec<Rs> = allowed.iter().copied().filter(|rs| self.has_credit(now, *rs)).collect();
-        let (means, mean_beta) = (self.own_counts(), self.mean_beta(now));
-        let mean_own = self.own.len() as f64 / warm.len().max(1) as f64;
         let healthy = prefer(&warm, |rs| !tried(rs) && self.healthy(now, *rs));
-        let cool = prefer(&healthy, |rs| self.beta(now, *rs).unwrap_or(mean_beta) <= T_H);
-        let even = prefer(&cool, |rs| *means.get(rs).unwrap_or(&0) as f64 <= 1.5 * mean_own + 1.0);
+        let mean_own = self.own.len() as f64 / healthy.len().max(1) as f64;
+        let counts = self.own_counts();
+        let loads = self.expected(now, mean_own);
+        // Guards against servers that drop what they hold since more and more is placed on them.
+        let open: Vec<Rs> = healthy.iter().copied().filter(|rs| loads[rs] < FULL).collect();
+        let cool = prefer(&open, |rs| loads[rs] <= T_H);
+        let even = prefer(&cool, |rs| *counts.get(rs).unwrap_or(&0) as f64 <= 1.5 * mean_own + 1.0);
         let near = prefer(&even, |rs| self.servers[rs].listed.hall == self.hall);
         // Guards against a group's common work being paid for on every server: its holders come first.
         let kin = prefer(&near, |rs| {
@@ -253,7 +261,8 @@
         let last = flow.connects.len() + 1 == self.max_connects || healthy.len() < 2;
         let limit = if last { left } else { self.service_type(flow).setup_target.max(left / 2).min(left) };
         self.spend(now, rs);
-        let own = Own { rs, group: flow.group.clone(), established: false, load: None, estimate: None };
+        let own =
+            Own { rs, at: now, group: flow.group.clone(), established: false, load: None, estimate: None };
         self.own.insert(flow.id, own);
         Place::To(rs, limit)
     }
@@ -406,6 +415,24 @@
         if known.is_empty() { 0.0 } else { known.iter().sum::<f64>() / known.len() as f64 }
     }
 
+    /// Each server's β as it will be: its figure, or the mean, and what we placed there since. A connection
+    /// counts as the mean one; other balancers see the same figures and are expected to do as we do.
+    fn expected(&self, now: Time, mean_own: f64) -> BTreeMap<Rs, f64> {
+        let mean = self.mean_beta(now);
+        let each = mean / mean_own.max(1.0);
+        let mut loads: BTreeMap<Rs, f64> =
+            self.servers.keys().map(|rs| (*rs, self.beta(now, *rs).unwrap_or(mean))).collect();
+        for own in self.own.values() {
+            let seen = self.servers.get(&own.rs).and_then(|s| s.reports.back());
+            if seen.is_some_and(|(at, _)| own.at + REPORT_AGE > *at)
+                && let Some(load) = loads.get_mut(&own.rs)
+            {
+                *load += each;
+            }
+        }
+        loads
+    }
+
     fn own_counts(&self) -> BTreeMap<Rs, usize> {
         let mut counts = BTreeMap::new();
         for own in self.own.values() {
