--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -25,8 +25,6 @@
 const SETTLE: Time = 2 * SEC;
 /// A report is about this old when it comes: what was placed later isn't in it.
 const REPORT_AGE: Time = SEC;
-/// Servers that a group's flows take turns on.
-const HOMES: usize = 2;
 /// First time-out of a server after a failed connect; it doubles with each further one.
 const REST: Time = 500 * MS;
 /// Own sends are looked at over this span to tell our usual rate.
@@ -252,12 +250,10 @@
         let cool = prefer(&open, |rs| loads[rs] <= T_H);
         let even = prefer(&cool, |rs| *counts.get(rs).unwrap_or(&0) as f64 <= 1.5 * mean_own + 1.0);
         let near = prefer(&even, |rs| self.servers[rs].listed.hall == self.hall);
-        // Guards against a group's common work being paid for on every server: balancers that share nothing
-        // still agree on the group's first servers.
-        let kin = match &flow.group {
-            Some(group) => first_in_order(group, &near, HOMES),
-            None => near,
-        };
+        // Guards against a group's common work being paid for on every server: its holders come first.
+        let kin = prefer(&near, |rs| {
+            flow.group.is_some() && self.own.values().any(|own| own.rs == *rs && own.group == flow.group)
+        });
         let Some(rs) = self.turn(&kin) else {
             return self.hold(now, flow);
         };
@@ -545,20 +541,6 @@
     if some.is_empty() { of.to_vec() } else { some }
 }
 
-/// The first few servers in a group's own order, which is the same at every balancer.
-fn first_in_order(group: &str, of: &[Rs], few: usize) -> Vec<Rs> {
-    // FNV-1a, then a mix with the server's id.
-    let hash = group
-        .bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
-    let rank = |rs: &Rs| WyRand::new_seed(hash ^ rs.wrapping_mul(0x9e37_79b9_7f4a_7c15)).generate::<u64>();
-    let mut order = of.to_vec();
-    order.sort_by_key(|rs| (rank(rs), *rs));
-    order.truncate(few);
-    order.sort_unstable();
-    order
-}
-
 /// Keeps the last few samples.
 fn keep<T>(samples: &mut VecDeque<T>, sample: T) {
     samples.push_back(sample);
