Settle on T_H 0.9 for moves and 0.78 as full for placing

A gap between placing and moving keeps a placed client from being moved at once; a fleet held at full load serves no message in time.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -14,9 +14,9 @@
 use crate::types::*;
 
 /// A server is hot above this load over capacity. The paper has 0.9.
-const T_H: f64 = 0.8;
+const T_H: f64 = 0.9;
 /// Nothing more is placed on a server that is asked for all it can do.
-const FULL: f64 = 0.92;
+const FULL: f64 = 0.78;
 /// The design's start for the probe interval; its bound is 10 s.
 const PROBE_EVERY: Time = 2 * SEC;
 /// A figure is kept so long when probes fail: two intervals and a report's age.
@@ -247,8 +247,7 @@
         let loads = self.expected(now, mean_own);
         // Guards against servers that drop what they hold since more and more is placed on them.
         let open: Vec<Rs> = healthy.iter().copied().filter(|rs| loads[rs] < FULL).collect();
-        let cool = prefer(&open, |rs| loads[rs] <= T_H);
-        let even = prefer(&cool, |rs| *counts.get(rs).unwrap_or(&0) as f64 <= 1.5 * mean_own + 1.0);
+        let even = prefer(&open, |rs| *counts.get(rs).unwrap_or(&0) as f64 <= 1.5 * mean_own + 1.0);
         let near = prefer(&even, |rs| self.servers[rs].listed.hall == self.hall);
         // Guards against a group's common work being paid for on every server: its holders come first.
         let kin = prefer(&near, |rs| {
