--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -521,7 +521,9 @@
         let mut covered = 0.0;
         let mut moves = Vec::new();
         for m in &mine {
-            if covered >= goal {
+            // Guards against several balancers that each round up: together they would empty the server.
+            // The one that goes past the goal is moved as often as it takes to meet the goal on average.
+            if covered + self.rng.generate::<f64>() * load(m) >= goal {
                 break;
             }
             covered += load(m);
