--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -245,14 +245,14 @@
         let mean_own = self.own.len() as f64 / healthy.len().max(1) as f64;
         let counts = self.own_counts();
         let loads = self.expected(now, mean_own);
-        // Guards against servers that drop what they hold since more and more is placed on them.
-        let open: Vec<Rs> = healthy.iter().copied().filter(|rs| loads[rs] < FULL).collect();
-        let even = prefer(&open, |rs| *counts.get(rs).unwrap_or(&0) as f64 <= 1.5 * mean_own + 1.0);
-        let near = prefer(&even, |rs| self.servers[rs].listed.hall == self.hall);
-        // Guards against a group's common work being paid for on every server: its holders come first.
-        let kin = prefer(&near, |rs| {
-            flow.group.is_some() && self.own.values().any(|own| own.rs == *rs && own.group == flow.group)
-        });
+        let holders = self.holders(flow);
+        // Guards against servers that drop what they hold since more and more is placed on them, and, as
+        // holders of the flow's group take more, against common work that is paid for on every server.
+        let room = |rs: &Rs| if holders.contains(rs) { T_H } else { FULL };
+        let open: Vec<Rs> = healthy.iter().copied().filter(|rs| loads[rs] < room(rs)).collect();
+        let kin = prefer(&open, |rs| holders.contains(rs));
+        let near = prefer(&kin, |rs| self.servers[rs].listed.hall == self.hall);
+        let kin = prefer(&near, |rs| *counts.get(rs).unwrap_or(&0) as f64 <= 1.5 * mean_own + 1.0);
         let Some(rs) = self.turn(&kin) else {
             return self.hold(now, flow);
         };
@@ -432,6 +432,12 @@
         loads
     }
 
+    /// Servers that hold connections of ours of the flow's group.
+    fn holders(&self, flow: &Flow) -> Vec<Rs> {
+        let kin = self.own.values().filter(|own| flow.group.is_some() && own.group == flow.group);
+        kin.map(|own| own.rs).collect()
+    }
+
     fn own_counts(&self) -> BTreeMap<Rs, usize> {
         let mut counts = BTreeMap::new();
         for own in self.own.values() {
