--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -16,7 +16,8 @@
 /// A server is hot above this load over capacity. The paper has 0.9.
 const T_H: f64 = 0.9;
 /// Nothing more is placed on a server that is asked for all it can do.
-const FULL: f64 = 0.77;
+const FULL: f64 = 0.75;
+const NEW: f64 = 0.65;
 /// The design's start for the probe interval; its bound is 10 s.
 const PROBE_EVERY: Time = 2 * SEC;
 /// A figure is kept so long when probes fail: two intervals and a report's age.
@@ -248,11 +249,11 @@
         let holders = self.holders(flow);
         // Guards against servers that drop what they hold since more and more is placed on them, and, as
         // holders of the flow's group take more, against common work that is paid for on every server.
-        let room = |rs: &Rs| if holders.contains(rs) { T_H } else { FULL };
+        let room = |rs: &Rs| if holders.contains(rs) { FULL } else { NEW };
         let open: Vec<Rs> = healthy.iter().copied().filter(|rs| loads[rs] < room(rs)).collect();
-        let kin = prefer(&open, |rs| holders.contains(rs));
-        let near = prefer(&kin, |rs| self.servers[rs].listed.hall == self.hall);
-        let kin = prefer(&near, |rs| *counts.get(rs).unwrap_or(&0) as f64 <= 1.5 * mean_own + 1.0);
+        let even = prefer(&open, |rs| *counts.get(rs).unwrap_or(&0) as f64 <= 1.5 * mean_own + 1.0);
+        let near = prefer(&even, |rs| self.servers[rs].listed.hall == self.hall);
+        let kin = prefer(&near, |rs| holders.contains(rs));
         let Some(rs) = self.turn(&kin) else {
             return self.hold(now, flow);
         };
