--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -16,8 +16,8 @@
 /// A server is hot above this load over capacity. The paper has 0.9.
 const T_H: f64 = 0.9;
 /// Nothing more is placed on a server that is asked for all it can do.
-const FULL: f64 = 0.7;
-const NEW: f64 = 0.6;
+const FULL: f64 = 0.77;
+const NEW: f64 = 0.55;
 /// The design's start for the probe interval; its bound is 10 s.
 const PROBE_EVERY: Time = 2 * SEC;
 /// A figure is kept so long when probes fail: two intervals and a report's age.
