--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -32,9 +32,6 @@
 const RATE_SPAN: Time = 20 * SEC;
 /// Connects that were made together fail together: the window narrows once in this span.
 const ROUND: Time = 250 * MS;
-/// Connects that tell how long one takes now, and how long usually.
-const LAST_TOOK: usize = 3;
-const USUAL_TOOK: usize = 32;
 /// Flows that may wait for their turn, for each connect that may be in flight.
 const QUEUE: f64 = 4.0;
 /// How soon flows that wait are looked at again.
@@ -106,24 +103,10 @@
     /// Widened quickly up to here, then by one a round.
     steady: f64,
     narrowed: Time,
-    /// How long the last established connects took.
-    took: VecDeque<Time>,
 }
 
 impl Window {
-    /// Guards against a burst on a store that has grown slow but not failed yet: narrower by as much as
-    /// the last connects took longer than usual.
-    fn room(&self) -> f64 {
-        let last: Vec<Time> = self.took.iter().rev().take(LAST_TOOK).copied().collect();
-        let usual = 2.0 * median(self.took.iter().copied().collect()) as f64;
-        (self.width * (usual / median(last).max(1) as f64).min(1.0)).max(1.0)
-    }
-
-    fn widen(&mut self, took: Time) {
-        self.took.push_back(took);
-        if self.took.len() > USUAL_TOOK {
-            self.took.pop_front();
-        }
+    fn widen(&mut self) {
         self.width += if self.width < self.steady { 1.0 } else { 1.0 / self.width };
     }
 
@@ -155,7 +138,7 @@
             own: BTreeMap::new(),
             settled: VecDeque::new(),
             began: None,
-            window: Window { width: 8.0, steady: f64::INFINITY, narrowed: 0, took: VecDeque::new() },
+            window: Window { width: 8.0, steady: f64::INFINITY, narrowed: 0 },
             held: 0,
         }
     }
@@ -250,7 +233,7 @@
             return self.give_up(flow);
         }
         // Guards against a storm of connects that jams what all servers share (the store) and stays.
-        if self.own.values().filter(|own| !own.established).count() as f64 >= self.window.room() {
+        if self.own.values().filter(|own| !own.established).count() as f64 >= self.window.width {
             return self.hold(now, flow);
         }
         // Rules 2 and 3: only ready servers, and only where a repeat can do no harm.
@@ -288,10 +271,10 @@
     pub fn after(&mut self, now: Time, outcome: Outcome) -> Todo {
         let mut todo = Todo::default();
         match outcome {
-            Outcome::Established { flow, took } => {
+            Outcome::Established { flow, .. } => {
                 if let Some(own) = self.own.get_mut(&flow) {
                     own.established = true;
-                    self.window.widen(took);
+                    self.window.widen();
                     if let Some(server) = self.servers.get_mut(&own.rs) {
                         server.failed.clear();
                         server.last_established = now;
@@ -369,7 +352,7 @@
     /// Not yet, while the setup target may still be met and few wait; else never.
     fn hold(&mut self, now: Time, flow: &Flow) -> Place {
         let waited = now.saturating_sub(flow.taken);
-        if waited >= self.service_type(flow).setup_target || self.held as f64 >= QUEUE * self.window.room() {
+        if waited >= self.service_type(flow).setup_target || self.held as f64 >= QUEUE * self.window.width {
             return self.give_up(flow);
         }
         self.held += 1;
@@ -566,11 +549,6 @@
     if some.is_empty() { of.to_vec() } else { some }
 }
 
-fn median(mut of: Vec<Time>) -> Time {
-    of.sort_unstable();
-    of.get(of.len() / 2).copied().unwrap_or(0)
-}
-
 /// Keeps the last few samples.
 fn keep<T>(samples: &mut VecDeque<T>, sample: T) {
     samples.push_back(sample);
