--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -32,8 +32,6 @@
 const RATE_SPAN: Time = 20 * SEC;
 /// Connects that were made together fail together: the window narrows once in this span.
 const ROUND: Time = 250 * MS;
-/// Connects in flight at once that trouble nobody; where the window starts.
-const CALM: f64 = 4.0;
 /// Flows that may wait for their turn, for each connect that may be in flight.
 const QUEUE: f64 = 4.0;
 /// How soon flows that wait are looked at again.
@@ -140,7 +138,7 @@
             own: BTreeMap::new(),
             settled: VecDeque::new(),
             began: None,
-            window: Window { width: CALM, steady: f64::INFINITY, narrowed: 0 },
+            window: Window { width: 8.0, steady: f64::INFINITY, narrowed: 0 },
             held: 0,
         }
     }
@@ -260,9 +258,7 @@
             return self.hold(now, flow);
         };
         // The time-out leaves room for another connect where there is one to be made.
-        // While the window is narrow others fare no better, and a further connect adds to the jam.
-        let last =
-            flow.connects.len() + 1 == self.max_connects || healthy.len() < 2 || self.window.width < CALM;
+        let last = flow.connects.len() + 1 == self.max_connects || healthy.len() < 2;
         let limit = if last { left } else { self.service_type(flow).setup_target.max(left / 2).min(left) };
         self.spend(now, rs);
         let own =
