--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -44,6 +44,8 @@
     turn: f64,
     /// Reports, newest last.
     reports: VecDeque<(Time, f64)>,
+    /// Our connects that the last report can't show yet.
+    placed: VecDeque<Time>,
     /// Failed connects since the last established one.
     failed: VecDeque<Time>,
     /// Failed probes since the last that passed.
@@ -58,7 +60,6 @@
 /// A connection of ours, or a connect in flight.
 struct Own {
     rs: Rs,
-    at: Time,
     group: Option<String>,
     established: bool,
     /// As told, where it is.
@@ -67,6 +68,53 @@
     estimate: Option<f64>,
 }
 
+/// Our connections and connects in flight, with what is asked of them at each flow.
+#[derive(Default)]
+struct Book {
+    own: BTreeMap<FlowId, Own>,
+    by_rs: BTreeMap<Rs, usize>,
+    by_group: BTreeMap<String, BTreeMap<Rs, usize>>,
+    in_flight: usize,
+}
+
+impl Book {
+    fn enter(&mut self, flow: FlowId, rs: Rs, group: Option<String>, established: bool) {
+        self.strike(flow);
+        *self.by_rs.entry(rs).or_default() += 1;
+        if let Some(group) = &group {
+            *self.by_group.entry(group.clone()).or_default().entry(rs).or_default() += 1;
+        }
+        self.in_flight += usize::from(!established);
+        self.own.insert(flow, Own { rs, group, established, load: None, estimate: None });
+    }
+
+    fn established(&mut self, flow: FlowId) -> Option<Rs> {
+        let own = self.own.get_mut(&flow).filter(|own| !own.established)?;
+        own.established = true;
+        self.in_flight -= 1;
+        Some(own.rs)
+    }
+
+    fn strike(&mut self, flow: FlowId) -> Option<Own> {
+        let own = self.own.remove(&flow)?;
+        self.in_flight -= usize::from(!own.established);
+        less(&mut self.by_rs, &own.rs);
+        if let Some(group) = &own.group
+            && let Some(holders) = self.by_group.get_mut(group)
+        {
+            less(holders, &own.rs);
+            if holders.is_empty() {
+                self.by_group.remove(group);
+            }
+        }
+        Some(own)
+    }
+
+    fn at(&self, rs: Rs) -> f64 {
+        self.by_rs.get(&rs).copied().unwrap_or(0) as f64
+    }
+}
+
 /// The part of the rule on cold servers that is this balancer's.
 struct Cold {
     start: f64,
@@ -87,7 +135,7 @@
     next_ask: Option<Time>,
     cold: Cold,
     servers: BTreeMap<Rs, Server>,
-    own: BTreeMap<FlowId, Own>,
+    book: Book,
     /// When our last connects were established, and on which kind of machine.
     settled: VecDeque<(Time, u64)>,
     began: Option<Time>,
@@ -135,7 +183,7 @@
             next_ask: None,
             cold: Cold { start: 0.1, warm_up: 30 * SEC, multiple: 1.0 },
             servers: BTreeMap::new(),
-            own: BTreeMap::new(),
+            book: Book::default(),
             settled: VecDeque::new(),
             began: None,
             window: Window { width: 8.0, steady: f64::INFINITY, narrowed: 0 },
@@ -185,6 +233,7 @@
                 listed: *entry,
                 turn: self.rng.generate::<f64>(),
                 reports: VecDeque::new(),
+                placed: VecDeque::new(),
                 failed: VecDeque::new(),
                 unprobed: VecDeque::new(),
                 last_established: 0,
@@ -200,8 +249,8 @@
                 _ => drop(self.servers.insert(entry.rs, fresh)),
             }
         }
-        let in_use: Vec<Rs> = self.own.values().map(|own| own.rs).collect();
-        self.servers.retain(|rs, server| server.listed.state != State::Gone || in_use.contains(rs));
+        let book = &self.book;
+        self.servers.retain(|rs, server| server.listed.state != State::Gone || book.at(*rs) > 0.0);
     }
 
     /// The list could not be had; it is asked for again after a while.
@@ -211,12 +260,12 @@
 
     /// A connection that flowed through this balancer before it started.
     pub fn inherit(&mut self, flow: FlowId, rs: Rs, group: Option<String>) {
-        self.own.insert(flow, Own { rs, at: 0, group, established: true, load: None, estimate: None });
+        self.book.enter(flow, rs, group, true);
     }
 
     /// A connection's load now.
     pub fn told_load(&mut self, flow: FlowId, load: f64) {
-        if let Some(own) = self.own.get_mut(&flow)
+        if let Some(own) = self.book.own.get_mut(&flow)
             && load.is_finite()
             && load >= 0.0
         {
@@ -233,27 +282,32 @@
             return self.give_up(flow);
         }
         // Guards against a storm of connects that jams what all servers share (the store) and stays.
-        if self.own.values().filter(|own| !own.established).count() as f64 >= self.window.width {
+        if self.book.in_flight as f64 >= self.window.width {
             return self.hold(now, flow);
         }
         // Rules 2 and 3: only ready servers, and only where a repeat can do no harm.
-        let allowed: Vec<Rs> = self.servers.values().map(|s| s.listed.rs).collect();
-        let allowed: Vec<Rs> = allowed.into_iter().filter(|rs| self.may_send(now, flow, *rs)).collect();
-        let tried = |rs: &Rs| flow.connects.iter().any(|c| c.rs == *rs);
+        let servers = self.servers.values().map(|server| server.listed.rs);
+        let allowed: Vec<Rs> = servers.filter(|rs| self.may_send(now, flow, *rs)).collect();
         // Rule 4: cold servers only within our part of their budget.
-        let warm: Vec<Rs> = allowed.iter().copied().filter(|rs| self.has_credit(now, *rs)).collect();
-        let healthy = prefer(&warm, |rs| !tried(rs) && self.healthy(now, *rs));
-        let mean_own = self.own.len() as f64 / healthy.len().max(1) as f64;
-        let counts = self.own_counts();
-        let loads = self.expected(now, mean_own);
-        let holders = self.holders(flow);
+        let warm: Vec<Rs> = allowed.into_iter().filter(|rs| self.has_credit(now, *rs)).collect();
+        let tried = |rs: &Rs| flow.connects.iter().any(|c| c.rs == *rs);
+        let healthy = prefer(&warm, |rs| !tried(rs) && self.healthy(now, &self.servers[rs]));
+        let mean_own = self.book.own.len() as f64 / healthy.len().max(1) as f64;
+        let mean = self.mean_beta(now);
+        let nobody = BTreeMap::new();
+        let group = flow.group.as_ref().and_then(|group| self.book.by_group.get(group));
+        let holders = group.unwrap_or(&nobody);
         // Guards against servers that drop what they hold since more and more is placed on them, and, as
         // holders of the flow's group take more, against common work that is paid for on every server.
-        let room = |rs: &Rs| if holders.contains(rs) { FULL } else { NEW };
-        let open: Vec<Rs> = healthy.iter().copied().filter(|rs| loads[rs] < room(rs)).collect();
-        let even = prefer(&open, |rs| *counts.get(rs).unwrap_or(&0) as f64 <= 1.5 * mean_own + 1.0);
+        let room = |rs: &Rs| if holders.contains_key(rs) { FULL } else { NEW };
+        let open: Vec<Rs> = healthy
+            .iter()
+            .copied()
+            .filter(|rs| self.expected(now, &self.servers[rs], mean, mean_own) < room(rs))
+            .collect();
+        let even = prefer(&open, |rs| self.book.at(*rs) <= 1.5 * mean_own + 1.0);
         let near = prefer(&even, |rs| self.servers[rs].listed.hall == self.hall);
-        let kin = prefer(&near, |rs| holders.contains(rs));
+        let kin = prefer(&near, |rs| holders.contains_key(rs));
         let Some(rs) = self.turn(&kin) else {
             return self.hold(now, flow);
         };
@@ -261,9 +315,7 @@
         let last = flow.connects.len() + 1 == self.max_connects || healthy.len() < 2;
         let limit = if last { left } else { self.service_type(flow).setup_target.max(left / 2).min(left) };
         self.spend(now, rs);
-        let own =
-            Own { rs, at: now, group: flow.group.clone(), established: false, load: None, estimate: None };
-        self.own.insert(flow.id, own);
+        self.book.enter(flow.id, rs, flow.group.clone(), false);
         Place::To(rs, limit)
     }
 
@@ -272,36 +324,36 @@
         let mut todo = Todo::default();
         match outcome {
             Outcome::Established { flow, .. } => {
-                if let Some(own) = self.own.get_mut(&flow) {
-                    own.established = true;
+                if let Some(rs) = self.book.established(flow) {
                     self.window.widen();
-                    if let Some(server) = self.servers.get_mut(&own.rs) {
+                    if let Some(server) = self.servers.get_mut(&rs) {
                         server.failed.clear();
                         server.last_established = now;
                         self.settled.push_back((now, server.listed.machine));
-                        self.settled.retain(|(at, _)| at + RATE_SPAN >= now);
+                    }
+                    while self.settled.front().is_some_and(|(at, _)| at + RATE_SPAN < now) {
+                        self.settled.pop_front();
                     }
                 }
             }
             Outcome::Ended { flow, rs, end, owed } => {
-                let own = self.own.remove(&flow);
-                let bad = matches!(end, End::Unreachable | End::TimedOut | End::Full | End::Error | End::Cut);
-                if matches!(end, End::TimedOut | End::Error)
-                    && self.servers.contains_key(&rs)
-                    && self.healthy(now, rs)
-                {
+                let setting_up = self.book.strike(flow).is_some_and(|own| !own.established);
+                let shared = matches!(end, End::TimedOut | End::Error);
+                if shared && self.servers.get(&rs).is_some_and(|server| self.healthy(now, server)) {
                     self.window.narrow(now);
                 }
                 if let Some(server) = self.servers.get_mut(&rs)
-                    && bad
-                    && own.is_some_and(|own| !own.established)
+                    && setting_up
                 {
-                    keep(&mut server.failed, now);
+                    server.placed.pop_back();
+                    if shared || matches!(end, End::Unreachable | End::Full | End::Cut) {
+                        keep(&mut server.failed, now);
+                    }
                 }
                 todo.place = owed.map(|flow| self.place(now, flow));
             }
             Outcome::Left { flow } => {
-                if self.may_call_off && self.own.get(&flow).is_some_and(|own| !own.established) {
+                if self.may_call_off && self.book.own.get(&flow).is_some_and(|own| !own.established) {
                     todo.call_off.push(flow);
                 }
             }
@@ -314,9 +366,13 @@
                     }
                     if let Some(beta) = report.beta.filter(|b| passed && b.is_finite() && *b >= 0.0) {
                         keep(&mut server.reports, (now, beta));
-                        let count = report.connections.filter(|c| *c >= 1.0);
-                        for own in self.own.values_mut().filter(|own| own.rs == rs && own.established) {
-                            own.estimate = own.estimate.or(count.map(|c| beta / c));
+                        while server.placed.front().is_some_and(|at| at + REPORT_AGE <= now) {
+                            server.placed.pop_front();
+                        }
+                        if let Some(count) = report.connections.filter(|count| *count >= 1.0) {
+                            for own in self.book.own.values_mut().filter(|own| own.rs == rs) {
+                                own.estimate.get_or_insert(beta / count);
+                            }
                         }
                         todo.shift = self.shed(now, rs, beta);
                     }
@@ -395,8 +451,7 @@
     }
 
     /// Whether a server answers: not resting after failed connects, nor silent to probes and flows alike.
-    fn healthy(&self, now: Time, rs: Rs) -> bool {
-        let server = &self.servers[&rs];
+    fn healthy(&self, now: Time, server: &Server) -> bool {
         let resting =
             server.failed.back().is_some_and(|last| now < last + (REST << server.failed.len().min(4)));
         // A broken probe path alone tells nothing while flows are established.
@@ -405,46 +460,23 @@
     }
 
     /// The server's β while the figure is fresh enough.
-    fn beta(&self, now: Time, rs: Rs) -> Option<f64> {
-        let &(at, beta) = self.servers[&rs].reports.back()?;
+    fn beta(&self, now: Time, server: &Server) -> Option<f64> {
+        let &(at, beta) = server.reports.back()?;
         (now < at + KEEP_FIGURE + PROBE_EVERY).then_some(beta)
     }
 
     fn mean_beta(&self, now: Time) -> f64 {
-        let known: Vec<f64> = self.servers.keys().filter_map(|rs| self.beta(now, *rs)).collect();
+        let known: Vec<f64> = self.servers.values().filter_map(|server| self.beta(now, server)).collect();
         if known.is_empty() { 0.0 } else { known.iter().sum::<f64>() / known.len() as f64 }
     }
 
-    /// Each server's β as it will be: its figure, or the mean, and what we placed there since. A connection
+    /// The server's β as it will be: its figure, or the mean, and what we placed there since. A connection
     /// counts as the mean one; other balancers see the same figures and are expected to do as we do.
-    fn expected(&self, now: Time, mean_own: f64) -> BTreeMap<Rs, f64> {
-        let mean = self.mean_beta(now);
-        let each = mean / mean_own.max(1.0);
-        let mut loads: BTreeMap<Rs, f64> =
-            self.servers.keys().map(|rs| (*rs, self.beta(now, *rs).unwrap_or(mean))).collect();
-        for own in self.own.values() {
-            let seen = self.servers.get(&own.rs).and_then(|s| s.reports.back());
-            if seen.is_some_and(|(at, _)| own.at + REPORT_AGE > *at)
-                && let Some(load) = loads.get_mut(&own.rs)
-            {
-                *load += each;
-            }
+    fn expected(&self, now: Time, server: &Server, mean: f64, mean_own: f64) -> f64 {
+        match self.beta(now, server) {
+            Some(beta) => beta + server.placed.len() as f64 * mean / mean_own.max(1.0),
+            None => mean,
         }
-        loads
-    }
-
-    /// Servers that hold connections of ours of the flow's group.
-    fn holders(&self, flow: &Flow) -> Vec<Rs> {
-        let kin = self.own.values().filter(|own| flow.group.is_some() && own.group == flow.group);
-        kin.map(|own| own.rs).collect()
-    }
-
-    fn own_counts(&self) -> BTreeMap<Rs, usize> {
-        let mut counts = BTreeMap::new();
-        for own in self.own.values() {
-            *counts.entry(own.rs).or_default() += 1;
-        }
-        counts
     }
 
     /// The share of its capacity that a server has at least.
@@ -478,8 +510,13 @@
     }
 
     fn spend(&mut self, now: Time, rs: Rs) {
-        let credit = self.credit(now, &self.servers[&rs]);
-        self.servers.get_mut(&rs).expect("a listed server").credit = (credit - 1.0, now);
+        let server = &self.servers[&rs];
+        let cold = (self.warmth(now, server) < 1.0).then(|| self.credit(now, server));
+        let server = self.servers.get_mut(&rs).expect("a listed server");
+        server.placed.push_back(now);
+        if let Some(credit) = cold {
+            server.credit = (credit - 1.0, now);
+        }
     }
 
     /// The rotation: smooth weighted round robin over these servers.
@@ -510,13 +547,13 @@
         let others: Vec<f64> = self
             .servers
             .values()
-            .filter(|s| s.listed.state == State::Ready && s.listed.rs != rs && self.healthy(now, s.listed.rs))
-            .map(|s| self.beta(now, s.listed.rs).unwrap_or(mean))
+            .filter(|s| s.listed.state == State::Ready && s.listed.rs != rs && self.healthy(now, s))
+            .map(|s| self.beta(now, s).unwrap_or(mean))
             .collect();
         let room: f64 = others.iter().map(|b| (T_H - b).max(0.0)).sum();
         let excess: f64 = others.iter().map(|b| (b - T_H).max(0.0)).sum::<f64>() + beta - T_H;
         let fraction = (beta - T_H) / beta * (room / excess).min(1.0);
-        let here = || self.own.iter().filter(|(_, own)| own.rs == rs && own.established);
+        let here = || self.book.own.iter().filter(|(_, own)| own.rs == rs && own.established);
         let any_told = here().any(|(_, own)| own.load.is_some());
         let figure = |own: &Own| if any_told { own.load } else { own.estimate };
         let mut mine: Vec<(FlowId, Option<f64>)> = here().map(|(id, own)| (*id, figure(own))).collect();
@@ -549,6 +586,16 @@
     if some.is_empty() { of.to_vec() } else { some }
 }
 
+/// One less, and none at all once the last is gone.
+fn less(counts: &mut BTreeMap<Rs, usize>, rs: &Rs) {
+    if let Some(count) = counts.get_mut(rs) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(rs);
+        }
+    }
+}
+
 /// Keeps the last few samples.
 fn keep<T>(samples: &mut VecDeque<T>, sample: T) {
     samples.push_back(sample);
