Budget cold servers by what warm ones carry, worked out once a flow

Dividing the pace by all servers, cold ones too, left the new ones empty while the old were hot; and each cold server's credit walked all samples.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -289,7 +289,14 @@
         let servers = self.servers.values().map(|server| server.listed.rs);
         let allowed: Vec<Rs> = servers.filter(|rs| self.may_send(now, flow, *rs)).collect();
         // Rule 4: cold servers only within our part of their budget.
-        let warm: Vec<Rs> = allowed.into_iter().filter(|rs| self.has_credit(now, *rs)).collect();
+        let pace = self.pace(now);
+        let warm: Vec<Rs> = allowed
+            .into_iter()
+            .filter(|rs| {
+                let server = &self.servers[rs];
+                self.warmth(now, server) >= 1.0 || self.credit(now, server, &pace) >= 1.0
+            })
+            .collect();
         let tried = |rs: &Rs| flow.connects.iter().any(|c| c.rs == *rs);
         let healthy = prefer(&warm, |rs| !tried(rs) && self.healthy(now, &self.servers[rs]));
         let mean_own = self.book.own.len() as f64 / healthy.len().max(1) as f64;
@@ -314,7 +321,11 @@
         // The time-out leaves room for another connect where there is one to be made.
         let last = flow.connects.len() + 1 == self.max_connects || healthy.len() < 2;
         let limit = if last { left } else { self.service_type(flow).setup_target.max(left / 2).min(left) };
-        self.spend(now, rs);
+        let server = &self.servers[&rs];
+        let credit = self.credit(now, server, &pace) - 1.0;
+        let server = self.servers.get_mut(&rs).expect("a listed server");
+        server.credit = (credit.max(0.0), now);
+        server.placed.push_back(now);
         self.book.enter(flow.id, rs, flow.group.clone(), false);
         Place::To(rs, limit)
     }
@@ -326,10 +337,13 @@
             Outcome::Established { flow, .. } => {
                 if let Some(rs) = self.book.established(flow) {
                     self.window.widen();
+                    let warm = self.servers.get(&rs).is_some_and(|server| self.warmth(now, server) >= 1.0);
                     if let Some(server) = self.servers.get_mut(&rs) {
                         server.failed.clear();
                         server.last_established = now;
-                        self.settled.push_back((now, server.listed.machine));
+                        if warm {
+                            self.settled.push_back((now, server.listed.machine));
+                        }
                     }
                     while self.settled.front().is_some_and(|(at, _)| at + RATE_SPAN < now) {
                         self.settled.pop_front();
@@ -488,35 +502,30 @@
         self.cold.start + (1.0 - self.cold.start) * age as f64 / self.cold.warm_up as f64
     }
 
-    /// Connects to a cold server that have come free since the last look, one at most.
-    fn credit(&self, now: Time, server: &Server) -> f64 {
-        let alike = |s: &&Server| s.listed.state == State::Ready && s.listed.machine == server.listed.machine;
-        let ready = self.servers.values().filter(alike).count().max(1);
+    /// For each kind of machine how many connects a warm server of it has lately established a nanosecond:
+    /// what others carry, not what is sent, for a storm of failing connects must not raise the budget,
+    /// and without the cold ones, which would thin it out when many are added at once.
+    fn pace(&self, now: Time) -> BTreeMap<u64, f64> {
         let began = self.began.unwrap_or(now).max(now.saturating_sub(RATE_SPAN));
         let span = now.saturating_sub(began).max(SEC) as f64;
-        // What others of its kind take on, not what is sent: guards against a storm of failing connects
-        // that would raise the budget just when it is needed.
-        let recent = self.settled.iter().filter(|(at, kind)| *at >= began && *kind == server.listed.machine);
-        let recent = recent.count() as f64;
-        let rate = recent / span / ready as f64;
-        let (left, at) = server.credit;
-        let grown = self.cold.multiple * self.warmth(now, server) * rate * now.saturating_sub(at) as f64;
-        (left + 0.5 * grown).min(1.0)
-    }
-
-    fn has_credit(&self, now: Time, rs: Rs) -> bool {
-        let server = &self.servers[&rs];
-        self.warmth(now, server) >= 1.0 || self.credit(now, server) >= 1.0
+        let mut pace: BTreeMap<u64, (f64, f64)> = BTreeMap::new();
+        for server in self.servers.values() {
+            if server.listed.state == State::Ready && self.warmth(now, server) >= 1.0 {
+                pace.entry(server.listed.machine).or_default().1 += 1.0;
+            }
+        }
+        for (_, machine) in self.settled.iter().filter(|(at, _)| *at >= began) {
+            pace.entry(*machine).or_default().0 += 1.0;
+        }
+        pace.into_iter().map(|(machine, (sum, warm))| (machine, sum / span / f64::max(warm, 1.0))).collect()
     }
 
-    fn spend(&mut self, now: Time, rs: Rs) {
-        let server = &self.servers[&rs];
-        let cold = (self.warmth(now, server) < 1.0).then(|| self.credit(now, server));
-        let server = self.servers.get_mut(&rs).expect("a listed server");
-        server.placed.push_back(now);
-        if let Some(credit) = cold {
-            server.credit = (credit - 1.0, now);
-        }
+    /// Connects to a cold server that have come free since the last look, one at most.
+    fn credit(&self, now: Time, server: &Server, pace: &BTreeMap<u64, f64>) -> f64 {
+        let pace = pace.get(&server.listed.machine).copied().unwrap_or(0.0);
+        let (left, at) = server.credit;
+        let grown = self.cold.multiple * self.warmth(now, server) * pace * now.saturating_sub(at) as f64;
+        (left + 0.5 * grown).min(1.0)
     }
 
     /// The rotation: smooth weighted round robin over these servers.
