--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -37,6 +37,7 @@
                 settings.flag(&limits("second-copies"))?,
                 settings.flag(&limits("may-cancel"))?,
             )
+            .among(settings.number("replicas-of-me")?)
             .come_back(come_back)
             .probing(settings.flag(&limits("probes"))?)
             .asking(settings.text("discovery")? == "ask")
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -16,8 +16,8 @@
 /// A server is hot above this load over capacity. The paper has 0.9.
 const T_H: f64 = 0.9;
 /// Nothing more is placed on a server that is asked for all it can do.
-const FULL: f64 = 0.77;
-const NEW: f64 = 0.55;
+const FULL: f64 = 0.72;
+const NEW: f64 = 0.45;
 /// The design's start for the probe interval; its bound is 10 s.
 const PROBE_EVERY: Time = 2 * SEC;
 /// A figure is kept so long when probes fail: two intervals and a report's age.
@@ -26,6 +26,8 @@
 const SETTLE: Time = 2 * SEC;
 /// A report is about this old when it comes: what was placed later isn't in it.
 const REPORT_AGE: Time = SEC;
+/// Reports outside of this are taken for broken: no server lives that is asked for so much.
+const SANE: std::ops::Range<f64> = 0.0..100.0;
 /// First time-out of a server after a failed connect; it doubles with each further one.
 const REST: Time = 500 * MS;
 /// Own sends are looked at over this span to tell our usual rate.
@@ -126,6 +128,7 @@
     rng: WyRand,
     service_types: Vec<ServiceType>,
     hall: u64,
+    balancers: f64,
     max_connects: usize,
     margin: Time,
     come_back: Option<Time>,
@@ -174,6 +177,7 @@
             rng: WyRand::new_seed(seed),
             service_types,
             hall,
+            balancers: 1.0,
             max_connects: 1,
             margin: 10 * MS,
             come_back: None,
@@ -198,6 +202,12 @@
         self
     }
 
+    /// How many balancers place on these servers, this one among them.
+    pub fn among(mut self, balancers: f64) -> Self {
+        self.balancers = balancers.max(1.0);
+        self
+    }
+
     /// The longest time to come back that clients are told, where they are told any.
     pub fn come_back(mut self, longest: Option<Time>) -> Self {
         self.come_back = longest;
@@ -299,19 +309,25 @@
             .collect();
         let tried = |rs: &Rs| flow.connects.iter().any(|c| c.rs == *rs);
         let healthy = prefer(&warm, |rs| !tried(rs) && self.healthy(now, &self.servers[rs]));
-        let mean_own = self.book.own.len() as f64 / healthy.len().max(1) as f64;
+        let number = healthy.len().max(1) as f64;
+        let mean_own = self.book.own.len() as f64 / number;
         let mean = self.mean_beta(now);
+        // What we placed lately counts at once, as the mean connection; others are expected to place as we do
+        // on average. Guards against all balancers filling a server on one and the same figure.
+        let each = mean / (mean_own * self.balancers).max(1.0);
+        let lately = healthy.iter().map(|rs| self.servers[rs].placed.len()).sum::<usize>() as f64 / number;
+        let theirs = (self.balancers - 1.0) * lately;
+        let expected = |rs: &Rs| {
+            let server = &self.servers[rs];
+            self.beta(now, server).map_or(mean, |beta| beta + each * (server.placed.len() as f64 + theirs))
+        };
         let nobody = BTreeMap::new();
         let group = flow.group.as_ref().and_then(|group| self.book.by_group.get(group));
         let holders = group.unwrap_or(&nobody);
         // Guards against servers that drop what they hold since more and more is placed on them, and, as
         // holders of the flow's group take more, against common work that is paid for on every server.
         let room = |rs: &Rs| if holders.contains_key(rs) { FULL } else { NEW };
-        let open: Vec<Rs> = healthy
-            .iter()
-            .copied()
-            .filter(|rs| self.expected(now, &self.servers[rs], mean, mean_own) < room(rs))
-            .collect();
+        let open: Vec<Rs> = healthy.iter().copied().filter(|rs| expected(rs) < room(rs)).collect();
         let even = prefer(&open, |rs| self.book.at(*rs) <= 1.5 * mean_own + 1.0);
         let near = prefer(&even, |rs| self.servers[rs].listed.hall == self.hall);
         let kin = prefer(&near, |rs| holders.contains_key(rs));
@@ -378,7 +394,7 @@
                     } else {
                         keep(&mut server.unprobed, now);
                     }
-                    if let Some(beta) = report.beta.filter(|b| passed && b.is_finite() && *b >= 0.0) {
+                    if let Some(beta) = report.beta.filter(|beta| passed && SANE.contains(beta)) {
                         keep(&mut server.reports, (now, beta));
                         while server.placed.front().is_some_and(|at| at + REPORT_AGE <= now) {
                             server.placed.pop_front();
@@ -484,15 +500,6 @@
         if known.is_empty() { 0.0 } else { known.iter().sum::<f64>() / known.len() as f64 }
     }
 
-    /// The server's β as it will be: its figure, or the mean, and what we placed there since. A connection
-    /// counts as the mean one; other balancers see the same figures and are expected to do as we do.
-    fn expected(&self, now: Time, server: &Server, mean: f64, mean_own: f64) -> f64 {
-        match self.beta(now, server) {
-            Some(beta) => beta + server.placed.len() as f64 * mean / mean_own.max(1.0),
-            None => mean,
-        }
-    }
-
     /// The share of its capacity that a server has at least.
     fn warmth(&self, now: Time, server: &Server) -> f64 {
         let age = now.saturating_sub(server.listed.started);
--- /dev/null
+++ b/crates/policy/tests/common/mod.rs
@@ -0,0 +1,45 @@
+//! Helpers of the tables of cases.
+
+use nettlemux_policy::*;
+
+pub fn repeat(repeat: Repeat) -> ServiceType {
+    ServiceType { setup_target: 100 * MS, value: 1.0, repeat }
+}
+
+/// A balancer of hall 0 with one service type.
+pub fn balancer(kind: Repeat) -> Policy {
+    Policy::new(7, 0, vec![repeat(kind)])
+        .connects(3, 4 * MS, false, true)
+        .come_back(Some(2 * SEC))
+        .probing(true)
+        .cold(0.2, 20 * SEC, 2.5)
+}
+
+pub fn ready(rs: Rs) -> Listed {
+    Listed { rs, hall: 0, machine: 0, cell: 0, state: State::Ready, weight: 1.0, started: 0 }
+}
+
+pub fn flow(now: Time, id: FlowId) -> Flow {
+    Flow { id, taken: now, give_up: now + 2 * SEC, ..Flow::default() }
+}
+
+pub fn connect(rs: Rs, never_ran: bool) -> Connect {
+    Connect { rs, at: 0, out: false, never_ran }
+}
+
+pub fn beta(beta: f64) -> Report {
+    Report { beta: Some(beta), connections: None }
+}
+
+/// Places a flow and tells where.
+pub fn take(policy: &mut Policy, now: Time, id: FlowId) -> Rs {
+    match policy.place(now, &flow(now, id)) {
+        Place::To(rs, _) => rs,
+        other => panic!("flow {id}: {other:?}"),
+    }
+}
+
+/// A report, and the moves that follow from it.
+pub fn probe(policy: &mut Policy, now: Time, rs: Rs, b: f64) -> Vec<FlowId> {
+    policy.after(now, Outcome::Probed { rs, passed: true, report: beta(b) }).shift
+}
--- /dev/null
+++ b/crates/policy/tests/decisions.rs
@@ -0,0 +1,335 @@
+//! Tables of cases for what the module decides; each failure met in service has a case here.
+
+mod common;
+
+use common::{balancer, beta, connect, flow, probe, ready, repeat, take};
+use nettlemux_policy::*;
+
+const T0: Time = 1000 * SEC;
+
+#[test]
+fn rotation_follows_list_weights() {
+    for (weights, turns, want) in [
+        (vec![1.0, 1.0, 1.0], 9, vec![3, 3, 3]),
+        (vec![2.0, 1.0, 1.0], 8, vec![4, 2, 2]),
+        // Absurd weights count as one.
+        (vec![f64::NAN, 0.0, -3.0, f64::INFINITY], 8, vec![2, 2, 2, 2]),
+    ] {
+        let mut policy = balancer(Repeat::Repeatable);
+        let list: Vec<Listed> =
+            weights.iter().enumerate().map(|(i, w)| Listed { weight: *w, ..ready(i as Rs) }).collect();
+        policy.list(T0, &list, true);
+        let mut got = vec![0; weights.len()];
+        for id in 0..turns {
+            got[take(&mut policy, T0, id) as usize] += 1;
+            policy.after(T0, Outcome::Ended { flow: id, rs: 0, end: End::Done, owed: None });
+        }
+        for (got, want) in got.iter().zip(&want) {
+            assert!((got - want as &i32).abs() <= 1, "{weights:?}: {got:?}");
+        }
+    }
+}
+
+#[test]
+fn rotation_starts_anywhere() {
+    let firsts: std::collections::BTreeSet<Rs> = (0..40)
+        .map(|seed| {
+            let mut policy =
+                Policy::new(seed, 0, vec![repeat(Repeat::Repeatable)]).connects(3, MS, false, true);
+            policy.list(T0, &[ready(0), ready(1), ready(2)], true);
+            take(&mut policy, T0, 0)
+        })
+        .collect();
+    assert_eq!(firsts.len(), 3);
+}
+
+#[test]
+fn sheds_largest_first_to_its_fraction() {
+    // β, loads of our connections 0, 1, ..., how many moves at least and at most.
+    for (beta_now, loads, least, most) in [
+        (0.9, vec![5.0, 1.0, 1.0], 0, 0),
+        (0.91, vec![1.0; 100], 1, 2),
+        // A tenth of 100 equal connections, give or take the rounding.
+        (1.0, vec![1.0; 100], 10, 11),
+        (1.8, vec![1.0; 100], 50, 51),
+        // Half of all: the largest alone covers it.
+        (1.8, vec![1.0, 9.0, 1.0, 1.0], 1, 1),
+    ] {
+        let mut policy = balancer(Repeat::Repeatable);
+        policy.list(T0, &(0..9).map(ready).collect::<Vec<_>>(), true);
+        for rs in 1..9 {
+            probe(&mut policy, T0, rs, 0.2);
+        }
+        for (id, load) in loads.iter().enumerate() {
+            policy.inherit(id as FlowId, 0, None);
+            policy.told_load(id as FlowId, *load);
+        }
+        let moved = probe(&mut policy, T0, 0, beta_now);
+        assert!((least..=most).contains(&moved.len()), "β {beta_now}: {moved:?}");
+        if moved.len() == 1 && loads.contains(&9.0) {
+            assert_eq!(moved, [1]);
+        }
+    }
+}
+
+#[test]
+fn one_large_connection_moves_as_often_as_meets_the_goal() {
+    // Guards against each of several balancers rounding up: a tenth of the load is one move in ten figures.
+    let mut policy = balancer(Repeat::Repeatable);
+    policy.list(T0, &[ready(0), ready(1), ready(2)], true);
+    (1..3).for_each(|rs| drop(probe(&mut policy, T0, rs, 0.1)));
+    policy.inherit(1, 0, None);
+    policy.told_load(1, 10.0);
+    let moved = (0..200u64).filter(|i| {
+        let now = T0 + i * 3 * SEC;
+        (1..3).for_each(|rs| drop(probe(&mut policy, now, rs, 0.1)));
+        !probe(&mut policy, now, 0, 1.0).is_empty()
+    });
+    let moved = moved.count();
+    assert!((5..45).contains(&moved), "{moved} of 200");
+}
+
+#[test]
+fn one_figure_sheds_once_and_all_hot_sheds_nothing() {
+    let mut policy = balancer(Repeat::Repeatable);
+    policy.list(T0, &[ready(0), ready(1), ready(2)], true);
+    for id in 0..100 {
+        policy.inherit(id, 0, None);
+    }
+    (1..3).for_each(|rs| drop(probe(&mut policy, T0, rs, 0.1)));
+    assert!(!probe(&mut policy, T0, 0, 1.5).is_empty());
+    // Guards against a second shedding on a report that can't show the first.
+    assert!(probe(&mut policy, T0 + SEC, 0, 1.5).is_empty());
+    assert!(!probe(&mut policy, T0 + 3 * SEC, 0, 1.5).is_empty());
+    // Guards against moves that only shuffle.
+    (1..3).for_each(|rs| drop(probe(&mut policy, T0 + 6 * SEC, rs, 1.5)));
+    assert!(probe(&mut policy, T0 + 6 * SEC, 0, 1.5).is_empty());
+}
+
+#[test]
+fn without_told_loads_estimates_and_counts_decide() {
+    let mut policy = balancer(Repeat::Repeatable);
+    policy.list(T0, &[ready(0), ready(1), ready(2)], true);
+    (1..3).for_each(|rs| drop(probe(&mut policy, T0, rs, 0.0)));
+    let report = |b, count| Report { beta: Some(b), connections: count };
+    let probed = |report| Outcome::Probed { rs: 0, passed: true, report };
+    policy.inherit(7, 0, None);
+    policy.after(T0, probed(report(0.8, Some(2.0)))); // 0.4 each
+    policy.inherit(3, 0, None);
+    policy.after(T0, probed(report(0.3, Some(3.0)))); // 0.1 each
+    let todo = policy.after(T0, probed(report(1.79, None)));
+    assert_eq!(todo.shift[0], 7);
+}
+
+#[test]
+fn hot_and_silent_servers_are_passed_over() {
+    for (what, b) in [("hot", 0.95), ("full for a group it doesn't hold", 0.6)] {
+        let mut policy = balancer(Repeat::Repeatable);
+        policy.list(T0, &[ready(0), ready(1)], true);
+        (100..120).for_each(|id| policy.inherit(id, id % 2, None));
+        probe(&mut policy, T0, 0, b);
+        probe(&mut policy, T0, 1, 0.1);
+        for id in 0..4 {
+            assert_eq!(take(&mut policy, T0, id), 1, "{what}");
+        }
+    }
+    let mut policy = balancer(Repeat::Repeatable);
+    policy.list(T0, &[ready(0), ready(1)], true);
+    for _ in 0..2 {
+        policy.after(T0, Outcome::Probed { rs: 0, passed: false, report: Report::default() });
+    }
+    (0..4).for_each(|id| assert_eq!(take(&mut policy, T0, id), 1));
+}
+
+#[test]
+fn holders_of_a_group_come_first_and_take_more() {
+    // Guards against a group's common work on every server (incident i51578f).
+    let mut policy = balancer(Repeat::Repeatable);
+    policy.list(T0, &(0..6).map(ready).collect::<Vec<_>>(), true);
+    (0..6).for_each(|rs| drop(probe(&mut policy, T0, rs, 0.6)));
+    (100..160).for_each(|id| policy.inherit(id, id % 6, None));
+    policy.inherit(160, 4, Some("piste".into()));
+    for id in 0..2 {
+        let one = Flow { group: Some("piste".into()), ..flow(T0, id) };
+        assert!(matches!(policy.place(T0, &one), Place::To(4, _)));
+    }
+    // One that nobody holds finds no room, and is answered at once when its target has passed.
+    let other = Flow { group: Some("lift".into()), taken: T0 - SEC, ..flow(T0, 9) };
+    assert!(matches!(policy.place(T0, &other), Place::Reject(Some(_))));
+}
+
+#[test]
+fn connects_are_bounded_by_time_number_and_second_copies() {
+    for (connects, left, want_send) in [
+        (vec![], 500 * MS, true),
+        (vec![], MS, false),
+        (vec![connect(0, true); 1], 500 * MS, true),
+        (vec![connect(0, true); 3], 500 * MS, false),
+        (vec![Connect { out: true, ..connect(0, false) }], 500 * MS, false),
+    ] {
+        let mut policy = balancer(Repeat::Repeatable);
+        policy.list(T0, &[ready(0), ready(1)], true);
+        let one = Flow { give_up: T0 + left, connects: connects.clone(), ..flow(T0, 1) };
+        match policy.place(T0, &one) {
+            Place::To(rs, limit) => {
+                assert!(want_send && limit < left, "{connects:?}");
+                assert!(connects.iter().all(|c| c.rs != rs), "another server than before");
+            }
+            other => assert!(!want_send, "{connects:?}: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn no_effect_twice() {
+    let referenced = |scope| Repeat::Referenced(scope, SEC);
+    let far = Listed { hall: 1, cell: 1, ..ready(1) };
+    // Kind, whether the earlier connect to server 0 ran, its age, servers ready, what may come.
+    for (kind, never_ran, age, list, want) in [
+        (Repeat::OnceOnly, true, 0, vec![ready(0), far], "to"),
+        (Repeat::OnceOnly, false, 0, vec![ready(0), far], "abort"),
+        (Repeat::Repeatable, false, 0, vec![ready(0), far], "to"),
+        (referenced(Scope::All), false, 0, vec![ready(0), far], "to"),
+        (referenced(Scope::All), false, 2 * SEC, vec![ready(0), far], "reject"),
+        (referenced(Scope::Hall), false, 0, vec![ready(0), far], "to 0"),
+        (referenced(Scope::Hall), false, 2 * SEC, vec![ready(0), far], "abort"),
+        (
+            referenced(Scope::Cell),
+            false,
+            0,
+            vec![Listed { state: State::Draining, ..ready(0) }, far],
+            "abort",
+        ),
+        (referenced(Scope::Cell), true, 0, vec![Listed { state: State::Draining, ..ready(0) }, far], "to"),
+    ] {
+        let mut policy = balancer(kind);
+        policy.list(T0, &list, true);
+        let earlier = Connect { at: T0 - age, ..connect(0, never_ran) };
+        let one = Flow { connects: vec![earlier], taken: T0 - SEC, ..flow(T0, 1) };
+        let got = match policy.place(T0, &one) {
+            Place::To(rs, _) if want == "to 0" => format!("to {rs}"),
+            Place::To(..) => "to".into(),
+            Place::NotYet => "not yet".into(),
+            Place::Reject(_) => "reject".into(),
+            Place::Abort => "abort".to_string(),
+        };
+        assert_eq!(got, want, "{kind:?}, never ran {never_ran}, age {age}");
+    }
+}
+
+#[test]
+fn nothing_new_to_draining_gone_or_unlisted_servers() {
+    for state in [State::Draining, State::Gone] {
+        let mut policy = balancer(Repeat::Repeatable);
+        policy.list(T0, &[ready(0), ready(1)], true);
+        policy.list(T0, &[Listed { state, ..ready(0) }], false);
+        (0..4).for_each(|id| assert_eq!(take(&mut policy, T0, id), 1));
+        // What isn't in a whole list is gone.
+        policy.list(T0, &[ready(2)], true);
+        (4..8).for_each(|id| assert_eq!(take(&mut policy, T0, id), 2));
+        policy.list(T0, &[], true);
+        let late = Flow { taken: T0 - SEC, ..flow(T0, 9) };
+        assert!(matches!(policy.place(T0, &late), Place::Reject(Some(_))));
+    }
+}
+
+#[test]
+fn cold_servers_get_their_share_of_the_pace_only() {
+    // Guards against a storm of connects, which must not raise the budget, and a restart under one id.
+    for (storm, restart) in [(false, false), (true, false), (false, true)] {
+        let mut policy = balancer(Repeat::Repeatable);
+        policy.list(T0, &[ready(0), ready(1), ready(2)], true);
+        let mut now = T0;
+        let mut id = 0;
+        let mut go = |policy: &mut Policy, now, establish: bool| {
+            id += 1;
+            let rs = take(policy, now, id);
+            if establish {
+                policy.after(now, Outcome::Established { flow: id, took: MS });
+            }
+            policy.after(now, Outcome::Ended { flow: id, rs, end: End::Cut, owed: None });
+            rs
+        };
+        for _ in 0..60 {
+            now += SEC / 2;
+            go(&mut policy, now, true);
+        }
+        let cold = if restart { 2 } else { 3 };
+        policy.list(now, &[Listed { started: now, weight: 50.0, ..ready(cold) }], false);
+        // Two a second over three servers; a cold one has 0.2 to 0.3 of its capacity in this span.
+        let mut sent = 0;
+        for _ in 0..if storm { 400 } else { 8 } {
+            now += if storm { 10 * MS } else { SEC / 2 };
+            sent += i32::from(go(&mut policy, now, !storm) == cold);
+        }
+        assert!(sent <= 2, "storm {storm}, restart {restart}: {sent}");
+    }
+}
+
+#[test]
+fn a_jam_narrows_the_connects_in_flight() {
+    // Guards against a store jammed by our own further connects (kandy-patrol, rough-2).
+    let in_flight = |policy: &mut Policy, now, from: FlowId| {
+        (from..from + 40).take_while(|id| matches!(policy.place(now, &flow(now, *id)), Place::To(..))).count()
+    };
+    let mut policy = balancer(Repeat::Repeatable);
+    policy.list(T0, &(0..9).map(ready).collect::<Vec<_>>(), true);
+    let before = in_flight(&mut policy, T0, 0);
+    for id in 0..before as FlowId {
+        let now = T0 + id * 300 * MS;
+        policy.after(now, Outcome::Ended { flow: id, rs: 99, end: End::TimedOut, owed: None });
+        policy.after(now, Outcome::Ended { flow: id, rs: id % 9, end: End::TimedOut, owed: None });
+    }
+    let later = T0 + 20 * SEC;
+    let jammed = in_flight(&mut policy, later, 100);
+    assert!(jammed < before / 2, "{before} then {jammed}");
+    // Recovery is noticed.
+    (100..100 + jammed as FlowId)
+        .for_each(|id| drop(policy.after(later, Outcome::Established { flow: id, took: MS })));
+    assert!(in_flight(&mut policy, later, 200) > jammed);
+}
+
+#[test]
+fn absurd_news_and_late_outcomes_do_no_harm() {
+    let mut policy = balancer(Repeat::OnceOnly);
+    policy.list(T0, &[ready(0), Listed { hall: u64::MAX, machine: 77, ..ready(Rs::MAX) }], true);
+    for b in [f64::NAN, f64::INFINITY, -1.0, 0.0, 1e300] {
+        probe(&mut policy, T0, 0, b);
+        probe(&mut policy, T0, 42, b);
+        policy.told_load(42, b);
+        policy.inherit(7, 0, None);
+        policy.told_load(7, b);
+    }
+    for end in [End::Done, End::Error, End::Full, End::TimedOut, End::Cut, End::CalledOff, End::NotSent] {
+        policy.after(T0, Outcome::Ended { flow: 999, rs: 42, end, owed: None });
+        policy.after(T0, Outcome::Ended { flow: 7, rs: 0, end, owed: None });
+    }
+    policy.after(T0, Outcome::Established { flow: 999, took: 0 });
+    assert!(policy.after(T0, Outcome::Left { flow: 999 }).call_off.is_empty());
+    let unknown = Flow { service_type: 99, ..flow(T0, 5) };
+    assert!(matches!(policy.place(T0, &unknown), Place::To(..)));
+    assert_eq!(policy.after(T0, Outcome::Left { flow: 5 }).call_off, [5]);
+}
+
+#[test]
+fn probes_and_lists_are_asked_for_when_due() {
+    let mut policy = balancer(Repeat::Repeatable).asking(true);
+    assert!(policy.after(T0, Outcome::Elapsed).ask_list);
+    assert_eq!(policy.wait(T0), None);
+    policy.list_failed(T0);
+    let wait = policy.wait(T0).expect("the list is asked for again");
+    assert!(policy.after(T0 + wait, Outcome::Elapsed).ask_list);
+    policy.list(T0, &(0..50).map(ready).collect::<Vec<_>>(), true);
+    let mut probed = std::collections::BTreeSet::new();
+    let mut now = T0;
+    while now < T0 + 10 * SEC {
+        now += policy.wait(now).expect("a probe is due").max(MS);
+        probed.extend(policy.after(now, Outcome::Elapsed).probe);
+    }
+    assert_eq!(probed.len(), 50);
+    // Where probes aren't allowed none are asked for, and the rotation goes on.
+    let mut blind = balancer(Repeat::Repeatable).probing(false);
+    blind.list(T0, &[ready(0)], true);
+    assert_eq!((blind.wait(T0), take(&mut blind, T0, 1)), (None, 0));
+    assert_eq!(beta(0.5).connections, None);
+}
