--- /dev/null
+++ b/crates/adapter/tests/exchange.rs
@@ -0,0 +1,91 @@
+//! A scripted exchange through the adapter as it is run, and its answers to malformed input.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+const CONF: &str = r#"{"zone":0,"tick":2000,"discovery":"push","replicas-of-me":1,"unheard-of":[],
+"contract":{"start-capacity":0.3,"warm-up":9000000,"fall-multiple":3.0},
+"limits":{"max-connects":3,"second-copies":false,"may-cancel":true,"probes":true,"retry-after":true,
+"max-retry-after":2000000},"service-types":[{"setup-target":300000,"value":1,"repeat":"free"}],
+"specifics":{"report-x0":"load asked of the server over what it can do"}}"#;
+
+fn run(input: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_nettlemux-adapter"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the adapter starts");
+    // The adapter may end before it has read all of a malformed script.
+    let _ = child.stdin.take().expect("a pipe").write_all(input.as_bytes());
+    child.wait_with_output().expect("the adapter ends")
+}
+
+fn create(name: &str, conf: &str) -> String {
+    let conf = conf.replace('\n', " ");
+    format!(
+        "BEGIN_BATCH 1000000\nTABLE 0 2\nM 51 0 0 0 active 1 -\nM 52 0 0 0 leaving 1 -\nON {name}\n\
+         CREATE 9 {conf}\nVIEW stale_copy 1 0\nTAKEN_OVER 5 - 0 k 0 - 0 - 0 - 51\nEND\n"
+    )
+}
+
+#[test]
+fn a_flow_is_sent_reconnected_established_and_ends() {
+    let script = create("balancer-0", CONF)
+        + "BEGIN_BATCH 1002000\nON balancer-0\nKNOCK 7 0 0 k 1800000 - tpl/a 0 0 0\nEND\n\
+           BEGIN_BATCH 1004000\nON balancer-0\nRESULT 7 0 51 no_route 900 0 -\nEND\n\
+           BEGIN_BATCH 1006000\nON balancer-0\nFLOWING 7 1 51 1000\nSIGNAL 7 51 1 1 8000\nEND\n\
+           BEGIN_BATCH 1008000\nON balancer-0\nRESULT 7 1 51 pass 90 1 -\nSIGNAL 7 51 2 - 90\n\
+           KNOCK 8 0 0 k 3000 - - 0 0 0\nLAPSED 99\nMEMO 1 00\nPONG 300 51 pass x0:1.3,busy:0.9\nEND\n\
+           BEGIN_BATCH 1010000\nON balancer-0\nTEARDOWN\nEND\nBEGIN_BATCH 1012000\nEND\n";
+    let output = run(&script);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let text = String::from_utf8(output.stdout).expect("text");
+    let replies: Vec<&str> = text.split_inclusive("NEXT\n").collect();
+    assert_eq!(replies.len(), 7, "{text}");
+    assert!(replies[0].starts_with("AS balancer-0\nTIMER 1 "), "{text}");
+    // The draining server gets nothing, the limit ends before the client gives up.
+    assert!(replies[1].starts_with("AS balancer-0\nSUBMIT_TO 7 51 1796000\n"), "{text}");
+    assert!(replies[2].starts_with("AS balancer-0\nSUBMIT_TO 7 51 "), "{text}");
+    assert_eq!(replies[3], "NEXT\n");
+    // Too little time is left: answered at once, with a time to come back.
+    assert!(replies[4].contains("DECLINE 8 ") && !replies[4].contains("DECLINE 8 0\n"), "{text}");
+    assert_eq!(replies[5..], ["NEXT\n", "NEXT\n"]);
+}
+
+#[test]
+fn the_same_events_give_the_same_actions_in_company_and_alone() {
+    let knocks = |name: &str| {
+        let knocks: String = (0..30).map(|i| format!("KNOCK {i} 0 0 k 1800000 - - 0 0 0\n")).collect();
+        format!("BEGIN_BATCH 1002000\nON {name}\n{knocks}END\n")
+    };
+    let of = |name: &str| create(name, CONF) + &knocks(name);
+    let reply = |script: String| String::from_utf8(run(&script).stdout).expect("text");
+    let alone = reply(of("balancer-1"));
+    assert!(reply(of("balancer-0") + &of("balancer-1")).ends_with(&alone));
+}
+
+#[test]
+fn malformed_input_is_named_by_line_and_field() {
+    let created = create("balancer-0", CONF);
+    for (script, line, field) in [
+        ("KNOCK 1\n".to_string(), 1, "event"),
+        ("BEGIN_BATCH soon\nEND\n".into(), 1, "clock"),
+        ("BEGIN_BATCH 1\nON balancer-0\nKNOCK 1 0\nEND\n".into(), 3, "balancer"),
+        ("BEGIN_BATCH 1\n".into(), 2, "END"),
+        (create("balancer-0", "[]"), 6, "conf"),
+        (create("balancer-0", &CONF.replace("\"tick\":2000,", "")), 6, "tick"),
+        (create("balancer-0", &CONF.replace("free", "maybe")), 6, "repeat"),
+        (created.clone() + "BEGIN_BATCH 2\nON balancer-0\nWHISPER 1\nEND\n", 12, "event"),
+        (created.clone() + "BEGIN_BATCH 2\nON balancer-0\nKNOCK 1 0 0 k x - - 0 0 0\nEND\n", 12, "ttl"),
+        (created.clone() + "BEGIN_BATCH 2\nON balancer-0\nRESULT 1 0 5 odd 1 0 -\nEND\n", 12, "reason"),
+        (created.clone() + "BEGIN_BATCH 2\nON balancer-0\nPONG 1 5 pass x0=3\nEND\n", 12, "report"),
+        (created + "BEGIN_BATCH 2\nTABLE 0 1\nM 1 0 0 0 asleep 1 -\nEND\n", 12, "availability"),
+    ] {
+        let output = run(&script);
+        let message = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(1), "{script}");
+        let start = format!("nettlemux-adapter: line {line}: field '{field}'");
+        assert!(message.starts_with(&start), "{message} is not {start}");
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,6 +1,21 @@
 //! Decisions of a balancer for long-lived connections, without I/O and without a clock.
 //!
 //! [`Policy`] decides; the plain types that go in and come out stand in [`types`].
+//!
+//! ```
+//! use nettlemux_policy::*;
+//!
+//! let patrol = ServiceType { setup_target: 300 * MS, value: 1.0, repeat: Repeat::Repeatable };
+//! let mut policy = Policy::new(1, 0, vec![patrol]).connects(3, 4 * MS, false, true);
+//! let server = Listed { rs: 51, hall: 0, machine: 0, cell: 0, state: State::Ready, weight: 1.0, started: 0 };
+//! policy.list(0, &[server], true);
+//!
+//! let flow = Flow { id: 7, give_up: 2 * SEC, ..Flow::default() };
+//! let Place::To(rs, limit) = policy.place(0, &flow) else { panic!("there is room") };
+//! assert_eq!((rs, limit), (51, 2 * SEC - 4 * MS));
+//! let todo = policy.after(MS, Outcome::Established { flow: 7, took: MS });
+//! assert_eq!(todo, Todo::default());
+//! ```
 
 pub mod policy;
 pub mod types;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -16,8 +16,8 @@
 /// A server is hot above this load over capacity. The paper has 0.9.
 const T_H: f64 = 0.9;
 /// Nothing more is placed on a server that is asked for all it can do.
-const FULL: f64 = 0.72;
-const NEW: f64 = 0.45;
+const FULL: f64 = 0.77;
+const NEW: f64 = 0.55;
 /// The design's start for the probe interval; its bound is 10 s.
 const PROBE_EVERY: Time = 2 * SEC;
 /// A figure is kept so long when probes fail: two intervals and a report's age.
@@ -312,9 +312,9 @@
         let number = healthy.len().max(1) as f64;
         let mean_own = self.book.own.len() as f64 / number;
         let mean = self.mean_beta(now);
-        // What we placed lately counts at once, as the mean connection; others are expected to place as we do
-        // on average. Guards against all balancers filling a server on one and the same figure.
-        let each = mean / (mean_own * self.balancers).max(1.0);
+        // What we placed lately counts at once, as two mean connections since it is set up and may bring its
+        // group; others are expected to place as we do on average. Guards against all balancers filling a server on one and the same figure.
+        let each = 2.0 * mean / (mean_own * self.balancers).max(1.0);
         let lately = healthy.iter().map(|rs| self.servers[rs].placed.len()).sum::<usize>() as f64 / number;
         let theirs = (self.balancers - 1.0) * lately;
         let expected = |rs: &Rs| {
