--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -19,7 +19,7 @@
 const FULL: f64 = 0.77;
 const NEW: f64 = 0.55;
 /// The design's start for the probe interval; its bound is 10 s.
-const PROBE_EVERY: Time = 2 * SEC;
+const PROBE_EVERY: Time = 2*SEC;
 /// A figure is kept so long when probes fail: two intervals and a report's age.
 const KEEP_FIGURE: Time = 5 * SEC;
 /// Reports lag by their refresh and delay, so a figure that comes sooner can't show the last moves.
