--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -19,7 +19,7 @@
 const FULL: f64 = 0.77;
 const NEW: f64 = 0.55;
 /// The design's start for the probe interval; its bound is 10 s.
-const PROBE_EVERY: Time = 2 * SEC;
+const PROBE_EVERY: Time = 2*SEC;
 /// A figure is kept so long when probes fail: two intervals and a report's age.
 const KEEP_FIGURE: Time = 5 * SEC;
 /// Reports lag by their refresh and delay, so a figure that comes sooner can't show the last moves.
@@ -575,12 +575,7 @@
         let mut mine: Vec<(FlowId, Option<f64>)> = here().map(|(id, own)| (*id, figure(own))).collect();
         let told: Vec<f64> = mine.iter().filter_map(|m| m.1).collect();
         let usual = if told.is_empty() { 1.0 } else { told.iter().sum::<f64>() / told.len() as f64 };
-        // The last of its group here would take the group's common work along.
-        let alone = |id: &FlowId| {
-            let group = self.book.own[id].group.as_ref();
-            group.is_some_and(|group| self.book.by_group[group][&rs] == 1)
-        };
-        let load = |m: &(FlowId, Option<f64>)| m.1.unwrap_or(usual) + if alone(&m.0) { usual } else { 0.0 };
+        let load = |m: &(FlowId, Option<f64>)| m.1.unwrap_or(usual);
         mine.sort_by(|a, b| load(b).total_cmp(&load(a)).then(a.0.cmp(&b.0)));
         let goal = fraction * mine.iter().map(load).sum::<f64>();
         let mut covered = 0.0;
