Move what is over one though all are hot

Cause: all connections grow heavier together; moves stopped since all were hot, so nobody was served. Told from a slow store by the loads, from one slow server by all being hot. Change: past one, the part over one is moved and then rejected until there is room.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -19,7 +19,7 @@
 const FULL: f64 = 0.77;
 const NEW: f64 = 0.55;
 /// The design's start for the probe interval; its bound is 10 s.
-const PROBE_EVERY: Time = 2*SEC;
+const PROBE_EVERY: Time = 2 * SEC;
 /// A figure is kept so long when probes fail: two intervals and a report's age.
 const KEEP_FIGURE: Time = 5 * SEC;
 /// Reports lag by their refresh and delay, so a figure that comes sooner can't show the last moves.
@@ -558,7 +558,8 @@
         if beta <= T_H || server.shed.is_some_and(|at| now < at + SETTLE) {
             return Vec::new();
         }
-        // When all are hot, moves only shuffle clients: no more than there is room for elsewhere.
+        // When all are hot, moves only shuffle clients: no more than there is room for elsewhere. But past one
+        // work piles up and nobody there is served in time: what is over goes, and is rejected until there is room.
         let mean = self.mean_beta(now);
         let others: Vec<f64> = self
             .servers
@@ -568,7 +569,7 @@
             .collect();
         let room: f64 = others.iter().map(|b| (T_H - b).max(0.0)).sum();
         let excess: f64 = others.iter().map(|b| (b - T_H).max(0.0)).sum::<f64>() + beta - T_H;
-        let fraction = (beta - T_H) / beta * (room / excess).min(1.0);
+        let fraction = ((beta - T_H) * (room / excess).min(1.0)).max(beta - 1.0) / beta;
         let here = || self.book.own.iter().filter(|(_, own)| own.rs == rs && own.established);
         let any_told = here().any(|(_, own)| own.load.is_some());
         let figure = |own: &Own| if any_told { own.load } else { own.estimate };
