--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -15,6 +15,8 @@
 
 /// A server is hot above this load over capacity. The paper has 0.9.
 const T_H: f64 = 0.9;
+/// A server asked for less is cool, and is probed half as often: probes cost it work.
+const COOL: f64 = 0.4;
 /// Nothing more is placed on a server that is asked for all it can do.
 const FULL: f64 = 0.77;
 const NEW: f64 = 0.55;
@@ -412,7 +414,9 @@
         }
         for server in self.servers.values_mut() {
             if self.probes && server.next_probe <= now && server.listed.state == State::Ready {
-                server.next_probe = now + PROBE_EVERY;
+                // A cool server can't turn hot within one interval by what it is sent: two will do.
+                let cool = server.reports.back().is_some_and(|(_, beta)| *beta < COOL);
+                server.next_probe = now + if cool { 2 * PROBE_EVERY } else { PROBE_EVERY };
                 todo.probe.push(server.listed.rs);
             }
         }
