--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -121,16 +121,14 @@
         Ok(())
     }
 
-    pub fn signal(&mut self, now: Time, parts: &mut Parts) -> Read<()> {
+    pub fn signal(&mut self, parts: &mut Parts) -> Read<()> {
         let flow = parts.get("ref")?;
-        let rs = parts.get("server")?;
+        parts.get::<Rs>("server")?;
         let topic: u64 = parts.get("topic")?;
         parts.maybe::<u32>("send-no")?;
         let x: f64 = parts.get("x")?;
-        match topic {
-            1 => self.policy.told_load(flow, x),
-            2 => self.policy.told_delay(now, rs),
-            _ => {}
+        if topic == 1 {
+            self.policy.told_load(flow, x);
         }
         Ok(())
     }
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -100,7 +100,7 @@
             "KNOCK" => instance.knock(now, parts, out)?,
             "TAKEN_OVER" => instance.taken_over(parts)?,
             "FLOWING" => instance.flowing(now, parts, out)?,
-            "SIGNAL" => instance.signal(now, parts)?,
+            "SIGNAL" => instance.signal(parts)?,
             "RESULT" => instance.result(now, parts, out)?,
             "LAPSED" => instance.lapsed(now, parts, out)?,
             "REMINDER" => instance.reminder(now, parts, out)?,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -285,15 +285,6 @@
         }
     }
 
-    /// Messages at this server take long: it is probed soon, where its last figure doesn't tell already.
-    pub fn told_delay(&mut self, now: Time, rs: Rs) {
-        if let Some(server) = self.servers.get_mut(&rs)
-            && server.reports.back().is_none_or(|(at, beta)| *beta <= T_H && at + SEC <= now)
-        {
-            server.next_probe = server.next_probe.min(now);
-        }
-    }
-
     /// Where to send this flow.
     pub fn place(&mut self, now: Time, flow: &Flow) -> Place {
         self.began.get_or_insert(now);
