--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -22,8 +22,6 @@
 const NEW: f64 = 0.55;
 /// The design's start for the probe interval; its bound is 10 s.
 const PROBE_EVERY: Time = 2 * SEC;
-/// The first probe of a server comes within this.
-const FIRST_PROBE: Time = 250 * MS;
 /// A figure is kept so long when probes fail: two intervals and a report's age.
 const KEEP_FIGURE: Time = 5 * SEC;
 /// Reports lag by their refresh and delay, so a figure that comes sooner can't show the last moves.
@@ -251,8 +249,8 @@
                 failed: VecDeque::new(),
                 unprobed: VecDeque::new(),
                 last_established: 0,
-                // Soon, since what is inherited may be hot, but not all balancers in step.
-                next_probe: now + self.rng.generate_range(0..FIRST_PROBE),
+                // Guards against all balancers probing a server in step.
+                next_probe: now + self.rng.generate_range(0..PROBE_EVERY),
                 shed: None,
                 // Balancers don't agree on who goes first: each draws its first credit.
                 credit: (self.rng.generate::<f64>(), now),
