--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -38,6 +38,7 @@
                 settings.flag(&limits("may-cancel"))?,
             )
             .among(settings.number("replicas-of-me")?)
+            .customers(settings.shares()?, settings.number("surplus-value").unwrap_or(1.0))
             .come_back(come_back)
             .probing(settings.flag(&limits("probes"))?)
             .asking(settings.text("discovery")? == "ask")
@@ -94,19 +95,19 @@
     }
 
     pub fn taken_over(&mut self, parts: &mut Parts) -> Read<()> {
-        let id: FlowId = parts.get("ref")?;
-        let group = parts.maybe("team-id")?;
+        let mut flow = Flow { id: parts.get("ref")?, ..Flow::default() };
+        flow.group = parts.maybe("team-id")?;
         parts.flag("came-back")?;
         let _item: Option<String> = parts.maybe("item")?;
         parts.flag("rerouted")?;
         parts.time("ttl")?;
         parts.flag("resent")?;
-        let _customer: Option<u64> = parts.maybe("client-group")?;
-        let _service_type: Option<u64> = parts.maybe("category")?;
+        flow.customer = parts.maybe("client-group")?.unwrap_or(0);
+        flow.service_type = parts.maybe("category")?.unwrap_or(0);
         let _effort: Option<f64> = parts.maybe("effort")?;
         let rs: Rs = parts.get("server")?;
-        self.made.insert(id, 1);
-        self.policy.inherit(id, rs, group);
+        self.made.insert(flow.id, 1);
+        self.policy.inherit(&flow, rs);
         Ok(())
     }
 
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -188,6 +188,12 @@
         self.needed(path, |value| value.as_str().map(String::from))
     }
 
+    /// Each customer's share; none where there are no customers.
+    pub fn shares(&self) -> Read<Vec<f64>> {
+        let Some(Value::Array(list)) = self.maybe("accounts") else { return Ok(Vec::new()) };
+        list.iter().map(|one| Settings(one.clone()).number("fraction")).collect()
+    }
+
     pub fn service_types(&self) -> Read<Vec<ServiceType>> {
         let list = self.needed("service-types", |value| value.as_array().cloned())?;
         list.into_iter().map(Settings).map(|one| one.service_type()).collect()
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -18,8 +18,12 @@
 /// A server asked for less is cool, and is probed half as often: probes cost it work.
 const COOL: f64 = 0.4;
 /// Nothing more is placed on a server that is asked for all it can do.
-const FULL: f64 = 0.77;
-const NEW: f64 = 0.55;
+const FULL: f64 = 0.7;
+const NEW: f64 = 0.45;
+/// Room kept for flows that bring more value for their load than ours do on the whole.
+const RESERVE: f64 = 0.2;
+/// A customer is well over its share from this many times it.
+const OVER: f64 = 1.25;
 /// The design's start for the probe interval; its bound is 10 s.
 const PROBE_EVERY: Time = 2 * SEC;
 /// A figure is kept so long when probes fail: two intervals and a report's age.
@@ -64,6 +68,8 @@
 /// A connection of ours, or a connect in flight.
 struct Own {
     rs: Rs,
+    service_type: usize,
+    customer: usize,
     group: Option<String>,
     established: bool,
     /// As told, where it is.
@@ -78,18 +84,32 @@
     own: BTreeMap<FlowId, Own>,
     by_rs: BTreeMap<Rs, usize>,
     by_group: BTreeMap<String, BTreeMap<Rs, usize>>,
+    by_customer: BTreeMap<usize, usize>,
+    /// For each service type how many loads were told and their sum.
+    told: BTreeMap<usize, (f64, f64)>,
     in_flight: usize,
 }
 
 impl Book {
-    fn enter(&mut self, flow: FlowId, rs: Rs, group: Option<String>, established: bool) {
-        self.strike(flow);
+    fn enter(&mut self, flow: &Flow, rs: Rs, established: bool) {
+        self.strike(flow.id);
+        let group = flow.group.clone();
+        *self.by_customer.entry(flow.customer).or_default() += 1;
         *self.by_rs.entry(rs).or_default() += 1;
         if let Some(group) = &group {
             *self.by_group.entry(group.clone()).or_default().entry(rs).or_default() += 1;
         }
         self.in_flight += usize::from(!established);
-        self.own.insert(flow, Own { rs, group, established, load: None, estimate: None });
+        let Flow { service_type, customer, .. } = *flow;
+        let own = Own { rs, service_type, customer, group, established, load: None, estimate: None };
+        self.own.insert(flow.id, own);
+    }
+
+    fn told(&mut self, flow: FlowId, load: f64) {
+        let Some(own) = self.own.get_mut(&flow) else { return };
+        let (count, sum) = self.told.entry(own.service_type).or_default();
+        *count += if own.load.is_none() { 1.0 } else { 0.0 };
+        *sum += load - own.load.replace(load).unwrap_or(0.0);
     }
 
     fn established(&mut self, flow: FlowId) -> Option<Rs> {
@@ -103,6 +123,10 @@
         let own = self.own.remove(&flow)?;
         self.in_flight -= usize::from(!own.established);
         less(&mut self.by_rs, &own.rs);
+        less(&mut self.by_customer, &own.customer);
+        if let (Some(load), Some((count, sum))) = (own.load, self.told.get_mut(&own.service_type)) {
+            (*count, *sum) = (*count - 1.0, *sum - load);
+        }
         if let Some(group) = &own.group
             && let Some(holders) = self.by_group.get_mut(group)
         {
@@ -131,6 +155,8 @@
     service_types: Vec<ServiceType>,
     hall: u64,
     balancers: f64,
+    shares: Vec<f64>,
+    surplus: f64,
     max_connects: usize,
     margin: Time,
     come_back: Option<Time>,
@@ -180,6 +206,8 @@
             service_types,
             hall,
             balancers: 1.0,
+            shares: Vec::new(),
+            surplus: 1.0,
             max_connects: 1,
             margin: 10 * MS,
             come_back: None,
@@ -210,6 +238,12 @@
         self
     }
 
+    /// Each customer's share, and the part of its value that a flow over it keeps.
+    pub fn customers(mut self, shares: Vec<f64>, surplus: f64) -> Self {
+        (self.shares, self.surplus) = (shares, surplus);
+        self
+    }
+
     /// The longest time to come back that clients are told, where they are told any.
     pub fn come_back(mut self, longest: Option<Time>) -> Self {
         self.come_back = longest;
@@ -271,17 +305,14 @@
     }
 
     /// A connection that flowed through this balancer before it started.
-    pub fn inherit(&mut self, flow: FlowId, rs: Rs, group: Option<String>) {
-        self.book.enter(flow, rs, group, true);
+    pub fn inherit(&mut self, flow: &Flow, rs: Rs) {
+        self.book.enter(flow, rs, true);
     }
 
     /// A connection's load now.
     pub fn told_load(&mut self, flow: FlowId, load: f64) {
-        if let Some(own) = self.book.own.get_mut(&flow)
-            && load.is_finite()
-            && load >= 0.0
-        {
-            own.load = Some(load);
+        if load.is_finite() && load >= 0.0 {
+            self.book.told(flow, load);
         }
     }
 
@@ -328,7 +359,8 @@
         let holders = group.unwrap_or(&nobody);
         // Guards against servers that drop what they hold since more and more is placed on them, and, as
         // holders of the flow's group take more, against common work that is paid for on every server.
-        let room = |rs: &Rs| if holders.contains_key(rs) { FULL } else { NEW };
+        let worth = if self.worthy(flow) { RESERVE } else { 0.0 };
+        let room = |rs: &Rs| worth + if holders.contains_key(rs) { FULL } else { NEW };
         let open: Vec<Rs> = healthy.iter().copied().filter(|rs| expected(rs) < room(rs)).collect();
         let even = prefer(&open, |rs| self.book.at(*rs) <= 1.5 * mean_own + 1.0);
         let near = prefer(&even, |rs| self.servers[rs].listed.hall == self.hall);
@@ -344,7 +376,7 @@
         let server = self.servers.get_mut(&rs).expect("a listed server");
         server.credit = (credit.max(0.0), now);
         server.placed.push_back(now);
-        self.book.enter(flow.id, rs, flow.group.clone(), false);
+        self.book.enter(flow, rs, false);
         Place::To(rs, limit)
     }
 
@@ -449,6 +481,23 @@
         Place::NotYet
     }
 
+    /// Whether the flow's value for its load is that of our connections on the whole, or more. A customer well
+    /// over its share brings only the surplus value.
+    fn worthy(&self, flow: &Flow) -> bool {
+        let (mut load, mut value) = (0.0, 0.0);
+        for (service_type, (count, sum)) in &self.book.told {
+            load += sum;
+            value += self.service_types.get(*service_type).map_or(0.0, |known| known.value * count);
+        }
+        let (count, sum) = self.book.told.get(&flow.service_type).copied().unwrap_or((0.0, 0.0));
+        let held = self.book.by_customer.get(&flow.customer).copied().unwrap_or(0) as f64;
+        let share = self.shares.get(flow.customer).copied().unwrap_or(1.0);
+        let over = held > OVER * share * self.book.own.len() as f64;
+        let own = self.service_type(flow).value * if over { self.surplus } else { 1.0 };
+        // Compared crosswise: no load told makes all alike.
+        own * count * load >= value * sum
+    }
+
     /// The answer for a flow that is given up: rejected where the client may safely come again.
     fn give_up(&mut self, flow: &Flow) -> Place {
         let may_have_run = flow.connects.iter().any(|c| !c.never_ran);
@@ -608,11 +657,11 @@
 }
 
 /// One less, and none at all once the last is gone.
-fn less(counts: &mut BTreeMap<Rs, usize>, rs: &Rs) {
-    if let Some(count) = counts.get_mut(rs) {
+fn less<K: Ord>(counts: &mut BTreeMap<K, usize>, key: &K) {
+    if let Some(count) = counts.get_mut(key) {
         *count -= 1;
         if *count == 0 {
-            counts.remove(rs);
+            counts.remove(key);
         }
     }
 }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -61,7 +61,7 @@
             probe(&mut policy, T0, rs, 0.2);
         }
         for (id, load) in loads.iter().enumerate() {
-            policy.inherit(id as FlowId, 0, None);
+            policy.inherit(&flow(T0, id as FlowId), 0);
             policy.told_load(id as FlowId, *load);
         }
         let moved = probe(&mut policy, T0, 0, beta_now);
@@ -78,7 +78,7 @@
     let mut policy = balancer(Repeat::Repeatable);
     policy.list(T0, &[ready(0), ready(1), ready(2)], true);
     (1..3).for_each(|rs| drop(probe(&mut policy, T0, rs, 0.1)));
-    policy.inherit(1, 0, None);
+    policy.inherit(&flow(T0, 1), 0);
     policy.told_load(1, 10.0);
     let moved = (0..200u64).filter(|i| {
         let now = T0 + i * 3 * SEC;
@@ -94,7 +94,7 @@
     let mut policy = balancer(Repeat::Repeatable);
     policy.list(T0, &[ready(0), ready(1), ready(2)], true);
     for id in 0..100 {
-        policy.inherit(id, 0, None);
+        policy.inherit(&flow(T0, id), 0);
     }
     (1..3).for_each(|rs| drop(probe(&mut policy, T0, rs, 0.1)));
     assert!(!probe(&mut policy, T0, 0, 1.5).is_empty());
@@ -113,9 +113,9 @@
     (1..3).for_each(|rs| drop(probe(&mut policy, T0, rs, 0.0)));
     let report = |b, count| Report { beta: Some(b), connections: count };
     let probed = |report| Outcome::Probed { rs: 0, passed: true, report };
-    policy.inherit(7, 0, None);
+    policy.inherit(&flow(T0, 7), 0);
     policy.after(T0, probed(report(0.8, Some(2.0)))); // 0.4 each
-    policy.inherit(3, 0, None);
+    policy.inherit(&flow(T0, 3), 0);
     policy.after(T0, probed(report(0.3, Some(3.0)))); // 0.1 each
     let todo = policy.after(T0, probed(report(1.79, None)));
     assert_eq!(todo.shift[0], 7);
@@ -126,7 +126,7 @@
     for (what, b) in [("hot", 0.95), ("full for a group it doesn't hold", 0.6)] {
         let mut policy = balancer(Repeat::Repeatable);
         policy.list(T0, &[ready(0), ready(1)], true);
-        (100..120).for_each(|id| policy.inherit(id, id % 2, None));
+        (100..120).for_each(|id| policy.inherit(&flow(T0, id), id % 2));
         probe(&mut policy, T0, 0, b);
         probe(&mut policy, T0, 1, 0.1);
         for id in 0..4 {
@@ -147,8 +147,8 @@
     let mut policy = balancer(Repeat::Repeatable);
     policy.list(T0, &(0..6).map(ready).collect::<Vec<_>>(), true);
     (0..6).for_each(|rs| drop(probe(&mut policy, T0, rs, 0.6)));
-    (100..160).for_each(|id| policy.inherit(id, id % 6, None));
-    policy.inherit(160, 4, Some("piste".into()));
+    (100..160).for_each(|id| policy.inherit(&flow(T0, id), id % 6));
+    policy.inherit(&Flow { group: Some("piste".into()), ..flow(T0, 160) }, 4);
     for id in 0..2 {
         let one = Flow { group: Some("piste".into()), ..flow(T0, id) };
         assert!(matches!(policy.place(T0, &one), Place::To(4, _)));
@@ -297,7 +297,7 @@
         probe(&mut policy, T0, 0, b);
         probe(&mut policy, T0, 42, b);
         policy.told_load(42, b);
-        policy.inherit(7, 0, None);
+        policy.inherit(&flow(T0, 7), 0);
         policy.told_load(7, b);
     }
     for end in [End::Done, End::Error, End::Full, End::TimedOut, End::Cut, End::CalledOff, End::NotSent] {
