--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -18,10 +18,10 @@
 /// A server asked for less is cool, and is probed half as often: probes cost it work.
 const COOL: f64 = 0.4;
 /// Nothing more is placed on a server that is asked for all it can do.
-const FULL: f64 = 0.7;
-const NEW: f64 = 0.45;
+const FULL: f64 = 0.72;
+const NEW: f64 = 0.49;
 /// Room kept for flows that bring more value for their load than ours do on the whole.
-const RESERVE: f64 = 0.2;
+const RESERVE: f64 = 0.16;
 /// A customer is well over its share from this many times it.
 const OVER: f64 = 1.25;
 /// The design's start for the probe interval; its bound is 10 s.
