While the window is narrow: pauses, no further connects, all the time left

Cause: connects given up at half their time still cost the store a call, and further connects at once cost five. Told from a slow server by all servers failing alike at low load.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -40,6 +40,10 @@
 const RATE_SPAN: Time = 20 * SEC;
 /// Connects that were made together fail together: the window narrows once in this span.
 const ROUND: Time = 250 * MS;
+/// Connects in flight at once that trouble nobody; where the window starts.
+const CALM: f64 = 8.0;
+/// One connect in sixteen rounds, 4 s, still notices recovery well before clients have given up for good.
+const NARROWEST: f64 = 1.0 / 16.0;
 /// Flows that may wait for their turn, for each connect that may be in flight.
 const QUEUE: f64 = 4.0;
 /// How soon flows that wait are looked at again.
@@ -185,6 +189,12 @@
 }
 
 impl Window {
+    /// Whether another connect may go out. A width under one is one connect in so many rounds.
+    fn full(&self, now: Time, in_flight: usize) -> bool {
+        let pause = (ROUND as f64 / self.width) as Time;
+        in_flight as f64 >= self.width.max(1.0) || self.width < 1.0 && now < self.narrowed + pause
+    }
+
     fn widen(&mut self) {
         self.width += if self.width < self.steady { 1.0 } else { 1.0 / self.width };
     }
@@ -192,7 +202,7 @@
     /// Once a round at most, since the connects of one round fail together.
     fn narrow(&mut self, now: Time) {
         if now >= self.narrowed + ROUND {
-            self.width = (self.width / 2.0).max(1.0);
+            self.width = (self.width / 2.0).max(NARROWEST);
             (self.steady, self.narrowed) = (self.width, now);
         }
     }
@@ -220,7 +230,7 @@
             book: Book::default(),
             settled: VecDeque::new(),
             began: None,
-            window: Window { width: 8.0, steady: f64::INFINITY, narrowed: 0 },
+            window: Window { width: CALM, steady: f64::INFINITY, narrowed: 0 },
             held: 0,
         }
     }
@@ -321,11 +331,12 @@
         self.began.get_or_insert(now);
         let left = flow.give_up.saturating_sub(now + self.margin);
         let two_out = !self.second_copies && flow.connects.iter().any(|c| c.out);
-        if left == 0 || two_out || flow.connects.len() >= self.max_connects {
+        let jammed = self.window.width < CALM && flow.connects.iter().any(|c| !c.never_ran);
+        if left == 0 || two_out || jammed || flow.connects.len() >= self.max_connects {
             return self.give_up(flow);
         }
         // Guards against a storm of connects that jams what all servers share (the store) and stays.
-        if self.book.in_flight as f64 >= self.window.width {
+        if self.window.full(now, self.book.in_flight) {
             return self.hold(now, flow);
         }
         // Rules 2 and 3: only ready servers, and only where a repeat can do no harm.
@@ -369,7 +380,9 @@
             return self.hold(now, flow);
         };
         // The time-out leaves room for another connect where there is one to be made.
-        let last = flow.connects.len() + 1 == self.max_connects || healthy.len() < 2;
+        // While the window is narrow others fare no better, and a further connect would add to the jam.
+        let jam = self.window.width < CALM;
+        let last = flow.connects.len() + 1 == self.max_connects || healthy.len() < 2 || jam;
         let limit = if last { left } else { self.service_type(flow).setup_target.max(left / 2).min(left) };
         let server = &self.servers[&rs];
         let credit = self.credit(now, server, &pace) - 1.0;
@@ -474,7 +487,9 @@
     /// Not yet, while the setup target may still be met and few wait; else never.
     fn hold(&mut self, now: Time, flow: &Flow) -> Place {
         let waited = now.saturating_sub(flow.taken);
-        if waited >= self.service_type(flow).setup_target || self.held as f64 >= QUEUE * self.window.width {
+        if waited >= self.service_type(flow).setup_target
+            || self.held as f64 >= QUEUE * self.window.width.max(1.0)
+        {
             return self.give_up(flow);
         }
         self.held += 1;
