Give every connect all the time left

A server that can't be reached shows within the time to connect; waiting costs less than asking the store again.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -383,7 +383,8 @@
         // While the window is narrow others fare no better, and a further connect would add to the jam.
         let jam = self.window.width < CALM;
         let last = flow.connects.len() + 1 == self.max_connects || healthy.len() < 2 || jam;
-        let limit = if last { left } else { self.service_type(flow).setup_target.max(left / 2).min(left) };
+        let limit = left;
+        let _ = last;
         let server = &self.servers[&rs];
         let credit = self.credit(now, server, &pace) - 1.0;
         let server = self.servers.get_mut(&rs).expect("a listed server");
