--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -631,7 +631,8 @@
             return Vec::new();
         }
         // When all are hot, moves only shuffle clients: no more than there is room for elsewhere. But past one
-        // work piles up and nobody there is served in time: what is over goes, and is rejected until there is room.
+        // work piles up and nobody there is served in time: what is over goes, and is rejected until there is
+        // room.
         let mean = self.mean_beta(now);
         let others: Vec<f64> = self
             .servers
