Move the whole excess also when all are hot

Cause: moves were scaled to the room elsewhere, and there was none; since a full fleet lets nobody in, moves shed load instead of shuffling clients. Told from a slow store by the loads. The design's bare rule is kept and the scaling taken out.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -630,19 +630,9 @@
         if beta <= T_H || server.shed.is_some_and(|at| now < at + SETTLE) {
             return Vec::new();
         }
-        // When all are hot, moves only shuffle clients: no more than there is room for elsewhere. But past one
-        // work piles up and nobody there is served in time: what is over goes, and is rejected until there is
-        // room.
-        let mean = self.mean_beta(now);
-        let others: Vec<f64> = self
-            .servers
-            .values()
-            .filter(|s| s.listed.state == State::Ready && s.listed.rs != rs && self.healthy(now, s))
-            .map(|s| self.beta(now, s).unwrap_or(mean))
-            .collect();
-        let room: f64 = others.iter().map(|b| (T_H - b).max(0.0)).sum();
-        let excess: f64 = others.iter().map(|b| (b - T_H).max(0.0)).sum::<f64>() + beta - T_H;
-        let fraction = ((beta - T_H) * (room / excess).min(1.0)).max(beta - 1.0) / beta;
+        // Also when all are hot: `place` lets nobody in then, so this doesn't shuffle clients, it sheds load, and
+        // those that stay are served. Guards against a fleet held at full load that serves no message in time.
+        let fraction = (beta - T_H) / beta;
         let here = || self.book.own.iter().filter(|(_, own)| own.rs == rs && own.established);
         let any_told = here().any(|(_, own)| own.load.is_some());
         let figure = |own: &Own| if any_told { own.load } else { own.estimate };
