--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -14,7 +14,7 @@
 use crate::types::*;
 
 /// A server is hot above this load over capacity. The paper has 0.9.
-const T_H: f64 = 0.85;
+const T_H: f64 = 0.8;
 /// A server asked for less is cool, and is probed half as often: probes cost it work.
 const COOL: f64 = 0.4;
 /// Nothing more is placed on a server that is asked for all it can do.
