Take reports that stand still for stuck

Guards against a fleet whose reports all stand still at a high load: everything would be rejected for good.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -36,6 +36,8 @@
 const REPORT_AGE: Time = SEC;
 /// Reports outside of this are taken for broken: no server lives that is asked for so much.
 const SANE: std::ops::Range<f64> = 0.0..100.0;
+/// How many samples of each kind are kept.
+const SAMPLES: usize = 8;
 /// First time-out of a server after a failed connect; it doubles with each further one.
 const REST: Time = 500 * MS;
 /// Own sends are looked at over this span to tell our usual rate.
@@ -457,7 +459,7 @@
                                 own.estimate.get_or_insert(beta / count);
                             }
                         }
-                        todo.shift = self.shed(now, rs, beta);
+                        todo.shift = self.shed(now, rs);
                     }
                 }
             }
@@ -566,7 +568,10 @@
     /// The server's β while the figure is fresh enough.
     fn beta(&self, now: Time, server: &Server) -> Option<f64> {
         let &(at, beta) = server.reports.back()?;
-        (now < at + KEEP_FIGURE + PROBE_EVERY).then_some(beta)
+        // Guards against reports that are stuck, which would shut a server, or all of them, for good: live
+        // ones are noisy.
+        let stuck = server.reports.len() == SAMPLES && server.reports.iter().all(|(_, old)| *old == beta);
+        (now < at + KEEP_FIGURE + PROBE_EVERY && (!stuck || beta == 0.0)).then_some(beta)
     }
 
     fn mean_beta(&self, now: Time) -> f64 {
@@ -626,8 +631,9 @@
     }
 
     /// Own connections to move off a hot server.
-    fn shed(&mut self, now: Time, rs: Rs, beta: f64) -> Vec<FlowId> {
+    fn shed(&mut self, now: Time, rs: Rs) -> Vec<FlowId> {
         let server = &self.servers[&rs];
+        let Some(beta) = self.beta(now, server) else { return Vec::new() };
         // Reports lag: a figure that can't show the last moves yet must not cause a second shedding.
         if beta <= T_H || server.shed.is_some_and(|at| now < at + SETTLE) {
             return Vec::new();
@@ -681,7 +687,7 @@
 /// Keeps the last few samples.
 fn keep<T>(samples: &mut VecDeque<T>, sample: T) {
     samples.push_back(sample);
-    if samples.len() > 8 {
+    if samples.len() > SAMPLES {
         samples.pop_front();
     }
 }
