--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -36,6 +36,9 @@
 const REPORT_AGE: Time = SEC;
 /// Reports outside of this are taken for broken: no server lives that is asked for so much.
 const SANE: std::ops::Range<f64> = 0.0..100.0;
+/// A server is taken to hold this many connections at least: a balancer that has just started holds none and
+/// would count its first one for a whole server.
+const FEWEST: f64 = 8.0;
 /// How many samples of each kind are kept.
 const SAMPLES: usize = 8;
 /// First time-out of a server after a failed connect; it doubles with each further one.
@@ -369,7 +372,7 @@
         // What we placed lately counts at once, as two mean connections since it is set up and may bring its
         // group; others are expected to place as we do on average. Guards against all balancers filling a
         // server on one and the same figure.
-        let each = 2.0 * mean / (mean_own * self.balancers).max(1.0);
+        let each = 2.0 * mean / (mean_own * self.balancers).max(FEWEST);
         let lately = healthy.iter().map(|rs| self.servers[rs].placed.len()).sum::<usize>() as f64 / number;
         let theirs = (self.balancers - 1.0) * lately;
         let expected = |rs: &Rs| {
