--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -21,7 +21,7 @@
 /// Nothing is placed on a server that is asked for more: a gap under T_H keeps clients from being moved soon.
 const FULL: f64 = 0.72;
 /// The same for servers new to the flow's group, which bring its common work with it.
-const NEW: f64 = 0.57;
+const NEW: f64 = 0.49;
 /// Room kept for flows that bring more value for their load than ours do on the whole.
 const RESERVE: f64 = 0.16;
 /// A customer is well over its share from this many times it.
