--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -498,7 +498,10 @@
     /// Not yet, while the setup target may still be met and few wait; else never.
     fn hold(&mut self, now: Time, flow: &Flow) -> Place {
         let waited = now.saturating_sub(flow.taken);
-        if waited >= self.service_type(flow).setup_target
+        // Guards against a short-lived try that is looked at again only when its time has run out.
+        let short = flow.give_up <= now + self.margin + LOOK_AGAIN;
+        if short
+            || waited >= self.service_type(flow).setup_target
             || self.held as f64 >= QUEUE * self.window.width.max(1.0)
         {
             return self.give_up(flow);
