Walk the servers once a flow, and none at an outcome without a due probe

Cause: a flow walked all servers several times, each of them all connects in flight; each outcome walked all servers for due probes; a probe result walked all own connections. Now servers are filtered by reference, overdue ones are gathered once, the pace is worked out only while a server is cold, connections are indexed by server and the next due probe is kept.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -7,7 +7,7 @@
 //! connections there are moved off until they cover our part of the excess. A smooth weighted round robin
 //! places clients and passes over servers that are hot or hold well over their mean of our connections.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use nanorand::{Rng, WyRand};
 
@@ -93,7 +93,7 @@
 #[derive(Default)]
 struct Book {
     own: BTreeMap<FlowId, Own>,
-    by_rs: BTreeMap<Rs, usize>,
+    by_rs: BTreeMap<Rs, BTreeSet<FlowId>>,
     by_group: BTreeMap<String, BTreeMap<Rs, usize>>,
     by_customer: BTreeMap<usize, usize>,
     /// For each service type how many loads were told and their sum.
@@ -107,7 +107,7 @@
         self.strike(flow.id);
         let group = flow.group.clone();
         *self.by_customer.entry(flow.customer).or_default() += 1;
-        *self.by_rs.entry(rs).or_default() += 1;
+        self.by_rs.entry(rs).or_default().insert(flow.id);
         if let Some(group) = &group {
             *self.by_group.entry(group.clone()).or_default().entry(rs).or_default() += 1;
         }
@@ -136,7 +136,12 @@
     fn strike(&mut self, flow: FlowId) -> Option<Own> {
         let own = self.own.remove(&flow)?;
         self.out.remove(&flow);
-        less(&mut self.by_rs, &own.rs);
+        if let Some(here) = self.by_rs.get_mut(&own.rs) {
+            here.remove(&flow);
+            if here.is_empty() {
+                self.by_rs.remove(&own.rs);
+            }
+        }
         less(&mut self.by_customer, &own.customer);
         if let (Some(load), Some((count, sum))) = (own.load, self.told.get_mut(&own.service_type)) {
             (*count, *sum) = (*count - 1.0, *sum - load);
@@ -153,7 +158,7 @@
     }
 
     fn at(&self, rs: Rs) -> f64 {
-        self.by_rs.get(&rs).copied().unwrap_or(0) as f64
+        self.by_rs.get(&rs).map_or(0, BTreeSet::len) as f64
     }
 }
 
@@ -178,6 +183,8 @@
     may_call_off: bool,
     probes: bool,
     next_ask: Option<Time>,
+    /// When the next server is due for a probe.
+    next_probe: Option<Time>,
     cold: Cold,
     servers: BTreeMap<Rs, Server>,
     book: Book,
@@ -235,6 +242,7 @@
             may_call_off: false,
             probes: false,
             next_ask: None,
+            next_probe: None,
             cold: Cold { start: 0.1, warm_up: 30 * SEC, multiple: 1.0 },
             servers: BTreeMap::new(),
             book: Book::default(),
@@ -317,6 +325,7 @@
         }
         let book = &self.book;
         self.servers.retain(|rs, server| server.listed.state != State::Gone || book.at(*rs) > 0.0);
+        self.next_probe = self.due();
     }
 
     /// The list could not be had; it is asked for again after a while.
@@ -350,22 +359,23 @@
             return self.hold(now, flow);
         }
         // Rules 2 and 3: only ready servers, and only where a repeat can do no harm.
-        let servers = self.servers.values().map(|server| server.listed.rs);
-        let allowed: Vec<Rs> = servers.filter(|rs| self.may_send(now, flow, *rs)).collect();
+        let servers = self.servers.values();
+        let allowed: Vec<&Server> = servers.filter(|server| self.may_send(now, flow, server)).collect();
         // Rule 4: cold servers only within our part of their budget.
-        let pace = self.pace(now);
-        let warm: Vec<Rs> = allowed
+        let cold = allowed.iter().any(|server| self.warmth(now, server) < 1.0);
+        let pace = if cold { self.pace(now) } else { BTreeMap::new() };
+        let has_credit = |server: &Server| self.credit(now, server, &pace) >= 1.0;
+        let warm: Vec<&Server> = allowed
             .into_iter()
-            .filter(|rs| {
-                let server = &self.servers[rs];
-                self.warmth(now, server) >= 1.0 || self.credit(now, server, &pace) >= 1.0
-            })
+            .filter(|server| self.warmth(now, server) >= 1.0 || has_credit(server))
             .collect();
-        let tried = |rs: &Rs| flow.connects.iter().any(|c| c.rs == *rs);
+        let tried = |rs: Rs| flow.connects.iter().any(|c| c.rs == rs);
         // Guards against one server that answers nothing and soon holds all connects that may be in flight.
         let target = self.service_type(flow).setup_target;
-        let overdue = |rs: &Rs| self.book.out.values().any(|(to, at)| to == rs && at + target < now);
-        let healthy = prefer(&warm, |rs| !tried(rs) && !overdue(rs) && self.healthy(now, &self.servers[rs]));
+        let late = self.book.out.values().filter(|(_, at)| at + target < now);
+        let overdue: BTreeSet<Rs> = late.map(|(rs, _)| *rs).collect();
+        let answers = |rs: Rs| !tried(rs) && !overdue.contains(&rs);
+        let healthy = prefer(&warm, |server| answers(server.listed.rs) && self.healthy(now, server));
         let number = healthy.len().max(1) as f64;
         let mean_own = self.book.own.len() as f64 / number;
         let mean = self.mean_beta(now);
@@ -373,11 +383,11 @@
         // group; others are expected to place as we do on average. Guards against all balancers filling a
         // server on one and the same figure.
         let each = 2.0 * mean / (mean_own * self.balancers).max(FEWEST);
-        let lately = healthy.iter().map(|rs| self.servers[rs].placed.len()).sum::<usize>() as f64 / number;
+        let lately = healthy.iter().map(|server| server.placed.len()).sum::<usize>() as f64 / number;
         let theirs = (self.balancers - 1.0) * lately;
-        let expected = |rs: &Rs| {
-            let server = &self.servers[rs];
-            self.beta(now, server).map_or(mean, |beta| beta + each * (server.placed.len() as f64 + theirs))
+        let expected = |server: &Server| {
+            let beta = self.beta(now, server);
+            beta.map_or(mean, |beta| beta + each * (server.placed.len() as f64 + theirs))
         };
         let nobody = BTreeMap::new();
         let group = flow.group.as_ref().and_then(|group| self.book.by_group.get(group));
@@ -385,16 +395,18 @@
         // Guards against servers that drop what they hold since more and more is placed on them, and, as
         // holders of the flow's group take more, against common work that is paid for on every server.
         let worth = if self.worthy(flow) { RESERVE } else { 0.0 };
-        let room = |rs: &Rs| T_H.min(worth + if holders.contains_key(rs) { FULL } else { NEW });
-        let open: Vec<Rs> = healthy.iter().copied().filter(|rs| expected(rs) < room(rs)).collect();
-        let even = prefer(&open, |rs| self.book.at(*rs) <= 1.5 * mean_own + 1.0);
-        let near = prefer(&even, |rs| self.servers[rs].listed.hall == self.hall);
-        let kin = prefer(&near, |rs| holders.contains_key(rs));
-        let Some(rs) = self.turn(&kin) else {
+        let holds = |server: &Server| holders.contains_key(&server.listed.rs);
+        let room = |server: &Server| T_H.min(worth + if holds(server) { FULL } else { NEW });
+        let open: Vec<&Server> =
+            healthy.iter().copied().filter(|server| expected(server) < room(server)).collect();
+        let even = prefer(&open, |server| self.book.at(server.listed.rs) <= 1.5 * mean_own + 1.0);
+        let near = prefer(&even, |server| server.listed.hall == self.hall);
+        let kin = prefer(&near, |server| holds(server));
+        let among: Vec<Rs> = kin.iter().map(|server| server.listed.rs).collect();
+        let Some(rs) = self.turn(&among) else {
             return self.hold(now, flow);
         };
-        let server = &self.servers[&rs];
-        let credit = self.credit(now, server, &pace) - 1.0;
+        let credit = self.credit(now, &self.servers[&rs], &pace) - 1.0;
         let server = self.servers.get_mut(&rs).expect("a listed server");
         server.credit = (credit.max(0.0), now);
         server.placed.push_back(now);
@@ -458,8 +470,10 @@
                             server.placed.pop_front();
                         }
                         if let Some(count) = report.connections.filter(|count| *count >= 1.0) {
-                            for own in self.book.own.values_mut().filter(|own| own.rs == rs) {
-                                own.estimate.get_or_insert(beta / count);
+                            for flow in self.book.by_rs.get(&rs).into_iter().flatten() {
+                                if let Some(own) = self.book.own.get_mut(flow) {
+                                    own.estimate.get_or_insert(beta / count);
+                                }
                             }
                         }
                         todo.shift = self.shed(now, rs);
@@ -468,13 +482,16 @@
             }
             Outcome::Elapsed => self.held = 0,
         }
-        for server in self.servers.values_mut() {
-            if self.probes && server.next_probe <= now && server.listed.state == State::Ready {
-                // A cool server can't turn hot within one interval by what it is sent: two will do.
-                let cool = server.reports.back().is_some_and(|(_, beta)| *beta < COOL);
-                server.next_probe = now + if cool { 2 * PROBE_EVERY } else { PROBE_EVERY };
-                todo.probe.push(server.listed.rs);
+        if self.next_probe.is_some_and(|at| at <= now) {
+            for server in self.servers.values_mut() {
+                if server.next_probe <= now && server.listed.state == State::Ready {
+                    // A cool server can't turn hot within one interval by what it is sent: two will do.
+                    let cool = server.reports.back().is_some_and(|(_, beta)| *beta < COOL);
+                    server.next_probe = now + if cool { 2 * PROBE_EVERY } else { PROBE_EVERY };
+                    todo.probe.push(server.listed.rs);
+                }
             }
+            self.next_probe = self.due();
         }
         if self.next_ask.is_some_and(|at| at <= now) {
             (todo.ask_list, self.next_ask) = (true, None);
@@ -484,12 +501,17 @@
 
     /// How long to wait for the next outcome at most.
     pub fn wait(&self, now: Time) -> Option<Time> {
-        let ready = self.servers.values().filter(|s| self.probes && s.listed.state == State::Ready);
         let held = (self.held > 0).then_some(now + LOOK_AGAIN);
-        let next = ready.map(|s| s.next_probe).chain(self.next_ask).chain(held).min();
+        let next = [self.next_probe, self.next_ask, held].into_iter().flatten().min();
         next.map(|at| at.saturating_sub(now))
     }
 
+    /// When the next probe is due, kept so that not every outcome walks all servers.
+    fn due(&self) -> Option<Time> {
+        let ready = self.servers.values().filter(|s| self.probes && s.listed.state == State::Ready);
+        ready.map(|server| server.next_probe).min()
+    }
+
     fn service_type(&self, flow: &Flow) -> ServiceType {
         let unknown = ServiceType { setup_target: 0, value: 0.0, repeat: Repeat::OnceOnly };
         self.service_types.get(flow.service_type).copied().unwrap_or(unknown)
@@ -541,8 +563,7 @@
     }
 
     /// Rules 2 and 3 for one server.
-    fn may_send(&self, now: Time, flow: &Flow, rs: Rs) -> bool {
-        let Some(server) = self.servers.get(&rs) else { return false };
+    fn may_send(&self, now: Time, flow: &Flow, server: &Server) -> bool {
         if server.listed.state != State::Ready {
             return false;
         }
@@ -647,7 +668,8 @@
         // Also when all are hot: `place` lets nobody in then, so this doesn't shuffle clients, it sheds load, and
         // those that stay are served. Guards against a fleet held at full load that serves no message in time.
         let fraction = (beta - T_H) / beta;
-        let here = || self.book.own.iter().filter(|(_, own)| own.rs == rs && own.established);
+        let flows = || self.book.by_rs.get(&rs).into_iter().flatten();
+        let here = || flows().map(|id| (id, &self.book.own[id])).filter(|(_, own)| own.established);
         let any_told = here().any(|(_, own)| own.load.is_some());
         let figure = |own: &Own| if any_told { own.load } else { own.estimate };
         let mut mine: Vec<(FlowId, Option<f64>)> = here().map(|(id, own)| (*id, figure(own))).collect();
@@ -675,8 +697,8 @@
 }
 
 /// Those that pass, or all of them where none does.
-fn prefer(of: &[Rs], passes: impl Fn(&Rs) -> bool) -> Vec<Rs> {
-    let some: Vec<Rs> = of.iter().copied().filter(passes).collect();
+fn prefer<'a>(of: &[&'a Server], passes: impl Fn(&Server) -> bool) -> Vec<&'a Server> {
+    let some: Vec<&Server> = of.iter().copied().filter(|server| passes(server)).collect();
     if some.is_empty() { of.to_vec() } else { some }
 }
 
