Send groups held nowhere to the first of an order that all balancers share

Cause: with ten to 170 balancers on a fleet each holds few of a group, so a group that a balancer held nowhere went anywhere and its common work was paid on many servers. An order drawn from group and server sends them alike.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -401,7 +401,14 @@
             healthy.iter().copied().filter(|server| expected(server) < room(server)).collect();
         let even = prefer(&open, |server| self.book.at(server.listed.rs) <= 1.5 * mean_own + 1.0);
         let near = prefer(&even, |server| server.listed.hall == self.hall);
-        let kin = prefer(&near, |server| holds(server));
+        let mut kin = prefer(&near, |server| holds(server));
+        if !kin.iter().any(|server| holds(server))
+            && let Some(group) = &flow.group
+        {
+            let name = group.bytes().fold(0, |name, byte| draw(name ^ u64::from(byte)));
+            kin.sort_by_key(|server| draw(name ^ server.listed.rs));
+            kin.truncate(1);
+        }
         let among: Vec<Rs> = kin.iter().map(|server| server.listed.rs).collect();
         let Some(rs) = self.turn(&among) else {
             return self.hold(now, flow);
@@ -712,6 +719,11 @@
     }
 }
 
+/// A number that all balancers draw alike.
+fn draw(of: u64) -> u64 {
+    WyRand::new_seed(of).generate()
+}
+
 /// Keeps the last few samples.
 fn keep<T>(samples: &mut VecDeque<T>, sample: T) {
     samples.push_back(sample);
