Probe as often as a hundredth of the value of own flows pays for

The interval is now between 2 s and the bound of 10 s, by the price of a probe and the balancer's own established flows; at the start its inherited connections tell.

--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -40,7 +40,7 @@
             .among(settings.number("replicas-of-me")?)
             .customers(settings.shares()?, settings.number("surplus-value").unwrap_or(1.0))
             .come_back(come_back)
-            .probing(settings.flag(&limits("probes"))?)
+            .probing(settings.flag(&limits("probes"))?, settings.number("costs/probe").unwrap_or(0.0))
             .asking(settings.text("discovery")? == "ask")
             .cold(
                 settings.number(&contract("start-capacity"))?,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -26,9 +26,13 @@
 const RESERVE: f64 = 0.16;
 /// A customer is well over its share from this many times it.
 const OVER: f64 = 1.25;
-/// The design's start for the probe interval; its bound is 10 s.
+/// The design's start for the probe interval, and its bound.
 const PROBE_EVERY: Time = 2 * SEC;
-/// A figure is kept so long when probes fail: two intervals and a report's age.
+const PROBE_BOUND: Time = 10 * SEC;
+/// The most that probes may cost, of the value of our flows: with many balancers on many servers few flows come
+/// to each probe.
+const PROBES_WORTH: f64 = 0.01;
+/// A figure is kept so long past the next probe that is due.
 const KEEP_FIGURE: Time = 5 * SEC;
 /// Reports lag by their refresh and delay, so a figure that comes sooner can't show the last moves.
 const SETTLE: Time = 2 * SEC;
@@ -182,6 +186,8 @@
     second_copies: bool,
     may_call_off: bool,
     probes: bool,
+    /// What a probe costs, in flows of ours.
+    probe_price: f64,
     next_ask: Option<Time>,
     /// When the next server is due for a probe.
     next_probe: Option<Time>,
@@ -241,6 +247,7 @@
             second_copies: false,
             may_call_off: false,
             probes: false,
+            probe_price: 0.0,
             next_ask: None,
             next_probe: None,
             cold: Cold { start: 0.1, warm_up: 30 * SEC, multiple: 1.0 },
@@ -278,8 +285,9 @@
         self
     }
 
-    pub fn probing(mut self, allowed: bool) -> Self {
-        self.probes = allowed;
+    /// Whether servers may be probed, and what part of a flow's value a probe costs.
+    pub fn probing(mut self, allowed: bool, price: f64) -> Self {
+        (self.probes, self.probe_price) = (allowed, price.max(0.0));
         self
     }
 
@@ -490,11 +498,12 @@
             Outcome::Elapsed => self.held = 0,
         }
         if self.next_probe.is_some_and(|at| at <= now) {
+            let every = self.probe_every(now);
             for server in self.servers.values_mut() {
                 if server.next_probe <= now && server.listed.state == State::Ready {
                     // A cool server can't turn hot within one interval by what it is sent: two will do.
                     let cool = server.reports.back().is_some_and(|(_, beta)| *beta < COOL);
-                    server.next_probe = now + if cool { 2 * PROBE_EVERY } else { PROBE_EVERY };
+                    server.next_probe = now + PROBE_BOUND.min(if cool { 2 * every } else { every });
                     todo.probe.push(server.listed.rs);
                 }
             }
@@ -513,6 +522,17 @@
         next.map(|at| at.saturating_sub(now))
     }
 
+    /// The probe interval: as long as keeps probes within their worth, by how many flows of ours come to them.
+    fn probe_every(&self, now: Time) -> Time {
+        let settled = self.settled.iter().filter(|(at, _)| at + RATE_SPAN >= now).count();
+        // Until a span has passed, what was inherited tells: connections are taken to live for three of them.
+        let young = self.began.is_none_or(|began| now < began + RATE_SPAN);
+        let flows = settled.max(if young { self.book.own.len() / 3 } else { 1 }).max(1);
+        let probes = PROBES_WORTH * flows as f64 / self.probe_price.max(f64::MIN_POSITIVE);
+        let every = RATE_SPAN as f64 * self.servers.len() as f64 / probes;
+        (every as Time).clamp(PROBE_EVERY, PROBE_BOUND)
+    }
+
     /// When the next probe is due, kept so that not every outcome walks all servers.
     fn due(&self) -> Option<Time> {
         let ready = self.servers.values().filter(|s| self.probes && s.listed.state == State::Ready);
@@ -605,7 +625,7 @@
         // Guards against reports that are stuck, which would shut a server, or all of them, for good: live
         // ones are noisy.
         let stuck = server.reports.len() == SAMPLES && server.reports.iter().all(|(_, old)| *old == beta);
-        (now < at + KEEP_FIGURE + PROBE_EVERY && (!stuck || beta == 0.0)).then_some(beta)
+        (now < server.next_probe.max(at) + KEEP_FIGURE && (!stuck || beta == 0.0)).then_some(beta)
     }
 
     fn mean_beta(&self, now: Time) -> f64 {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -11,7 +11,7 @@
     Policy::new(7, 0, vec![repeat(kind)])
         .connects(3, 4 * MS, false, true)
         .come_back(Some(2 * SEC))
-        .probing(true)
+        .probing(true, 0.0)
         .cold(0.2, 20 * SEC, 2.5)
 }
 
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -358,7 +358,7 @@
         let mut policy = Policy::new(7, 0, types.to_vec())
             .connects(3, 4 * MS, false, true)
             .customers(vec![0.5, 0.5], 0.1)
-            .probing(true);
+            .probing(true, 0.0);
         policy.list(T0, &[ready(0), ready(1)], true);
         for id in 0..40 {
             let held = Flow {
@@ -415,7 +415,7 @@
     }
     assert_eq!(probed.len(), 50);
     // Where probes aren't allowed none are asked for, and the rotation goes on.
-    let mut blind = balancer(Repeat::Repeatable).probing(false);
+    let mut blind = balancer(Repeat::Repeatable).probing(false, 0.0);
     blind.list(T0, &[ready(0)], true);
     assert_eq!((blind.wait(T0), take(&mut blind, T0, 1)), (None, 0));
     assert_eq!(beta(0.5).connections, None);
