Let figures follow live list weights between probes

Cause: with probes 10 s apart a figure is stale for most flows, while the list tells every second how much each server holds, to all and for nothing. A figure is multiplied by the list weight it went with over the weight now, within 0.5 to 2; fresh connects count until a weight can show them. Acts only where the settings call weights live.

--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -41,6 +41,7 @@
             .customers(settings.shares()?, settings.number("surplus-value").unwrap_or(1.0))
             .come_back(come_back)
             .probing(settings.flag(&limits("probes"))?, settings.number("costs/probe").unwrap_or(0.0))
+            .weighing(settings.maybe("weights").and_then(|v| v.as_str()) == Some("live"))
             .asking(settings.text("discovery")? == "ask")
             .cold(
                 settings.number(&contract("start-capacity"))?,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -67,7 +67,9 @@
     turn: f64,
     /// Reports, newest last.
     reports: VecDeque<(Time, f64)>,
-    /// Our connects that the last report can't show yet.
+    /// The list weight that went with the last report; none while the list hasn't told it a second time.
+    base: Option<f64>,
+    /// Our connects that the last figure can't show yet.
     placed: VecDeque<Time>,
     /// Failed connects since the last established one.
     failed: VecDeque<Time>,
@@ -188,6 +190,8 @@
     probes: bool,
     /// What a probe costs, in flows of ours.
     probe_price: f64,
+    /// List weights fall with what servers hold.
+    live_weights: bool,
     next_ask: Option<Time>,
     /// When the next server is due for a probe.
     next_probe: Option<Time>,
@@ -248,6 +252,7 @@
             may_call_off: false,
             probes: false,
             probe_price: 0.0,
+            live_weights: false,
             next_ask: None,
             next_probe: None,
             cold: Cold { start: 0.1, warm_up: 30 * SEC, multiple: 1.0 },
@@ -291,6 +296,12 @@
         self
     }
 
+    /// Whether list weights are lowered by the connections that a server holds.
+    pub fn weighing(mut self, live: bool) -> Self {
+        self.live_weights = live;
+        self
+    }
+
     /// The list has to be asked for.
     pub fn asking(mut self, ask: bool) -> Self {
         self.next_ask = ask.then_some(0);
@@ -315,6 +326,7 @@
                 listed: *entry,
                 turn: self.rng.generate::<f64>(),
                 reports: VecDeque::new(),
+                base: None,
                 placed: VecDeque::new(),
                 failed: VecDeque::new(),
                 unprobed: VecDeque::new(),
@@ -326,7 +338,13 @@
                 credit: (self.rng.generate::<f64>(), now),
             };
             match self.servers.get_mut(&entry.rs) {
-                Some(known) if known.listed.started == entry.started => known.listed = *entry,
+                Some(known) if known.listed.started == entry.started => {
+                    known.listed = *entry;
+                    if self.live_weights {
+                        known.base.get_or_insert(entry.weight);
+                        shown(&mut known.placed, now, 2 * REPORT_AGE);
+                    }
+                }
                 // A restart under the same id: nothing measured holds any more.
                 _ => drop(self.servers.insert(entry.rs, fresh)),
             }
@@ -481,9 +499,8 @@
                     }
                     if let Some(beta) = report.beta.filter(|beta| passed && SANE.contains(beta)) {
                         keep(&mut server.reports, (now, beta));
-                        while server.placed.front().is_some_and(|at| at + REPORT_AGE <= now) {
-                            server.placed.pop_front();
-                        }
+                        server.base = server.base.and(Some(server.listed.weight));
+                        shown(&mut server.placed, now, REPORT_AGE);
                         if let Some(count) = report.connections.filter(|count| *count >= 1.0) {
                             for flow in self.book.by_rs.get(&rs).into_iter().flatten() {
                                 if let Some(own) = self.book.own.get_mut(flow) {
@@ -625,7 +642,16 @@
         // Guards against reports that are stuck, which would shut a server, or all of them, for good: live
         // ones are noisy.
         let stuck = server.reports.len() == SAMPLES && server.reports.iter().all(|(_, old)| *old == beta);
-        (now < server.next_probe.max(at) + KEEP_FIGURE && (!stuck || beta == 0.0)).then_some(beta)
+        (now < server.next_probe.max(at) + KEEP_FIGURE && (!stuck || beta == 0.0))
+            .then_some(beta * self.since(server))
+    }
+
+    /// How many times what it held when it last reported a server holds now, by its list weights.
+    fn since(&self, server: &Server) -> f64 {
+        let Some(base) = server.base else { return 1.0 };
+        let times = base / server.listed.weight;
+        // Absurd weights tell nothing.
+        if times.is_finite() && times > 0.0 { times.clamp(0.5, 2.0) } else { 1.0 }
     }
 
     fn mean_beta(&self, now: Time) -> f64 {
@@ -744,6 +770,13 @@
     WyRand::new_seed(of).generate()
 }
 
+/// Forgets connects that a figure of this age shows.
+fn shown(placed: &mut VecDeque<Time>, now: Time, age: Time) {
+    while placed.front().is_some_and(|at| at + age <= now) {
+        placed.pop_front();
+    }
+}
+
 /// Keeps the last few samples.
 fn keep<T>(samples: &mut VecDeque<T>, sample: T) {
     samples.push_back(sample);
