--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -31,7 +31,7 @@
 const PROBE_BOUND: Time = 10 * SEC;
 /// The most that probes may cost, of the value of our flows: with many balancers on many servers few flows come
 /// to each probe.
-const PROBES_WORTH: f64 = 0.01;
+const PROBES_WORTH: f64 = 0.02;
 /// A figure is kept so long past the next probe that is due.
 const KEEP_FIGURE: Time = 5 * SEC;
 /// Reports lag by their refresh and delay, so a figure that comes sooner can't show the last moves.
