One pass over the servers a flow, figures in place; older figures follow weights

Reports lie in place now, each server's figure is worked out once a flow, the cold pace only until the last server is warm, and probes nearly due go out together.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -9,6 +9,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use arrayvec::ArrayVec;
 use nanorand::{Rng, WyRand};
 
 use crate::types::*;
@@ -65,8 +66,8 @@
     listed: Listed,
     /// Rotation credit.
     turn: f64,
-    /// Reports, newest last.
-    reports: VecDeque<(Time, f64)>,
+    /// Reports, newest last; in place, since every flow looks at them on every server.
+    reports: ArrayVec<(Time, f64), SAMPLES>,
     /// The list weight that went with the last report; none while the list hasn't told it a second time.
     base: Option<f64>,
     /// Our connects that the last figure can't show yet.
@@ -196,6 +197,8 @@
     /// When the next server is due for a probe.
     next_probe: Option<Time>,
     cold: Cold,
+    /// When the last of the servers is warm.
+    cold_until: Time,
     servers: BTreeMap<Rs, Server>,
     book: Book,
     /// When our last connects were established, and on which kind of machine.
@@ -260,6 +263,7 @@
             next_ask: None,
             next_probe: None,
             cold: Cold { start: 0.1, warm_up: 30 * SEC, multiple: 1.0 },
+            cold_until: 0,
             servers: BTreeMap::new(),
             book: Book::default(),
             settled: VecDeque::new(),
@@ -326,10 +330,13 @@
             }
         }
         for entry in entries {
+            if entry.started > 0 {
+                self.cold_until = self.cold_until.max(entry.started + self.cold.warm_up);
+            }
             let fresh = Server {
                 listed: *entry,
                 turn: self.rng.generate::<f64>(),
-                reports: VecDeque::new(),
+                reports: ArrayVec::new(),
                 base: None,
                 placed: VecDeque::new(),
                 failed: VecDeque::new(),
@@ -344,7 +351,8 @@
             match self.servers.get_mut(&entry.rs) {
                 Some(known) if known.listed.started == entry.started => {
                     known.listed = *entry;
-                    if self.live_weights {
+                    let old = |(at, _): &(Time, f64)| at + PROBE_EVERY < now;
+                    if self.live_weights && known.reports.last().is_none_or(old) {
                         known.base.get_or_insert(entry.weight);
                         shown(&mut known.placed, now, 2 * REPORT_AGE);
                     }
@@ -355,7 +363,7 @@
         }
         let book = &self.book;
         self.servers.retain(|rs, server| server.listed.state != State::Gone || book.at(*rs) > 0.0);
-        self.next_probe = self.due();
+        self.next_probe = self.due(now);
     }
 
     /// The list could not be had; it is asked for again after a while.
@@ -389,34 +397,32 @@
             return self.hold(now, flow);
         }
         // Rules 2 and 3: only ready servers, and only where a repeat can do no harm.
-        let servers = self.servers.values();
-        let allowed: Vec<&Server> = servers.filter(|server| self.may_send(now, flow, server)).collect();
+        let allowed = self.servers.values().filter(|server| self.may_send(now, flow, server));
         // Rule 4: cold servers only within our part of their budget.
-        let cold = allowed.iter().any(|server| self.warmth(now, server) < 1.0);
-        let pace = if cold { self.pace(now) } else { BTreeMap::new() };
+        let pace = if now < self.cold_until { self.pace(now) } else { BTreeMap::new() };
         let has_credit = |server: &Server| self.credit(now, server, &pace) >= 1.0;
-        let warm: Vec<&Server> = allowed
-            .into_iter()
-            .filter(|server| self.warmth(now, server) >= 1.0 || has_credit(server))
-            .collect();
+        let warm = allowed.filter(|server| self.warmth(now, server) >= 1.0 || has_credit(server));
+        // Each server with its figure: worked out once for a flow, as this is most of what a flow costs us.
+        let warm: Vec<Seen> = warm.map(|server| (server, self.beta(now, server))).collect();
         let tried = |rs: Rs| flow.connects.iter().any(|c| c.rs == rs);
         // Guards against one server that answers nothing and soon holds all connects that may be in flight.
         let target = self.service_type(flow).setup_target;
         let late = self.book.out.values().filter(|(_, at)| at + target < now);
         let overdue: BTreeSet<Rs> = late.map(|(rs, _)| *rs).collect();
         let answers = |rs: Rs| !tried(rs) && !overdue.contains(&rs);
-        let healthy = prefer(&warm, |server| answers(server.listed.rs) && self.healthy(now, server));
+        let healthy = prefer(warm, |server| answers(server.listed.rs) && self.healthy(now, server));
         let number = healthy.len().max(1) as f64;
         let mean_own = self.book.own.len() as f64 / number;
-        let mean = self.mean_beta(now);
+        let known = healthy.iter().filter_map(|(_, beta)| *beta);
+        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), beta| (sum + beta, count + 1.0));
+        let mean = sum / f64::max(count, 1.0);
         // What we placed lately counts at once, as two mean connections since it is set up and may bring its
         // group; others are expected to place as we do on average. Guards against all balancers filling a
         // server on one and the same figure.
         let each = 2.0 * mean / (mean_own * self.balancers).max(FEWEST);
-        let lately = healthy.iter().map(|server| server.placed.len()).sum::<usize>() as f64 / number;
+        let lately = healthy.iter().map(|(server, _)| server.placed.len()).sum::<usize>() as f64 / number;
         let theirs = (self.balancers - 1.0) * lately;
-        let expected = |server: &Server| {
-            let beta = self.beta(now, server);
+        let expected = |(server, beta): &Seen| {
             beta.map_or(mean, |beta| beta + each * (server.placed.len() as f64 + theirs))
         };
         let nobody = BTreeMap::new();
@@ -427,19 +433,19 @@
         let worth = if self.worthy(flow) { RESERVE } else { 0.0 };
         let holds = |server: &Server| holders.contains_key(&server.listed.rs);
         let room = |server: &Server| T_H.min(worth + if holds(server) { FULL } else { NEW });
-        let open: Vec<&Server> =
-            healthy.iter().copied().filter(|server| expected(server) < room(server)).collect();
-        let even = prefer(&open, |server| self.book.at(server.listed.rs) <= 1.5 * mean_own + 1.0);
-        let near = prefer(&even, |server| server.listed.hall == self.hall);
-        let mut kin = prefer(&near, |server| holds(server));
-        if !kin.iter().any(|server| holds(server))
-            && let Some(group) = &flow.group
+        let open: Vec<Seen> = healthy.into_iter().filter(|seen| expected(seen) < room(seen.0)).collect();
+        let even = prefer(open, |server| self.book.at(server.listed.rs) <= 1.5 * mean_own + 1.0);
+        let near = prefer(even, |server| server.listed.hall == self.hall);
+        let mut kin = prefer(near, holds);
+        // Guards against many balancers that each hold few of a group and spread it: all agree on its order.
+        if let Some(group) = &flow.group
+            && !kin.iter().any(|(server, _)| holds(server))
         {
             let name = group.bytes().fold(0, |name, byte| draw(name ^ u64::from(byte)));
-            kin.sort_by_key(|server| draw(name ^ server.listed.rs));
-            kin.truncate(1);
+            kin =
+                kin.into_iter().min_by_key(|(server, _)| draw(name ^ server.listed.rs)).into_iter().collect();
         }
-        let among: Vec<Rs> = kin.iter().map(|server| server.listed.rs).collect();
+        let among: Vec<Rs> = kin.iter().map(|(server, _)| server.listed.rs).collect();
         let Some(rs) = self.turn(&among) else {
             return self.hold(now, flow);
         };
@@ -502,7 +508,10 @@
                         keep(&mut server.unprobed, now);
                     }
                     if let Some(beta) = report.beta.filter(|beta| passed && SANE.contains(beta)) {
-                        keep(&mut server.reports, (now, beta));
+                        if server.reports.is_full() {
+                            server.reports.remove(0);
+                        }
+                        server.reports.push((now, beta));
                         server.base = server.base.and(Some(server.listed.weight));
                         shown(&mut server.placed, now, REPORT_AGE);
                         if let Some(count) = report.connections.filter(|count| *count >= 1.0) {
@@ -523,12 +532,12 @@
             for server in self.servers.values_mut() {
                 if server.next_probe <= now && server.listed.state == State::Ready {
                     // A cool server can't turn hot within one interval by what it is sent: two will do.
-                    let cool = server.reports.back().is_some_and(|(_, beta)| *beta < COOL);
+                    let cool = server.reports.last().is_some_and(|(_, beta)| *beta < COOL);
                     server.next_probe = now + PROBE_BOUND.min(if cool { 2 * every } else { every });
                     todo.probe.push(server.listed.rs);
                 }
             }
-            self.next_probe = self.due();
+            self.next_probe = self.due(now);
         }
         if self.next_ask.is_some_and(|at| at <= now) {
             (todo.ask_list, self.next_ask) = (true, None);
@@ -555,9 +564,10 @@
     }
 
     /// When the next probe is due, kept so that not every outcome walks all servers.
-    fn due(&self) -> Option<Time> {
+    fn due(&self, now: Time) -> Option<Time> {
         let ready = self.servers.values().filter(|s| self.probes && s.listed.state == State::Ready);
-        ready.map(|server| server.next_probe).min()
+        // Probes that are nearly due go out together: each look walks all servers.
+        ready.map(|server| server.next_probe).min().map(|at| at.max(now + ROUND / 2))
     }
 
     fn service_type(&self, flow: &Flow) -> ServiceType {
@@ -642,12 +652,12 @@
 
     /// The server's β while the figure is fresh enough.
     fn beta(&self, now: Time, server: &Server) -> Option<f64> {
-        let &(at, beta) = server.reports.back()?;
+        let &(at, beta) = server.reports.last()?;
         // Guards against reports that are stuck, which would shut a server, or all of them, for good: live
         // ones are noisy.
-        let stuck = server.reports.len() == SAMPLES && server.reports.iter().all(|(_, old)| *old == beta);
+        let stuck = server.reports.is_full() && server.reports.iter().all(|(_, old)| *old == beta);
         (now < server.next_probe.max(at) + KEEP_FIGURE && (!stuck || beta == 0.0))
-            .then_some(beta * self.since(server))
+            .then_some(beta * if now < at + PROBE_EVERY { 1.0 } else { self.since(server) })
     }
 
     /// How many times what it held when it last reported a server holds now, by its list weights.
@@ -658,11 +668,6 @@
         if times.is_finite() && times > 0.0 { times.clamp(0.5, 2.0) } else { 1.0 }
     }
 
-    fn mean_beta(&self, now: Time) -> f64 {
-        let known: Vec<f64> = self.servers.values().filter_map(|server| self.beta(now, server)).collect();
-        if known.is_empty() { 0.0 } else { known.iter().sum::<f64>() / known.len() as f64 }
-    }
-
     /// The share of its capacity that a server has at least.
     fn warmth(&self, now: Time, server: &Server) -> f64 {
         let age = now.saturating_sub(server.listed.started);
@@ -753,10 +758,13 @@
     }
 }
 
+/// A server and its β now.
+type Seen<'a> = (&'a Server, Option<f64>);
+
 /// Those that pass, or all of them where none does.
-fn prefer<'a>(of: &[&'a Server], passes: impl Fn(&Server) -> bool) -> Vec<&'a Server> {
-    let some: Vec<&Server> = of.iter().copied().filter(|server| passes(server)).collect();
-    if some.is_empty() { of.to_vec() } else { some }
+fn prefer<'a>(of: Vec<Seen<'a>>, passes: impl Fn(&Server) -> bool) -> Vec<Seen<'a>> {
+    let some: Vec<Seen> = of.iter().copied().filter(|(server, _)| passes(server)).collect();
+    if some.is_empty() { of } else { some }
 }
 
 /// One less, and none at all once the last is gone.
