Keep more room on the server that is a group's home

The first server of a group's order is its home: filled up to T_H less room for four fresh connections, between 0.49 and 0.72.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -23,6 +23,8 @@
 const FULL: f64 = 0.72;
 /// The same for servers new to the flow's group, which bring its common work with it.
 const NEW: f64 = 0.49;
+/// Fresh connections that may come to the home of a group on one and the same figure.
+const SPARE: f64 = 4.0;
 /// Room kept for flows that bring more value for their load than ours do on the whole.
 const RESERVE: f64 = 0.16;
 /// A customer is well over its share from this many times it.
@@ -432,18 +434,27 @@
         // holders of the flow's group take more, against common work that is paid for on every server.
         let worth = if self.worthy(flow) { RESERVE } else { 0.0 };
         let holds = |server: &Server| holders.contains_key(&server.listed.rs);
-        let room = |server: &Server| T_H.min(worth + if holds(server) { FULL } else { NEW });
+        let is_near = |server: &Server| server.listed.hall == self.hall;
+        // Guards against many balancers that each hold few of a group and spread it: they agree on an order of
+        // servers for each group. Its first is the group's home, held by others though not by us, with room but
+        // for a few more connections that come on the same figure.
+        let name = flow.group.iter().flat_map(|group| group.bytes());
+        let name = name.fold(0, |name, byte| draw(name ^ u64::from(byte)));
+        let rank = |server: &Server| draw(name ^ server.listed.rs);
+        let alone = flow.group.is_some() && holders.is_empty();
+        let homes = healthy.iter().filter(|(server, _)| alone && is_near(server));
+        let home = homes.min_by_key(|(server, _)| rank(server)).map(|(server, _)| server.listed.rs);
+        let room = |server: &Server| match () {
+            () if holds(server) => T_H.min(worth + FULL),
+            () if home == Some(server.listed.rs) => T_H.min(worth + (T_H - SPARE * each).clamp(NEW, FULL)),
+            () => T_H.min(worth + NEW),
+        };
         let open: Vec<Seen> = healthy.into_iter().filter(|seen| expected(seen) < room(seen.0)).collect();
         let even = prefer(open, |server| self.book.at(server.listed.rs) <= 1.5 * mean_own + 1.0);
-        let near = prefer(even, |server| server.listed.hall == self.hall);
+        let near = prefer(even, is_near);
         let mut kin = prefer(near, holds);
-        // Guards against many balancers that each hold few of a group and spread it: all agree on its order.
-        if let Some(group) = &flow.group
-            && !kin.iter().any(|(server, _)| holds(server))
-        {
-            let name = group.bytes().fold(0, |name, byte| draw(name ^ u64::from(byte)));
-            kin =
-                kin.into_iter().min_by_key(|(server, _)| draw(name ^ server.listed.rs)).into_iter().collect();
+        if flow.group.is_some() && !kin.iter().any(|(server, _)| holds(server)) {
+            kin = kin.into_iter().min_by_key(|(server, _)| rank(server)).into_iter().collect();
         }
         let among: Vec<Rs> = kin.iter().map(|(server, _)| server.listed.rs).collect();
         let Some(rs) = self.turn(&among) else {
