--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -227,11 +227,7 @@
         in_flight as f64 >= self.width.max(1.0) || self.width < 1.0 && now < self.narrowed + pause
     }
 
-    /// Only while it is in use: a window that nothing has tried tells nothing.
-    fn widen(&mut self, in_flight: usize) {
-        if 2.0 * (in_flight as f64 + 1.0) < self.width {
-            return;
-        }
+    fn widen(&mut self) {
         self.width += if self.width < self.steady { 1.0 } else { 1.0 / self.width };
     }
 
@@ -476,7 +472,7 @@
         match outcome {
             Outcome::Established { flow, .. } => {
                 if let Some(rs) = self.book.established(flow) {
-                    self.window.widen(self.book.out.len());
+                    self.window.widen();
                     let warm = self.servers.get(&rs).is_some_and(|server| self.warmth(now, server) >= 1.0);
                     if let Some(server) = self.servers.get_mut(&rs) {
                         server.failed.clear();
