--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -193,6 +193,8 @@
     probes: bool,
     /// What a probe costs, in flows of ours.
     probe_price: f64,
+    /// The probe interval now.
+    every: Time,
     /// List weights fall with what servers hold.
     live_weights: bool,
     next_ask: Option<Time>,
@@ -257,6 +259,7 @@
             may_call_off: false,
             probes: false,
             probe_price: 0.0,
+            every: PROBE_EVERY,
             live_weights: false,
             next_ask: None,
             next_probe: None,
@@ -349,8 +352,8 @@
             match self.servers.get_mut(&entry.rs) {
                 Some(known) if known.listed.started == entry.started => {
                     known.listed = *entry;
-                    let old = |(at, _): &(Time, f64)| at + PROBE_EVERY < now;
-                    if self.live_weights && known.reports.last().is_none_or(old) {
+                    let old = known.reports.last().is_none_or(|(at, _)| at + PROBE_EVERY < now);
+                    if self.live_weights && self.every > PROBE_EVERY && old {
                         known.base.get_or_insert(entry.weight);
                         shown(&mut known.placed, now, 2 * REPORT_AGE);
                     }
@@ -536,6 +539,7 @@
         }
         if self.next_probe.is_some_and(|at| at <= now) {
             let every = self.probe_every(now);
+            self.every = every;
             for server in self.servers.values_mut() {
                 if server.next_probe <= now && server.listed.state == State::Ready {
                     // A cool server can't turn hot within one interval by what it is sent: two will do.
@@ -663,8 +667,9 @@
         // Guards against reports that are stuck, which would shut a server, or all of them, for good: live
         // ones are noisy.
         let stuck = server.reports.is_full() && server.reports.iter().all(|(_, old)| *old == beta);
-        (now < server.next_probe.max(at) + KEEP_FIGURE && (!stuck || beta == 0.0))
-            .then_some(beta * if now < at + PROBE_EVERY { 1.0 } else { self.since(server) })
+        (now < server.next_probe.max(at) + KEEP_FIGURE && (!stuck || beta == 0.0)).then_some(
+            beta * if self.every == PROBE_EVERY || now < at + PROBE_EVERY { 1.0 } else { self.since(server) },
+        )
     }
 
     /// How many times what it held when it last reported a server holds now, by its list weights.
