--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -211,6 +211,8 @@
     window: Window,
     /// Flows told «not yet» since the last wait.
     held: usize,
+    /// The least expected β when a flow was last placed, and when that was.
+    least: (Time, f64),
 }
 
 /// How many connects may be in flight at once: widened by those that are established, narrowed when
@@ -271,6 +273,7 @@
             began: None,
             window: Window { width: CALM, steady: f64::INFINITY, narrowed: 0 },
             held: 0,
+            least: (0, 0.0),
         }
     }
 
@@ -397,6 +400,11 @@
         if self.window.full(now, self.book.out.len()) {
             return self.hold(now, flow);
         }
+        // Guards against walking all servers for each of the flows that wait, when none has room at this moment.
+        let worth = if self.worthy(flow) { RESERVE } else { 0.0 };
+        if self.least.0 == now && self.least.1 >= T_H.min(worth + FULL) {
+            return self.hold(now, flow);
+        }
         // Rules 2 and 3: only ready servers, and only where a repeat can do no harm.
         let allowed = self.servers.values().filter(|server| self.may_send(now, flow, server));
         // Rule 4: cold servers only within our part of their budget.
@@ -431,7 +439,6 @@
         let holders = group.unwrap_or(&nobody);
         // Guards against servers that drop what they hold since more and more is placed on them, and, as
         // holders of the flow's group take more, against common work that is paid for on every server.
-        let worth = if self.worthy(flow) { RESERVE } else { 0.0 };
         let holds = |server: &Server| holders.contains_key(&server.listed.rs);
         let is_near = |server: &Server| server.listed.hall == self.hall;
         // Guards against many balancers that each hold few of a group and spread it: they agree on an order of
@@ -448,6 +455,7 @@
             () if home == Some(server.listed.rs) => T_H.min(worth + (T_H - SPARE * each).clamp(NEW, FULL)),
             () => T_H.min(worth + NEW),
         };
+        let least = healthy.iter().map(expected).fold(f64::INFINITY, f64::min);
         let open: Vec<Seen> = healthy.into_iter().filter(|seen| expected(seen) < room(seen.0)).collect();
         let even = prefer(open, |server| self.book.at(server.listed.rs) <= 1.5 * mean_own + 1.0);
         let near = prefer(even, is_near);
@@ -456,6 +464,9 @@
             kin = kin.into_iter().min_by_key(|(server, _)| rank(server)).into_iter().collect();
         }
         let among: Vec<Rs> = kin.iter().map(|(server, _)| server.listed.rs).collect();
+        if flow.connects.is_empty() {
+            self.least = (now, least);
+        }
         let Some(rs) = self.turn(&among) else {
             return self.hold(now, flow);
         };
