Repeat a failed probe after 2 s; a figure ends though probes go on failing; tests

Cause, found by reading: with the interval at 10 s a silent server was known after 20 s, and a figure was kept by the next probe due, which is put off for good while probes fail.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -527,6 +527,8 @@
                         server.unprobed.clear();
                     } else {
                         keep(&mut server.unprobed, now);
+                        server.next_probe = server.next_probe.min(now + PROBE_EVERY);
+                        self.next_probe = self.next_probe.map(|at| at.min(now + PROBE_EVERY));
                     }
                     if let Some(beta) = report.beta.filter(|beta| passed && SANE.contains(beta)) {
                         if server.reports.is_full() {
@@ -678,7 +680,9 @@
         // Guards against reports that are stuck, which would shut a server, or all of them, for good: live
         // ones are noisy.
         let stuck = server.reports.is_full() && server.reports.iter().all(|(_, old)| *old == beta);
-        (now < server.next_probe.max(at) + KEEP_FIGURE && (!stuck || beta == 0.0)).then_some(
+        // Not by the next probe, which is put off for good while probes fail.
+        let due = at + PROBE_BOUND.min(2 * self.every);
+        (now < due + KEEP_FIGURE && (!stuck || beta == 0.0)).then_some(
             beta * if self.every == PROBE_EVERY || now < at + PROBE_EVERY { 1.0 } else { self.since(server) },
         )
     }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -420,3 +420,95 @@
     assert_eq!((blind.wait(T0), take(&mut blind, T0, 1)), (None, 0));
     assert_eq!(beta(0.5).connections, None);
 }
+
+#[test]
+fn balancers_agree_on_a_groups_home_and_own_holders_come_first() {
+    // Guards against 163 balancers that spread each group over the fleet (nuwara-eliya-live-later, big-1).
+    let of = |group: &str, id| Flow { group: Some(group.into()), ..flow(T0, id) };
+    let placed = |seed, group: &str, holder: Option<Rs>| {
+        let mut policy = Policy::new(seed, 0, vec![repeat(Repeat::Repeatable)])
+            .connects(3, MS, false, true)
+            .among(100.0)
+            .probing(true, 0.0);
+        policy.list(T0, &(0..20).map(ready).collect::<Vec<_>>(), true);
+        if let Some(rs) = holder {
+            policy.inherit(&of(group, 1), rs);
+        }
+        match policy.place(T0, &of(group, 2)) {
+            Place::To(rs, _) => rs,
+            other => panic!("{other:?}"),
+        }
+    };
+    let homes: Vec<Rs> = ["a", "b", "c", "d", "e"].map(|group| placed(1, group, None)).to_vec();
+    for (seed, group, home) in [(2, "a", homes[0]), (3, "b", homes[1]), (4, "c", homes[2])] {
+        assert_eq!(placed(seed, group, None), home, "seed {seed}, group {group}");
+    }
+    assert!(homes.iter().any(|home| *home != homes[0]), "groups have homes of their own: {homes:?}");
+    let elsewhere = (homes[0] + 1) % 20;
+    assert_eq!(placed(5, "a", Some(elsewhere)), elsewhere);
+}
+
+#[test]
+fn probes_are_paid_for_by_own_flows_within_ten_seconds() {
+    // Guards against 33 probes a try on a large fleet (colombo-maps-later, big-1). Price of a probe, own
+    // connections at the start, probes of one server in 60 s at least and at most.
+    for (price, own, least, most) in
+        [(0.0, 0, 28, 32), (0.002, 0, 6, 8), (0.002, 5000, 28, 32), (0.02, 50, 6, 8)]
+    {
+        let mut policy = balancer(Repeat::Repeatable).probing(true, price);
+        policy.list(T0, &(0..50).map(ready).collect::<Vec<_>>(), true);
+        (0..own).for_each(|id| policy.inherit(&flow(T0, id), id % 50));
+        let (mut now, mut count) = (T0, 0);
+        while now < T0 + 60 * SEC {
+            now += policy.wait(now).expect("a probe is due").max(MS);
+            for rs in policy.after(now, Outcome::Elapsed).probe {
+                count += usize::from(rs == 7);
+                probe(&mut policy, now, rs, 0.6 + (now % 97) as f64 / 1e4);
+            }
+        }
+        assert!((least..=most).contains(&count), "price {price}, {own} own: {count}");
+    }
+}
+
+#[test]
+fn older_figures_follow_live_weights_where_probes_are_scarce() {
+    // Guards against figures of 10 s at full size. Live weights, price, second weight, age of the report in
+    // seconds, whether the server still has room.
+    for (live, price, weight, age, want) in [
+        (true, 1.0, 0.5, 4, false),
+        (true, 1.0, 1.0, 4, true),
+        (true, 1.0, 0.5, 1, true),
+        (true, 0.0, 0.5, 4, true),
+        (false, 1.0, 0.5, 4, true),
+        (true, 1.0, f64::NAN, 4, true),
+    ] {
+        let mut policy = balancer(Repeat::Repeatable).probing(true, price).weighing(live);
+        policy.list(T0, &[ready(0)], true);
+        policy.after(T0 + 3 * SEC, Outcome::Elapsed);
+        policy.list(T0 + 3 * SEC, &[ready(0)], false);
+        probe(&mut policy, T0 + 3 * SEC, 0, 0.6);
+        (100..120).for_each(|id| policy.inherit(&flow(T0, id), 0));
+        let now = T0 + (3 + age) * SEC;
+        policy.list(now, &[Listed { weight, ..ready(0) }], false);
+        let one = Flow { taken: now - SEC, ..flow(now, 1) };
+        let placed = matches!(policy.place(now, &one), Place::To(..));
+        assert_eq!(placed, want, "live {live}, price {price}, weight {weight}, age {age}");
+    }
+}
+
+#[test]
+fn a_figure_ends_though_probes_go_on_failing() {
+    // Guards against a last figure that shuts a server for good when its probe path breaks at a high load.
+    let mut policy = balancer(Repeat::Repeatable);
+    policy.list(T0, &[ready(0)], true);
+    probe(&mut policy, T0, 0, 0.9);
+    let mut open = Vec::new();
+    for second in 1..=12 {
+        let now = T0 + second * SEC;
+        policy.after(now, Outcome::Elapsed);
+        policy.after(now, Outcome::Probed { rs: 0, passed: false, report: Report::default() });
+        let late = Flow { taken: now - SEC, ..flow(now, second) };
+        open.push(matches!(policy.place(now, &late), Place::To(..)));
+    }
+    assert!(!open[2] && open[11], "{open:?}");
+}
