--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -60,24 +60,27 @@
 const NARROWEST: f64 = 1.0 / 16.0;
 /// Flows that may wait for their turn, for each connect that may be in flight.
 const QUEUE: f64 = 4.0;
-/// How soon flows that wait are looked at again.
-const LOOK_AGAIN: Time = 20 * MS;
+/// How soon flows that wait are looked at again: well inside setup targets, and each look walks all servers for
+/// each of them.
+const LOOK_AGAIN: Time = 60 * MS;
 
-/// One server: what the list says and the last few samples of everything measured.
+/// One server: what the list says and the last few samples of everything measured. What every flow looks at on
+/// every server stands first and together.
+#[repr(C)]
 struct Server {
     listed: Listed,
-    /// Rotation credit.
-    turn: f64,
-    /// Reports, newest last; in place, since every flow looks at them on every server.
-    reports: ArrayVec<(Time, f64), SAMPLES>,
-    /// The list weight that went with the last report; none while the list hasn't told it a second time.
-    base: Option<f64>,
     /// Our connects that the last figure can't show yet.
     placed: VecDeque<Time>,
     /// Failed connects since the last established one.
     failed: VecDeque<Time>,
     /// Failed probes since the last that passed.
     unprobed: VecDeque<Time>,
+    /// The list weight that went with the last report; none while the list hasn't told it a second time.
+    base: Option<f64>,
+    /// Reports, newest first.
+    reports: ArrayVec<(Time, f64), SAMPLES>,
+    /// Rotation credit.
+    turn: f64,
     last_established: Time,
     next_probe: Time,
     shed: Option<Time>,
@@ -355,7 +358,7 @@
             match self.servers.get_mut(&entry.rs) {
                 Some(known) if known.listed.started == entry.started => {
                     known.listed = *entry;
-                    let old = known.reports.last().is_none_or(|(at, _)| at + PROBE_EVERY < now);
+                    let old = known.reports.first().is_none_or(|(at, _)| at + PROBE_EVERY < now);
                     if self.live_weights && self.every > PROBE_EVERY && old {
                         known.base.get_or_insert(entry.weight);
                         shown(&mut known.placed, now, 2 * REPORT_AGE);
@@ -419,7 +422,7 @@
         let late = self.book.out.values().filter(|(_, at)| at + target < now);
         let overdue: BTreeSet<Rs> = late.map(|(rs, _)| *rs).collect();
         let answers = |rs: Rs| !tried(rs) && !overdue.contains(&rs);
-        let healthy = prefer(warm, |server| answers(server.listed.rs) && self.healthy(now, server));
+        let healthy = prefer(warm, |server| self.healthy(now, server) && answers(server.listed.rs));
         let number = healthy.len().max(1) as f64;
         let mean_own = self.book.own.len() as f64 / number;
         let known = healthy.iter().filter_map(|(_, beta)| *beta);
@@ -531,10 +534,8 @@
                         self.next_probe = self.next_probe.map(|at| at.min(now + PROBE_EVERY));
                     }
                     if let Some(beta) = report.beta.filter(|beta| passed && SANE.contains(beta)) {
-                        if server.reports.is_full() {
-                            server.reports.remove(0);
-                        }
-                        server.reports.push((now, beta));
+                        server.reports.truncate(SAMPLES - 1);
+                        server.reports.insert(0, (now, beta));
                         server.base = server.base.and(Some(server.listed.weight));
                         shown(&mut server.placed, now, REPORT_AGE);
                         if let Some(count) = report.connections.filter(|count| *count >= 1.0) {
@@ -556,7 +557,7 @@
             for server in self.servers.values_mut() {
                 if server.next_probe <= now && server.listed.state == State::Ready {
                     // A cool server can't turn hot within one interval by what it is sent: two will do.
-                    let cool = server.reports.last().is_some_and(|(_, beta)| *beta < COOL);
+                    let cool = server.reports.first().is_some_and(|(_, beta)| *beta < COOL);
                     server.next_probe = now + PROBE_BOUND.min(if cool { 2 * every } else { every });
                     todo.probe.push(server.listed.rs);
                 }
@@ -676,7 +677,7 @@
 
     /// The server's β while the figure is fresh enough.
     fn beta(&self, now: Time, server: &Server) -> Option<f64> {
-        let &(at, beta) = server.reports.last()?;
+        let &(at, beta) = server.reports.first()?;
         // Guards against reports that are stuck, which would shut a server, or all of them, for good: live
         // ones are noisy.
         let stuck = server.reports.is_full() && server.reports.iter().all(|(_, old)| *old == beta);
