--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -14,8 +14,8 @@
 
 use crate::types::*;
 
-/// A server is hot above this load over capacity. The paper has 0.9, for tunnels that lose nothing in a queue;
-/// messages here are late well before that, and 0.8 served more of them than 0.75, 0.85 or 0.9.
+/// A server is hot above this load over capacity. The paper has 0.9, for tunnels that lose nothing in a
+/// queue; messages here are late well before that, and 0.8 served more of them than 0.75, 0.85 or 0.9.
 const T_H: f64 = 0.8;
 /// A server asked for less is cool, and is probed half as often: probes cost it work.
 const COOL: f64 = 0.4;
@@ -32,8 +32,8 @@
 /// The design's start for the probe interval, and its bound.
 const PROBE_EVERY: Time = 2 * SEC;
 const PROBE_BOUND: Time = 10 * SEC;
-/// The most that probes may cost, of the value of our flows: with many balancers on many servers few flows come
-/// to each probe.
+/// The most that probes may cost, of the value of our flows: with many balancers on many servers few flows
+/// come to each probe.
 const PROBES_WORTH: f64 = 0.02;
 /// A figure is kept so long past the next probe that is due.
 const KEEP_FIGURE: Time = 5 * SEC;
@@ -60,12 +60,12 @@
 const NARROWEST: f64 = 1.0 / 16.0;
 /// Flows that may wait for their turn, for each connect that may be in flight.
 const QUEUE: f64 = 4.0;
-/// How soon flows that wait are looked at again: well inside setup targets, and each look walks all servers for
-/// each of them.
+/// How soon flows that wait are looked at again: well inside setup targets, and each look walks all servers
+/// for each of them.
 const LOOK_AGAIN: Time = 60 * MS;
 
-/// One server: what the list says and the last few samples of everything measured. What every flow looks at on
-/// every server stands first and together.
+/// One server: what the list says and the last few samples of everything measured. What every flow looks at
+/// on every server stands first and together.
 #[repr(C)]
 struct Server {
     listed: Listed,
@@ -403,7 +403,8 @@
         if self.window.full(now, self.book.out.len()) {
             return self.hold(now, flow);
         }
-        // Guards against walking all servers for each of the flows that wait, when none has room at this moment.
+        // Guards against walking all servers for each of the flows that wait, when none has room at this
+        // moment.
         let worth = if self.worthy(flow) { RESERVE } else { 0.0 };
         if self.least.0 == now && self.least.1 >= T_H.min(worth + FULL) {
             return self.hold(now, flow);
@@ -444,9 +445,9 @@
         // holders of the flow's group take more, against common work that is paid for on every server.
         let holds = |server: &Server| holders.contains_key(&server.listed.rs);
         let is_near = |server: &Server| server.listed.hall == self.hall;
-        // Guards against many balancers that each hold few of a group and spread it: they agree on an order of
-        // servers for each group. Its first is the group's home, held by others though not by us, with room but
-        // for a few more connections that come on the same figure.
+        // Guards against many balancers that each hold few of a group and spread it: they agree on an order
+        // of servers for each group. Its first is the group's home, held by others though not by us, with
+        // room but for a few more connections that come on the same figure.
         let name = flow.group.iter().flat_map(|group| group.bytes());
         let name = name.fold(0, |name, byte| draw(name ^ u64::from(byte)));
         let rank = |server: &Server| draw(name ^ server.listed.rs);
@@ -478,8 +479,8 @@
         server.credit = (credit.max(0.0), now);
         server.placed.push_back(now);
         self.book.enter(now, flow, rs, false);
-        // All the time that is left: a server that can't be reached shows sooner, and a connect that was given
-        // up has cost the store its call all the same.
+        // All the time that is left: a server that can't be reached shows sooner, and a connect that was
+        // given up has cost the store its call all the same.
         Place::To(rs, left)
     }
 
@@ -577,7 +578,8 @@
         next.map(|at| at.saturating_sub(now))
     }
 
-    /// The probe interval: as long as keeps probes within their worth, by how many flows of ours come to them.
+    /// The probe interval: as long as keeps probes within their worth, by how many flows of ours come to
+    /// them.
     fn probe_every(&self, now: Time) -> Time {
         let settled = self.settled.iter().filter(|(at, _)| at + RATE_SPAN >= now).count();
         // Until a span has passed, what was inherited tells: connections are taken to live for three of them.
@@ -615,8 +617,8 @@
         Place::NotYet
     }
 
-    /// Whether the flow's value for its load is that of our connections on the whole, or more. A customer well
-    /// over its share brings only the surplus value.
+    /// Whether the flow's value for its load is that of our connections on the whole, or more. A customer
+    /// well over its share brings only the surplus value.
     fn worthy(&self, flow: &Flow) -> bool {
         let (mut load, mut value) = (0.0, 0.0);
         for (service_type, (count, sum)) in &self.book.told {
@@ -755,8 +757,9 @@
         if beta <= T_H || server.shed.is_some_and(|at| now < at + SETTLE) {
             return Vec::new();
         }
-        // Also when all are hot: `place` lets nobody in then, so this doesn't shuffle clients, it sheds load, and
-        // those that stay are served. Guards against a fleet held at full load that serves no message in time.
+        // Also when all are hot: `place` lets nobody in then, so this doesn't shuffle clients, it sheds
+        // load, and those that stay are served. Guards against a fleet held at full load that serves no
+        // message in time.
         let fraction = (beta - T_H) / beta;
         let flows = || self.book.by_rs.get(&rs).into_iter().flatten();
         let here = || flows().map(|id| (id, &self.book.own[id])).filter(|(_, own)| own.established);
