--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -17,7 +17,7 @@
 /// A server is hot above this load over capacity. The paper has 0.9, for tunnels that lose nothing in a
 /// queue; messages here are late well before that, and 0.8 served more of them than 0.75, 0.85 or 0.9.
 const T_H: f64 = 0.8;
-/// A server asked for less is cool, and is probed half as often: probes cost it work.
+/// A server asked for less is cool, and is probed half as often unless probes are cheap.
 const COOL: f64 = 0.4;
 /// Nothing is placed on a server that is asked for more: a gap under T_H keeps clients from being moved soon.
 const FULL: f64 = 0.72;
@@ -553,13 +553,16 @@
             Outcome::Elapsed => self.held = 0,
         }
         if self.next_probe.is_some_and(|at| at <= now) {
-            let every = self.probe_every(now);
+            let paid = self.probe_every(now);
+            let every = paid.clamp(PROBE_EVERY, PROBE_BOUND);
             self.every = every;
             for server in self.servers.values_mut() {
                 if server.next_probe <= now && server.listed.state == State::Ready {
-                    // A cool server can't turn hot within one interval by what it is sent: two will do.
+                    // A cool server is the last to turn hot. Where twice the probes are paid for it isn't
+                    // spared: guards against one that fills within twice the interval (kandy-patrol-later).
                     let cool = server.reports.first().is_some_and(|(_, beta)| *beta < COOL);
-                    server.next_probe = now + PROBE_BOUND.min(if cool { 2 * every } else { every });
+                    let spared = cool && 2 * paid > PROBE_EVERY;
+                    server.next_probe = now + PROBE_BOUND.min(if spared { 2 * every } else { every });
                     todo.probe.push(server.listed.rs);
                 }
             }
@@ -587,7 +590,7 @@
         let flows = settled.max(if young { self.book.own.len() / 3 } else { 1 }).max(1);
         let probes = PROBES_WORTH * flows as f64 / self.probe_price.max(f64::MIN_POSITIVE);
         let every = RATE_SPAN as f64 * self.servers.len() as f64 / probes;
-        (every as Time).clamp(PROBE_EVERY, PROBE_BOUND)
+        every as Time
     }
 
     /// When the next probe is due, kept so that not every outcome walks all servers.
