--- a/crates/balancer/src/book.rs
+++ b/crates/balancer/src/book.rs
@@ -1,17 +1,16 @@
-//! The last stage: the book of one flow, kept from its admission on. It owns the client's socket and what it
-//! has sent ahead, gives the client its one final answer, tells the desk what came of each connect, and gives
+//! The last stage: the book of one flow, kept from its admission on. It owns the client's socket and  the client its one final answer, tells the desk what came of each connect, and gives
 //! everything back. It must never answer twice, and never let a flow go without an answer.
 
 use std::sync::Arc;
 
 use nettlemux_policy::{End, Flow, FlowId, MS, Report, Time};
-use tracing::{debug, error, info};
+use tracing::{debug, error, info, warn};
 
+use crate::admit::Id;
 use crate::chain::Core;
 use crate::clock;
 use crate::desk::{Ask, Target};
 use crate::net::Caller;
-use crate::pool::BUFFER;
 use crate::take_in::LINGER;
 use crate::wire;
 
@@ -27,35 +26,32 @@
     core: Arc<Core>,
     pub id: FlowId,
     pub caller: Caller,
-    /// What the client has sent past its first line.
-    pub ahead: Vec<u8>,
     pub taken: Time,
     pub give_up: Time,
     /// The client is to be sent away as soon as it is up.
     pub moving: bool,
     owed: bool,
+    /// The client's own id, nobody else's while this is kept.
+    _id: Id,
 }
 
 impl Book {
-    pub fn open(core: &Arc<Core>, flow: &Flow, caller: Caller, ahead: Vec<u8>) -> Self {
-        let Flow { id, taken, give_up, .. } = *flow;
-        Book { core: core.clone(), id, caller, ahead, taken, give_up, moving: false, owed: true }
+    pub fn open(core: &Arc<Core>, flow: &Flow, caller: Caller, id: Id) -> Self {
+        let Flow { id: number, taken, give_up, .. } = *flow;
+        Book { core: core.clone(), id: number, caller, taken, give_up, moving: false, owed: true, _id: id }
     }
 
-    /// Whether the client has gone away; takes what it sends ahead.
+    /// Whether the client has gone away, or has said more before it was served: it is to wait.
     pub fn client_left(&mut self) -> bool {
         self.caller.socket.looked_at();
-        let mut bytes = [0; 256];
-        // No more than one buffer: guards against a client that sends a lot before it is served.
-        while self.ahead.len() < BUFFER {
-            let room = bytes.len().min(BUFFER - self.ahead.len());
-            match self.caller.socket.read(&mut bytes[..room]) {
-                Ok(None) => return false,
-                Ok(Some(0)) | Err(_) => return true,
-                Ok(Some(count)) => self.ahead.extend_from_slice(&bytes[..count]),
+        match self.caller.socket.read(&mut [0; 256]) {
+            Ok(None) => false,
+            Ok(Some(0)) | Err(_) => true,
+            Ok(Some(_)) => {
+                warn!(id = self.id, "the client goes on before it is served");
+                true
             }
         }
-        false
     }
 
     pub fn tell(&self, ask: Ask) {
@@ -131,7 +127,7 @@
 
     use super::*;
     use crate::mail::Mailbox;
-    use crate::pool::{Buffers, Descriptors};
+    use crate::pool::{Buffers, Descriptors, Shares};
     use crate::wire::Known;
 
     /// Guards against a flow that is lost, and a desk that keeps it, when its coroutine panics.
@@ -142,7 +138,9 @@
         let core = Arc::new(Core {
             desk: asks.sender(),
             buffers: Buffers::new(),
-            descriptors: descriptors.clone(),
+            shares: Shares::new(256, 32 << 20),
+            lobby: Arc::default(),
+            ids: Arc::default(),
             known: Known::new(&Settings::parse("{}").unwrap()).unwrap(),
             reports: Reports::default(),
             dial_limit: 0,
@@ -153,12 +151,17 @@
         client.set_read_timeout(Some(std::time::Duration::from_secs(2))).unwrap();
         let stream = listener.accept().unwrap().0;
         let slot = descriptors.take(0).unwrap();
+        let id = core.ids.take("9b1f").unwrap();
+        // Guards against a flow that is opened under another's id, also once that has ended.
+        assert!(core.ids.take("9b1f").is_none());
+        let ids = core.ids.clone();
         let flow = Flow { id: 5, give_up: Time::MAX, ..Flow::default() };
         let panicked = may::go!(move || {
-            let _book = Book::open(&core, &flow, Caller::new(stream, slot).unwrap(), Vec::new());
+            let _book = Book::open(&core, &flow, Caller::new(stream, slot).unwrap(), id);
             panic!("on purpose");
         });
         assert!(panicked.join().is_err());
+        assert!(ids.take("9b1f").is_none() && ids.take("9b20").is_some());
         let mut answer = String::new();
         client.read_to_string(&mut answer).unwrap();
         assert_eq!(answer.as_bytes(), wire::ABORTED);
--- a/crates/balancer/src/chain.rs
+++ b/crates/balancer/src/chain.rs
@@ -8,21 +8,23 @@
 use nettlemux_policy::Time;
 use nettlemux_settings::Reports;
 
-use crate::admit::{self, Admitted};
+use crate::admit::{self, Admitted, Ids};
 use crate::book::Book;
 use crate::desk::{Ask, Order};
 use crate::mail::Sender;
-use crate::pool::{Buffers, Descriptors, Slot};
+use crate::pool::{Buffers, Shares, Slot};
 use crate::relay::relay;
 use crate::route::{self, Next};
 use crate::send::{Sent, called_off, send};
-use crate::take_in;
+use crate::take_in::{self, Lobby};
 use crate::wire::Known;
 
 pub struct Core {
     pub desk: Sender<Ask>,
     pub buffers: Arc<Buffers>,
-    pub descriptors: Arc<Descriptors>,
+    pub shares: Shares,
+    pub lobby: Arc<Lobby>,
+    pub ids: Arc<Ids>,
     pub known: Known,
     pub reports: Reports,
     /// A connection that isn't made by then can't be made.
@@ -33,8 +35,8 @@
 /// One client's connection, from its first byte to its last.
 pub fn serve(core: &Arc<Core>, stream: TcpStream, slot: Slot) {
     let Some(taken) = take_in::first_line(core, stream, slot) else { return };
-    let Some(Admitted { flow, at, caller, line, ahead }) = admit::admit(core, taken) else { return };
-    let mut book = Book::open(core, &flow, caller, ahead);
+    let Some(Admitted { flow, at, caller, line, id }) = admit::admit(core, taken) else { return };
+    let mut book = Book::open(core, &flow, caller, id);
     let asked = route::ask(core, &mut book, flow.clone(), at.as_deref());
     loop {
         let target = match route::order(&mut book) {
--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -17,6 +17,9 @@
 const SOCKETS: u64 = 1024;
 /// Fewer can't carry a flow beside what the program itself needs.
 const FEWEST_SOCKETS: u64 = 160;
+/// Where no limit is told, and the least that carries the program and a few flows.
+const MEMORY_MB: u64 = 192;
+const LEAST_MEMORY_MB: u64 = 16;
 
 pub struct Config {
     pub name: String,
@@ -24,12 +27,30 @@
     pub discovery: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
+    /// In bytes.
+    pub memory: usize,
     pub known: Option<News>,
     pub settings: Settings,
     /// A connection that isn't made by then can't be made.
     pub dial_limit: Time,
 }
 
+impl Config {
+    /// The keys under which another configuration says something else that is only read at the start. What `known`
+    /// says is of the start by its nature.
+    pub fn needing_a_restart(&self, new: &Config) -> Vec<&'static str> {
+        let changed = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("seed", self.seed != new.seed),
+            ("limits.sockets", self.sockets != new.sockets),
+            ("limits.memory_mb", self.memory != new.memory),
+            ("settings", self.settings != new.settings),
+        ];
+        changed.into_iter().filter(|(_, changed)| *changed).map(|(key, _)| key).collect()
+    }
+}
+
 /// What is wrong, and under which key.
 #[derive(Debug)]
 pub struct Faulty {
@@ -81,15 +102,15 @@
     let seed = told("seed", "LB_SEED")?.unwrap_or_else(|| "0".into());
     let seed = u64::from_str_radix(&seed, 16)
         .map_err(|_| Faulty::new("seed", format!("'{seed}' is no hexadecimal number of 64 bits")))?;
-    let sockets = match value.pointer("/limits/sockets") {
-        None => SOCKETS,
-        Some(limit) => {
-            limit.as_u64().ok_or_else(|| Faulty::new("limits.sockets", format!("{limit} is no count")))?
-        }
+    let limit = |key: &str, default: u64, least: u64| {
+        let told = value.get("limits").and_then(|limits| limits.get(key)).filter(|told| !told.is_null());
+        let faulty = |why: String| Faulty::new(&format!("limits.{key}"), why);
+        let told = told.map(|told| told.as_u64().ok_or_else(|| faulty(format!("{told} is no count"))));
+        let told = told.transpose()?.unwrap_or(default);
+        if told < least { Err(faulty(format!("{told} is under {least}"))) } else { Ok(told as usize) }
     };
-    if sockets < FEWEST_SOCKETS {
-        return Err(Faulty::new("limits.sockets", format!("{sockets} is under {FEWEST_SOCKETS}")));
-    }
+    let sockets = limit("sockets", SOCKETS, FEWEST_SOCKETS)?;
+    let memory = limit("memory_mb", MEMORY_MB, LEAST_MEMORY_MB)?.saturating_mul(1 << 20);
     let known =
         value.get("known").map(discovery::news).transpose().map_err(|why| Faulty::new("known", why))?;
     let settings = value.get("settings").ok_or_else(|| Faulty::new("settings", "missing"))?;
@@ -106,7 +127,8 @@
         listen: address("listen", "LB_LISTEN")?,
         discovery: address("discovery", "LB_DISCOVERY")?,
         seed,
-        sockets: sockets as usize,
+        sockets,
+        memory,
         known,
         dial_limit: settings.time("limits/dial-timeout").map_err(faulty)?,
         settings,
--- a/crates/balancer/src/discovery.rs
+++ b/crates/balancer/src/discovery.rs
@@ -1,10 +1,10 @@
 //! Discovery: one coroutine that watches the list of servers over HTTP/1.1 and hands what it is told to the
-//! desk. It owns the connection to the agent and the version of the list. It must never judge a server, and
+//! desk. It owns the connection to the agent, where that is and the version of the list. It must never judge a server, and
 //! never stop asking: an agent that is silent, refuses or talks nonsense is asked again soon.
 
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use nettlemux_policy::{MS, SEC, State, Time};
@@ -13,8 +13,8 @@
 
 use crate::clock;
 use crate::desk::Ask;
-use crate::mail::Sender;
-use crate::net::Caller;
+use crate::mail::{Mailbox, Sender};
+use crate::net::{Caller, Event};
 use crate::pool::{Buffers, Descriptors};
 
 /// How long one call is held. Short, since a silent agent shows only once a hold is over: what it should have
@@ -92,24 +92,63 @@
     })
 }
 
+/// Where the agent is now. It may move at any time, also several times in a row.
+pub struct Agent {
+    now: Mutex<Whereabouts>,
+}
+
+#[derive(Clone)]
+struct Whereabouts {
+    address: SocketAddr,
+    moves: u64,
+    /// Wakes whoever waits for the agent.
+    bell: Option<Sender<Event>>,
+}
+
+impl Agent {
+    pub fn new(address: SocketAddr) -> Arc<Self> {
+        Arc::new(Agent { now: Mutex::new(Whereabouts { address, moves: 0, bell: None }) })
+    }
+
+    fn now(&self) -> MutexGuard<'_, Whereabouts> {
+        self.now.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// From now on the agent is there: a call that is held elsewhere is dropped.
+    pub fn moves_to(&self, address: SocketAddr) {
+        let mut now = self.now();
+        (now.address, now.moves) = (address, now.moves + 1);
+        if let Some(bell) = &now.bell {
+            bell.send(Event::Stop);
+        }
+    }
+}
+
 /// What a call needs.
 pub struct Means {
+    pub agent: Arc<Agent>,
     pub descriptors: Arc<Descriptors>,
     pub buffers: Arc<Buffers>,
 }
 
 /// Watches for as long as the desk listens.
-pub fn watch(agent: SocketAddr, known: Option<u64>, means: &Means, desk: &Sender<Ask>) {
+pub fn watch(known: Option<u64>, means: &Means, desk: &Sender<Ask>) {
     let mut version = known;
     let mut caller: Option<Caller> = None;
     let mut failing = false;
+    let mut moves = 0;
     loop {
-        let path = match version {
-            Some(version) => format!("/api/targets?from={version}&hold_ms={}", HOLD / MS),
-            None => "/api/targets".to_string(),
+        let agent = means.agent.now().clone();
+        if agent.moves != moves {
+            // Another agent, another count of versions: asked for all that it has. Till then the old list holds.
+            info!(agent = %agent.address, "discovery has moved");
+            (moves, version, caller) = (agent.moves, None, None);
+        }
+        let (path, hold) = match version {
+            Some(version) => (format!("/api/targets?from={version}&hold_ms={}", HOLD / MS), HOLD),
+            None => ("/api/targets".to_string(), 0),
         };
-        let until = clock::now() + HOLD + PATIENCE;
-        match call(&mut caller, agent, &path, means, until) {
+        match call(&mut caller, &agent, &path, means, clock::now() + hold + PATIENCE) {
             Ok(news) => {
                 if failing {
                     info!("discovery answers again");
@@ -122,6 +161,8 @@
                     desk.send(Ask::List { entries: news.entries, whole: news.whole });
                 }
             }
+            // It has moved while we waited.
+            Err(e) if e.kind() == ErrorKind::Interrupted => caller = None,
             Err(e) => {
                 caller = None;
                 if !failing {
@@ -137,7 +178,7 @@
 
 fn call(
     caller: &mut Option<Caller>,
-    agent: SocketAddr,
+    agent: &Whereabouts,
     path: &str,
     means: &Means,
     until: Time,
@@ -146,9 +187,18 @@
         Some(line) => line,
         None => {
             let slot = means.descriptors.take(0).ok_or_else(|| io::Error::other("no descriptor left"))?;
-            Caller::dial(agent, slot, until)?
+            let mailbox = Mailbox::new();
+            let mut now = means.agent.now();
+            now.bell = Some(mailbox.sender());
+            // Moved before the bell hung.
+            if now.moves != agent.moves {
+                return Err(ErrorKind::Interrupted.into());
+            }
+            drop(now);
+            Caller::dial(mailbox, agent.address, slot, until)?
         }
     };
+    let agent = agent.address;
     let request = format!("GET {path} HTTP/1.1\r\nHost: {agent}\r\nAccept: application/json\r\n\r\n");
     line.write(request.as_bytes(), until)?;
     let (body, stays) = answer(&mut line, means, until)?;
--- a/crates/balancer/src/log.rs
+++ b/crates/balancer/src/log.rs
@@ -1,16 +1,89 @@
-//! The log: lines on standard error. It owns the thread that writes them. It must never hold up the worker: a
-//! reader that stops reading costs log lines, not flows.
+//! The log: lines on standard error. It owns the thread that writes them and the count of lines. It must never hold
+//! up the worker: a reader that stops reading costs log lines, not flows, and so does a flood of lines from one
+//! place.
 
-use tracing::Level;
+use std::collections::HashMap;
+use std::io::Write;
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
+
+use tracing::callsite::Identifier;
+use tracing::{Level, Metadata};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::filter::{LevelFilter, dynamic_filter_fn};
+use tracing_subscriber::prelude::*;
 
 /// Lines that wait for a slow reader; further ones are dropped.
 const LINES: usize = 4096;
+/// Lines from one place in a second: bad clients come by hundreds, and each costs one. What is asked for with
+/// debug or trace isn't limited.
+const A_SECOND: u64 = 20;
 
 /// Starts the log; what waits is written when the guard is dropped.
 pub fn start(level: Level) -> WorkerGuard {
     let (writer, guard) =
         NonBlockingBuilder::default().buffered_lines_limit(LINES).lossy(true).finish(std::io::stderr());
-    tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(writer).init();
+    let counts = Mutex::new(Counts::default());
+    let since = Instant::now();
+    let out = writer.clone();
+    let allowed = move |metadata: &Metadata| {
+        if *metadata.level() > Level::INFO {
+            return true;
+        }
+        let mut counts = counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let (allowed, left_out) = counts.count(metadata.callsite(), since.elapsed().as_secs());
+        if left_out > 0 {
+            let (target, line) = (metadata.target(), metadata.line().unwrap_or(0));
+            let _ =
+                writeln!(out.clone(), "{target}:{line}: {left_out} more lines like the next were left out");
+        }
+        allowed
+    };
+    let lines = tracing_subscriber::fmt::layer().with_ansi(false).with_writer(move || writer.clone());
+    let lines = lines.with_filter(dynamic_filter_fn(move |metadata, _| allowed(metadata)));
+    tracing_subscriber::registry().with(LevelFilter::from_level(level)).with(lines).init();
     guard
 }
+
+/// How many lines came from each place in its current second.
+#[derive(Default)]
+struct Counts(HashMap<Identifier, (u64, u64)>);
+
+impl Counts {
+    /// Whether one more line may go out, and how many were left out in the last second that had any.
+    fn count(&mut self, place: Identifier, second: u64) -> (bool, u64) {
+        let (current, count) = self.0.entry(place).or_insert((second, 0));
+        let mut left_out = 0;
+        if *current != second {
+            left_out = count.saturating_sub(A_SECOND);
+            (*current, *count) = (second, 0);
+        }
+        *count += 1;
+        (*count <= A_SECOND, left_out)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against bad clients who fill the log, and with it the core.
+    #[test]
+    fn a_flood_of_lines_is_cut_and_counted() {
+        let mut counts = Counts::default();
+        let place = tracing::callsite::Identifier(&PLACE);
+        let out = (0..500).filter(|_| counts.count(place.clone(), 7).0).count();
+        assert_eq!(out as u64, A_SECOND);
+        assert_eq!(counts.count(place.clone(), 8), (true, 500 - A_SECOND));
+        assert_eq!(counts.count(place, 9), (true, 0));
+    }
+
+    struct Place;
+    static PLACE: Place = Place;
+    impl tracing::Callsite for Place {
+        fn set_interest(&self, _: tracing::subscriber::Interest) {}
+        fn metadata(&self) -> &Metadata<'_> {
+            unreachable!("only its address is asked for")
+        }
+    }
+}
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -16,7 +16,7 @@
 mod relay;
 mod route;
 mod send;
-mod shutdown;
+mod signals;
 mod take_in;
 mod wire;
 
@@ -27,13 +27,15 @@
 
 use bpaf::{Parser, construct, long, pure};
 use nettlemux_policy::{MS, State, Time};
+use signal_hook::iterator::Signals;
 use tracing::{Level, error, info};
 
 use crate::chain::Core;
 use crate::config::Config;
 use crate::desk::{Ask, Desk, LAST_ANSWER};
+use crate::discovery::Agent;
 use crate::mail::Mailbox;
-use crate::pool::{Buffers, Descriptors};
+use crate::pool::{Buffers, Shares};
 use crate::probe::Prober;
 use crate::wire::Known;
 
@@ -43,10 +45,6 @@
 /// Words of 8 bytes on a coroutine's stack: 64 KB, of which the system gives only the pages that are touched. Flows
 /// were measured to use 521 words at most; the desk and discovery, which parses JSON, are given the same.
 const STACK: usize = 0x2000;
-/// Descriptors that no flow, probe or watch has: standard streams, the listener, the selector's two, the
-/// signals' pair, and a few to spare.
-const STANDING: usize = 16;
-
 #[derive(Clone)]
 enum Command {
     Serve { config: Option<PathBuf>, log: Level },
@@ -71,11 +69,14 @@
 }
 
 fn main() -> ExitCode {
+    // Before all else: a SIGHUP that nobody handles ends the process.
+    let signals = signals::catch();
     let done = match command().run() {
-        Command::Serve { config, log } => {
-            config::load(config).map_err(|e| e.to_string()).and_then(|config| {
+        Command::Serve { config: file, log } => {
+            config::load(file.clone()).map_err(|e| e.to_string()).and_then(|config| {
                 let _guard = log::start(log);
-                serve(config)
+                let signals = signals.map_err(|e| format!("can't listen for signals: {e}"))?;
+                serve(config, file, signals)
             })
         }
         Command::Check { config } => config::load(config).map_err(|e| e.to_string()).map(|config| {
@@ -95,13 +96,14 @@
     }
 }
 
-fn serve(config: Config) -> Result<(), String> {
+fn serve(mut config: Config, file: Option<PathBuf>, signals: Signals) -> Result<(), String> {
     // One core is all there is: one worker, free to run where the system puts it.
     may::config().set_workers(1).set_stack_size(STACK).set_worker_pin(false);
     let settings = &config.settings;
     let faulty = |e: nettlemux_settings::Malformed| format!("settings: {e}");
     let policy = settings.policy(config.seed, MARGIN, true).map_err(faulty)?;
-    let descriptors = Descriptors::new(config.sockets - STANDING);
+    let shares = Shares::new(config.sockets, config.memory);
+    let descriptors = shares.others.clone();
     let buffers = Buffers::new();
     let asks = Mailbox::new();
     let desk = asks.sender();
@@ -117,7 +119,9 @@
     let core = Arc::new(Core {
         desk: desk.clone(),
         buffers: buffers.clone(),
-        descriptors: descriptors.clone(),
+        shares,
+        lobby: Arc::default(),
+        ids: Arc::default(),
         known: Known::new(settings).map_err(faulty)?,
         reports,
         dial_limit: config.dial_limit,
@@ -125,20 +129,23 @@
     });
 
     let version = config.known.as_ref().map(|known| known.version);
-    if let Some(known) = config.known {
+    if let Some(known) = config.known.take() {
         let mut entries = known.entries;
         entries.retain(|entry| entry.state != State::Gone);
         desk.send(Ask::List { entries, whole: true });
     }
-    shutdown::listen(desk.clone()).map_err(|e| format!("can't listen for signals: {e}"))?;
     let listener =
         take_in::listen(config.listen).map_err(|e| format!("can't listen at {}: {e}", config.listen))?;
-    info!(name = config.name, listen = %config.listen, sockets = config.sockets, "serving");
+    let (flows, waiting) = (core.shares.flows.limit(), core.shares.waiting.limit());
+    info!(name = config.name, listen = %config.listen, sockets = config.sockets, flows, waiting, "serving");
     let (halls, machines) = (settings.names("areas"), settings.names("models"));
     let last_answer = settings.longest_wait().min(LAST_ANSWER);
     let running = may::go!(move || Desk::new(policy, asks, halls, machines, prober, last_answer).run());
-    let means = discovery::Means { descriptors, buffers };
-    may::go!(move || discovery::watch(config.discovery, version, &means, &desk));
+    let agent = Agent::new(config.discovery);
+    signals::listen(signals, file, config, desk.clone(), agent.clone())
+        .map_err(|e| format!("can't listen for signals: {e}"))?;
+    let means = discovery::Means { agent, descriptors, buffers };
+    may::go!(move || discovery::watch(version, &means, &desk));
     may::go!(move || take_in::accept(&core, &listener));
     if running.join().is_err() {
         error!("the desk has ended");
--- a/crates/balancer/src/net.rs
+++ b/crates/balancer/src/net.rs
@@ -5,14 +5,15 @@
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use may::io::{CoIo, WaitIo};
-use nettlemux_policy::Time;
+use nettlemux_policy::{MS, Time};
 use socket2::{Domain, SockRef, Type};
 
+use crate::clock;
 use crate::desk::Order;
 use crate::mail::{Mailbox, Sender};
 use crate::pool::Slot;
@@ -22,11 +23,13 @@
     /// Something may have happened on one of its sockets.
     Rung,
     Order(Order),
+    /// Give up what is waited for.
+    Stop,
 }
 
 struct Inner {
     stream: Option<CoIo<TcpStream>>,
-    _slot: Slot,
+    slot: Mutex<Slot>,
     done: AtomicBool,
     rung: AtomicBool,
     reset: AtomicBool,
@@ -57,7 +60,7 @@
         let _ = stream.set_nodelay(true);
         let stream = CoIo::new(stream).map_err(|e| io::Error::other(e.to_string()))?;
         let [done, rung, reset] = [const { AtomicBool::new(false) }; 3];
-        let inner = Arc::new(Inner { stream: Some(stream), _slot: slot, done, rung, reset });
+        let inner = Arc::new(Inner { stream: Some(stream), slot: Mutex::new(slot), done, rung, reset });
         let ear = inner.clone();
         may::go!(move || {
             loop {
@@ -84,6 +87,16 @@
         }
     }
 
+    /// Holds its descriptor by another right from now on.
+    pub fn hold(&self, slot: Slot) {
+        *self.inner.slot.lock().unwrap_or_else(PoisonError::into_inner) = slot;
+    }
+
+    /// The right by which it holds its descriptor.
+    pub fn slot(&self) -> Slot {
+        self.inner.slot.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Whether a connection that was dialled is up by now.
     pub fn connected(&self) -> io::Result<bool> {
         let stream = self.inner.stream().inner();
@@ -137,6 +150,10 @@
     }
 }
 
+/// So much of what a peer sends after its answer is read.
+const DRAINED: usize = 64 << 10;
+/// How long one that sends more may take to read its answer before the reset: it reads while it sends.
+const UNREAD: Time = 200 * MS;
 /// Connecting goes on.
 const EINPROGRESS: i32 = 115;
 
@@ -164,8 +181,7 @@
         Ok(Caller { mailbox, socket })
     }
 
-    pub fn dial(to: SocketAddr, slot: Slot, until: Time) -> io::Result<Self> {
-        let mailbox = Mailbox::new();
+    pub fn dial(mailbox: Mailbox<Event>, to: SocketAddr, slot: Slot, until: Time) -> io::Result<Self> {
         let socket = Socket::dial(to, slot, mailbox.sender())?;
         let caller = Caller { mailbox, socket };
         while !caller.socket.connected()? {
@@ -175,7 +191,11 @@
     }
 
     fn wait(&self, until: Time) -> io::Result<()> {
-        self.mailbox.next(until).map(drop).ok_or_else(|| ErrorKind::TimedOut.into())
+        match self.mailbox.next(until) {
+            None => Err(ErrorKind::TimedOut.into()),
+            Some(Event::Stop) => Err(ErrorKind::Interrupted.into()),
+            Some(_) => Ok(()),
+        }
     }
 
     /// The next bytes; 0 at the end.
@@ -216,10 +236,20 @@
         }
     }
 
-    /// Ends orderly: what was written must not be lost to a reset, which a close with unread bytes causes.
+    /// Ends orderly: what was written must not be lost to a reset, which a close with unread bytes causes. Guards
+    /// against a peer that never stops sending, too: so much is read and no more; then it has a moment to read
+    /// the answer.
     pub fn finish(&self, until: Time) {
         self.socket.end_sending();
-        let mut rest = [0; 64];
-        while self.read(&mut rest, until).is_ok_and(|count| count > 0) {}
+        let mut rest = [0; 1024];
+        let mut drained = 0;
+        while drained < DRAINED {
+            match self.read(&mut rest, until) {
+                Ok(count) if count > 0 => drained += count,
+                _ => return,
+            }
+        }
+        let until = until.min(clock::now() + UNREAD);
+        while self.wait(until).is_ok() {}
     }
 }
--- a/crates/balancer/src/pool.rs
+++ b/crates/balancer/src/pool.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// Counts the sockets of this process against its limit.
+/// Counts rights to open sockets against a limit.
 pub struct Descriptors {
     limit: usize,
     open: AtomicUsize,
@@ -66,11 +66,20 @@
         Arc::new(Descriptors { limit, open: AtomicUsize::new(0) })
     }
 
-    /// The right to open one socket, given back when it is dropped; none while no more than `spare` are left.
+    /// A right, given back when its last copy is dropped; none while no more than `spare` are left.
     pub fn take(self: &Arc<Self>, spare: usize) -> Option<Slot> {
         let more = |open| (open + spare < self.limit).then_some(open + 1);
         let taken = self.open.fetch_update(Ordering::AcqRel, Ordering::Acquire, more);
-        taken.ok().map(|_| Slot { of: self.clone() })
+        taken.ok().map(|_| Slot { _held: Arc::new(Held { of: self.clone() }) })
+    }
+
+    /// Whether more than `spare` are left.
+    pub fn room(&self, spare: usize) -> bool {
+        self.open() + spare < self.limit
+    }
+
+    pub fn limit(&self) -> usize {
+        self.limit
     }
 
     pub fn open(&self) -> usize {
@@ -78,16 +87,52 @@
     }
 }
 
-pub struct Slot {
+struct Held {
     of: Arc<Descriptors>,
 }
 
-impl Drop for Slot {
+impl Drop for Held {
     fn drop(&mut self) {
         self.of.open.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
+/// The right to one socket, or to a flow's two: its copies are one right.
+#[derive(Clone)]
+pub struct Slot {
+    _held: Arc<Held>,
+}
+
+/// How the descriptors of the process are shared out, so that no kind can take another's.
+pub struct Shares {
+    /// Connections whose first line hasn't come, or that are on their way out.
+    pub waiting: Arc<Descriptors>,
+    /// Flows, each with its client's socket and its server's.
+    pub flows: Arc<Descriptors>,
+    /// Probes and discovery.
+    pub others: Arc<Descriptors>,
+}
+
+/// Descriptors that nobody shares: standard streams, the listener, the selector's two, the signals' pair, and a
+/// few to spare.
+const STANDING: usize = 16;
+/// Memory that the program takes by itself, and a flow's at most: two stacks and two ears' of two or three pages,
+/// a buffer each way, and what the desk and the module keep of it.
+const PROGRAM: usize = 8 << 20;
+const FLOW: usize = 48 << 10;
+
+impl Shares {
+    pub fn new(sockets: usize, memory: usize) -> Self {
+        // Clients hold up to a third, so their servers' side takes as much: the rest must carry all else.
+        let others = (sockets / 16).max(24);
+        let waiting = (sockets / 8).max(32);
+        let flows = (sockets - STANDING - others - waiting) / 2;
+        let flows = flows.min(memory.saturating_sub(PROGRAM) / FLOW);
+        let [waiting, flows, others] = [waiting, flows, others].map(Descriptors::new);
+        Shares { waiting, flows, others }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -104,7 +149,22 @@
         assert!(descriptors.take(1).is_none());
         let _last = descriptors.take(0).expect("the spare one");
         assert!(descriptors.take(0).is_none());
-        drop((first, second));
+        drop((first.clone(), second));
+        assert_eq!(descriptors.open(), 2, "copies are one right");
+        drop(first);
         assert_eq!(descriptors.open(), 1);
     }
+
+    #[test]
+    fn small_limits_carry_a_third_of_flows_and_a_probe_for_each_server() {
+        for (sockets, memory_mb) in [(256, 32), (384, 48), (1024, 192)] {
+            let shares = Shares::new(sockets, memory_mb << 20);
+            let all = shares.waiting.limit() + 2 * shares.flows.limit() + shares.others.limit() + STANDING;
+            assert!(all <= sockets, "{sockets}: {all}");
+            // Guards against fixed reserves, which at 256 left room for 72 flows.
+            assert!(shares.flows.limit() * 3 >= sockets, "{sockets}: {} flows", shares.flows.limit());
+            assert!(shares.others.limit() >= 24 && shares.waiting.limit() >= 32);
+        }
+        assert!(Shares::new(4096, 32 << 20).flows.limit() < 600, "memory bounds them too");
+    }
 }
--- a/crates/balancer/src/probe.rs
+++ b/crates/balancer/src/probe.rs
@@ -9,11 +9,11 @@
 use may::sync::mpsc::{Receiver, Sender as Line, channel};
 use nettlemux_policy::{MS, Report, Rs, Time};
 use nettlemux_settings::Reports;
-use tracing::debug;
+use tracing::{debug, warn};
 
 use crate::clock;
 use crate::desk::{Ask, Server};
-use crate::mail::Sender;
+use crate::mail::{Mailbox, Sender};
 use crate::net::Caller;
 use crate::pool::{Buffers, Descriptors};
 use crate::wire;
@@ -22,6 +22,11 @@
 /// far above what a server that still serves messages takes to answer.
 const LONGEST: Time = 500 * MS;
 
+/// Descriptors that probes leave to discovery: its call, and the next when that is dropped.
+const WATCH: usize = 2;
+/// And those that no probe keeps between two of its own.
+const IN_TURN: usize = 6;
+
 #[derive(Clone)]
 pub struct Means {
     pub desk: Sender<Ask>,
@@ -72,9 +77,15 @@
         }
         let (passed, report) = match result {
             Ok((caller, passed, report)) => {
-                open = Some((server.clone(), caller));
+                // Guards against more servers than descriptors: the last few are used in turn.
+                open = means.descriptors.room(IN_TURN).then(|| (server.clone(), caller));
                 (passed, report)
             }
+            // Our own want must not count against the server: it is asked when it is due again.
+            Err(e) if e.kind() == io::ErrorKind::QuotaExceeded => {
+                warn!(server = server.name, "no descriptor left for a probe");
+                continue;
+            }
             Err(e) => {
                 debug!(server = server.name, error = %e, "probe fails");
                 (false, Report::default())
@@ -93,8 +104,8 @@
     let caller = match kept {
         Some(caller) => caller,
         None => {
-            let slot = means.descriptors.take(0).ok_or_else(|| io::Error::other("no descriptor left"))?;
-            Caller::dial(server.address, slot, until)?
+            let slot = means.descriptors.take(WATCH).ok_or(io::ErrorKind::QuotaExceeded)?;
+            Caller::dial(Mailbox::new(), server.address, slot, until)?
         }
     };
     caller.write(if means.stats { b"STATS\r\n" } else { b"PING\r\n" }, until)?;
--- a/crates/balancer/src/relay.rs
+++ b/crates/balancer/src/relay.rs
@@ -115,12 +115,6 @@
     book.established(target);
     let mut down = Way { bytes: Some(bytes), to: held, ..Way::default() };
     let mut up = Way::default();
-    if !book.ahead.is_empty() {
-        let ahead = std::mem::take(&mut book.ahead);
-        let mut bytes = core.buffers.take();
-        bytes[..ahead.len()].copy_from_slice(&ahead);
-        (up.bytes, up.to) = (Some(bytes), ahead.len());
-    }
     let mut passing = Passing::new(core.reports);
     // The client's first line that nothing has come back for.
     let mut unanswered: Option<Time> = None;
--- a/crates/balancer/src/route.rs
+++ b/crates/balancer/src/route.rs
@@ -55,7 +55,7 @@
         match book.caller.mailbox.next(book.give_up + OVERDUE) {
             Some(Event::Order(Order::Move)) => book.moving = true,
             // Of a connect that has ended meanwhile.
-            Some(Event::Order(Order::CallOff | Order::TimeUp)) => {}
+            Some(Event::Order(Order::CallOff | Order::TimeUp) | Event::Stop) => {}
             Some(Event::Order(order)) => return Next::Order(order),
             Some(Event::Rung) => {
                 if book.client_left() {
--- a/crates/balancer/src/send.rs
+++ b/crates/balancer/src/send.rs
@@ -14,8 +14,6 @@
 use crate::pool::Buffer;
 use crate::wire::{self, Answer};
 
-/// Descriptors that connects leave for probes and discovery.
-const FOR_OTHERS: usize = 32;
 /// Errors of this machine: ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS.
 const OURS: [i32; 5] = [12, 23, 24, 99, 105];
 
@@ -37,7 +35,7 @@
 pub fn send(core: &Core, book: &mut Book, target: &Target, line: &[u8], inherited: bool) -> Sent {
     let never = |end| Sent::Ended(Ended { end, never_ran: true, report: Report::default() });
     let maybe = |end| Sent::Ended(Ended { end, never_ran: false, report: Report::default() });
-    let Some(slot) = core.descriptors.take(FOR_OTHERS) else { return never(End::NotSent) };
+    let slot = book.caller.socket.slot();
     let server = match Socket::dial(target.server.address, slot, book.caller.mailbox.sender()) {
         Ok(server) => server,
         // Our own want of descriptors, ports or memory must not count against the server.
@@ -134,7 +132,7 @@
                 self.book.moving = true;
                 Woken::Look
             }
-            Some(Event::Order(_)) => Woken::Look,
+            Some(Event::Order(_) | Event::Stop) => Woken::Look,
             Some(Event::Rung) => {
                 if !self.gone && self.book.client_left() {
                     self.gone = true;
--- a/crates/balancer/src/take_in.rs
+++ b/crates/balancer/src/take_in.rs
@@ -1,10 +1,12 @@
-//! The first stage: takes in connections and reads each one's first line. It owns the listener and, until it
-//! hands them on, the connections' descriptors. It must never leave a client without an answer, and never
-//! stop accepting: at the limit clients are told at once, and errors of a single accept pass.
+//! The first stage: takes in connections and reads each one's first line. It owns the listener, the lobby of those
+//! whose line hasn't come or who are on their way out, and, until it hands them on, the connections' descriptors. It
+//! must never drop a whole line unanswered, and never let those who say nothing keep others out: the lobby is
+//! bounded, and the oldest in it give way.
 
-use std::io;
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use may::io::{CoIo, WaitIo};
@@ -14,32 +16,127 @@
 
 use crate::chain::{Core, serve};
 use crate::clock;
-use crate::net::Caller;
+use crate::mail::Sender;
+use crate::net::{Caller, Event};
 use crate::pool::{Buffer, Slot};
 use crate::wire;
 
-/// Descriptors that flows leave for discovery and probes, one for each server of a large fleet.
-const FOR_OTHERS: usize = 64;
-/// Descriptors beside those for clients that are being told that there are none.
-const FOR_REFUSALS: usize = 32;
 /// Clients that may wait to be accepted: all of a balancer that died may come at once, and one that finds the
 /// queue full tries again only after a second.
 const WAITING: i32 = 4096;
 const BIND_TRIES: u32 = 100;
 const BIND_PAUSE: Duration = Duration::from_millis(50);
-/// A first line that isn't whole by then won't come.
-const FIRST_LINE: Time = 5 * SEC;
+/// What hasn't been asked by then won't be: whoever connects and says nothing is owed a word within 3 s.
+const FIRST_LINE: Time = 2500 * MS;
+/// One that has been in the lobby for less isn't sent away: its line may be on its way.
+const STAY: Time = 30 * MS;
 /// How long a client that has its answer may take to close.
 pub const LINGER: Time = SEC;
+/// Accepted at one go, and the pause before the next: guards against a flood that keeps the worker from flows, since
+/// the worker looks at sockets only once nobody is ready to run.
+const TURN: usize = 8;
+const PAUSE: Duration = Duration::from_millis(2);
 
-/// A connection with its first line, and when that was whole.
+/// Those whose first line hasn't come, or who have had their answer, by their order of arrival.
+#[derive(Default)]
+pub struct Lobby {
+    inside: Mutex<(u64, BTreeMap<u64, Seat>)>,
+}
+
+struct Seat {
+    since: Time,
+    bell: Sender<Event>,
+    told: bool,
+}
+
+impl Lobby {
+    fn inside(&self) -> MutexGuard<'_, (u64, BTreeMap<u64, Seat>)> {
+        self.inside.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn enter(self: &Arc<Self>, bell: Sender<Event>) -> Guest {
+        let mut inside = self.inside();
+        inside.0 += 1;
+        let number = inside.0;
+        inside.1.insert(number, Seat { since: clock::now(), bell, told: false });
+        Guest { lobby: self.clone(), number }
+    }
+
+    /// Tells the oldest to give way, as many as come in at one go.
+    fn make_room(&self, now: Time) {
+        let mut inside = self.inside();
+        let old = inside.1.values_mut().filter(|seat| !seat.told && seat.since + STAY <= now);
+        for seat in old.take(TURN) {
+            seat.told = true;
+            seat.bell.send(Event::Stop);
+        }
+    }
+}
+
+/// One in the lobby; it leaves when this is dropped.
+pub struct Guest {
+    lobby: Arc<Lobby>,
+    number: u64,
+}
+
+impl Drop for Guest {
+    fn drop(&mut self) {
+        self.lobby.inside().1.remove(&self.number);
+    }
+}
+
+/// A connection with its first line.
 pub struct Taken {
     pub caller: Caller,
+    _guest: Guest,
     pub bytes: Buffer,
     pub held: usize,
     /// The line's length without its end, and where the next begins.
     pub line: (usize, usize),
+    /// When the line was whole.
     pub at: Time,
+    /// When all that comes before a flow must be over.
+    pub until: Time,
+}
+
+impl Taken {
+    /// Answers what can't be used, and ends.
+    pub fn refuse(self, answer: &[u8]) {
+        let until = clock::now() + LINGER;
+        let _ = self.caller.write(answer, until);
+        self.caller.finish(until);
+    }
+
+    /// Reads the next line; none once it has been refused for want of one.
+    pub fn next_line(mut self, core: &Core) -> Option<Self> {
+        // At the limit nobody is waited for.
+        let full = core.shares.flows.open() >= core.shares.flows.limit();
+        let until = if full { clock::now() } else { self.until };
+        let mut read = self.caller.line(&mut self.bytes[..], &mut self.held, until);
+        // Told to give way: guards against a whole line that has come and is dropped.
+        if read.as_ref().is_err_and(|e| e.kind() == ErrorKind::Interrupted) {
+            read = self.caller.line(&mut self.bytes[..], &mut self.held, 0);
+        }
+        match read {
+            Ok(line) => {
+                (self.line, self.at) = (line, clock::now());
+                return Some(self);
+            }
+            Err(e) if e.kind() == ErrorKind::InvalidData => {
+                warn!("overlong first line");
+                self.refuse(wire::ABORTED);
+            }
+            // Never whole, or its place is needed: nothing has run.
+            Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::Interrupted) => {
+                debug!(error = %e, held = self.held, "no first line");
+                let _ = self.caller.socket.write(wire::rejected(None).as_bytes());
+                self.caller.finish(clock::now());
+            }
+            // Closed: there is nobody to answer.
+            Err(e) => debug!(error = %e, held = self.held, "closed before a first line"),
+        }
+        None
+    }
 }
 
 pub fn listen(at: SocketAddr) -> io::Result<CoIo<TcpListener>> {
@@ -60,26 +157,27 @@
 
 /// Accepts for as long as the program runs.
 pub fn accept(core: &Arc<Core>, listener: &CoIo<TcpListener>) {
+    let mut turn = 0;
     loop {
-        // Taken before a connection is: one that there is no descriptor for waits in the listener's queue.
-        let spare = core.descriptors.take(FOR_OTHERS + FOR_REFUSALS);
-        let full = spare.is_none();
-        let Some(slot) = spare.or_else(|| core.descriptors.take(FOR_OTHERS)) else {
-            may::coroutine::sleep(Duration::from_millis(5));
+        // Taken before a connection is: one that there is no place for waits in the listener's queue.
+        let Some(slot) = core.shares.waiting.take(0) else {
+            core.lobby.make_room(clock::now());
+            may::coroutine::sleep(PAUSE);
             continue;
         };
         match listener.inner().accept() {
             Ok((stream, _)) => {
                 let core = core.clone();
-                if full {
-                    warn!(open = core.descriptors.open(), "no descriptors left for flows");
-                    may::go!(move || refuse(&core, stream, slot));
-                } else {
-                    may::go!(move || serve(&core, stream, slot));
+                may::go!(move || serve(&core, stream, slot));
+                turn += 1;
+                if turn == TURN {
+                    turn = 0;
+                    may::coroutine::sleep(PAUSE);
                 }
             }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                 drop(slot);
+                turn = 0;
                 listener.wait_io();
             }
             Err(e) if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
@@ -92,36 +190,10 @@
     }
 }
 
-/// Tells a client at once that there is no room.
-fn refuse(core: &Core, stream: TcpStream, slot: Slot) {
-    let until = clock::now() + LINGER;
-    let Some(taken) = first_line_of(core, stream, slot, until) else { return };
-    let is_ping = matches!(wire::first(&taken.bytes[..taken.line.0]), Ok(wire::First::Ping));
-    let answer = if is_ping { wire::PONG.to_vec() } else { wire::rejected(None).into_bytes() };
-    let _ = taken.caller.write(&answer, until);
-    taken.caller.finish(until);
-}
-
 pub fn first_line(core: &Core, stream: TcpStream, slot: Slot) -> Option<Taken> {
-    first_line_of(core, stream, slot, clock::now() + FIRST_LINE)
-}
-
-fn first_line_of(core: &Core, stream: TcpStream, slot: Slot, until: Time) -> Option<Taken> {
     stream.set_nonblocking(true).ok()?;
     let caller = Caller::new(stream, slot).map_err(|e| warn!(error = %e, "a connection is lost")).ok()?;
-    let mut bytes = core.buffers.take();
-    let mut held = 0;
-    match caller.line(&mut bytes[..], &mut held, until) {
-        Ok(line) => Some(Taken { caller, bytes, held, line, at: clock::now() }),
-        Err(e) => {
-            debug!(error = %e, "no first line");
-            // Overlong, or never whole: answered and ended. One that was closed has nobody to answer.
-            if e.kind() != io::ErrorKind::UnexpectedEof {
-                let until = clock::now() + 100 * MS;
-                let _ = caller.write(wire::ABORTED, until);
-                caller.finish(until);
-            }
-            None
-        }
-    }
+    let guest = core.lobby.enter(caller.mailbox.sender());
+    let (bytes, at) = (core.buffers.take(), clock::now());
+    Taken { caller, _guest: guest, bytes, held: 0, line: (0, 0), at, until: at + FIRST_LINE }.next_line(core)
 }
--- a/crates/balancer/src/wire.rs
+++ b/crates/balancer/src/wire.rs
@@ -1,8 +1,9 @@
 //! The words of the platform's protocol: lines from clients and servers, read and written. It owns their
 //! form and must never touch a socket, a clock or a flow. Names of the wire end here.
 
+use arrayvec::ArrayVec;
 use nettlemux_policy::{End, Report, Time};
-use nettlemux_settings::{Read, Reports, Settings};
+use nettlemux_settings::{Read, Reports, Settings, figure};
 
 const MS: Time = nettlemux_policy::MS;
 
@@ -27,26 +28,52 @@
     pub at: Option<&'a str>,
 }
 
-/// Reads a first line, without its end.
+/// More values than any line has; guards against lines whose names are compared for long.
+const MOST_VALUES: usize = 32;
+
+/// Reads a first line, without its end. Whatever a real client would not send is refused: it must not be guessed what
+/// was meant, since servers guess differently.
 pub fn first(line: &[u8]) -> Result<First<'_>, &'static str> {
     let line = std::str::from_utf8(line).map_err(|_| "no text")?;
-    let mut parts = line.splitn(4, ' ');
-    match parts.next() {
-        Some("PING") => return Ok(First::Ping),
-        Some("STATS") => return Ok(First::Stats),
-        Some("OPEN") => {}
+    if line.contains(|c: char| c.is_control()) {
+        return Err("no line of text");
+    }
+    let mut parts = line.split(' ');
+    match (parts.next(), line.len()) {
+        (Some("PING"), 4) => return Ok(First::Ping),
+        (Some("STATS"), 5) => return Ok(First::Stats),
+        (Some("OPEN"), _) => {}
         _ => return Err("neither OPEN, PING nor STATS"),
     }
-    let mut open = Open { id: parts.next().filter(|id| !id.is_empty()).ok_or("no id")?, ..Open::default() };
-    parts.next().ok_or("no key")?;
-    for pair in parts.next().ok_or("no values")?.split(',') {
+    let mut next = |why| parts.next().filter(|part| !part.is_empty()).ok_or(why);
+    let mut open = Open { id: next("no id")?, ..Open::default() };
+    next("no key")?;
+    let values = next("no values")?;
+    if parts.next().is_some() {
+        return Err("more than an id, a key and values");
+    }
+    let mut names = ArrayVec::<&str, MOST_VALUES>::new();
+    for pair in values.split(',') {
         let (name, value) = pair.split_once('=').ok_or("a value has no name")?;
+        if name.is_empty() || value.is_empty() {
+            return Err("a name or a value is empty");
+        }
+        if names.contains(&name) {
+            return Err("a name comes twice");
+        }
+        names.try_push(name).map_err(|_| "too many values")?;
         match name {
             "c" => open.class = value,
-            "d" => open.wait = Some(value.parse().map_err(|_| "d is no whole number")?),
+            // No sign, and no more digits than a time can have.
+            "d" if value.bytes().all(|byte| byte.is_ascii_digit()) => {
+                open.wait = Some(value.parse().map_err(|_| "d is too large")?);
+            }
+            "d" => return Err("d is no whole number"),
             "g" => open.group = Some(value),
             "t" => open.customer = Some(value),
             "at" => open.at = Some(value),
+            "r" | "again" if value != "1" => return Err("a mark is not 1"),
+            _ if figure(value).is_none() => return Err("a figure is no number"),
             _ => {}
         }
     }
@@ -88,7 +115,8 @@
     let (word, rest) = line.split_once(' ').unwrap_or((&line, ""));
     let report = reports.read(rest, '=').unwrap_or_default();
     match word {
-        "UP" => Answer::Up,
+        // Without its receipt it is no server's word.
+        "UP" if !rest.is_empty() => Answer::Up,
         "BUSY" => Answer::Ended(End::Full, true, report),
         "BYE" => Answer::Ended(End::Done, false, report),
         "MOVE" => Answer::Ended(End::CalledOff, false, report),
@@ -165,7 +193,7 @@
             _ => None,
         };
         self.last = end.map(|end| (end, self.reports.read(rest, '=').unwrap_or_default()));
-        if word == "LOAD" { rest.parse().ok() } else { None }
+        if word == "LOAD" { figure(rest).filter(|load| *load >= 0.0) } else { None }
     }
 
     pub fn between_lines(&self) -> bool {
@@ -173,9 +201,18 @@
     }
 }
 
+/// A service type as first lines name it, and the longest that its clients wait.
+pub struct Class {
+    pub name: String,
+    pub longest: Time,
+}
+
+/// Where the settings have no limit: an hour is no client's.
+const LONGEST: Time = 60_000 * MS;
+
 /// Reads what the settings say of first lines.
 pub struct Known {
-    pub classes: Vec<String>,
+    pub classes: Vec<Class>,
     pub customers: Vec<String>,
     pub groups: bool,
 }
@@ -183,16 +220,20 @@
 impl Known {
     pub fn new(settings: &Settings) -> Read<Self> {
         Ok(Known {
-            classes: settings.names("service-types"),
+            classes: (settings.names("service-types").into_iter().zip(settings.longest_waits()))
+                .map(|(name, longest)| Class { name, longest: longest.unwrap_or(LONGEST) })
+                .collect(),
             customers: settings.names("accounts"),
             groups: settings.maybe("specifics/groups").and_then(|v| v.as_bool()).unwrap_or(false),
         })
     }
 
-    /// A customer's place among the settings', told by name or number; the first for one that is unknown.
-    pub fn customer(&self, name: &str) -> usize {
+    /// A customer's place among the settings', told by name or number; none for one that is unknown. Where there
+    /// are no customers all are alike.
+    pub fn customer(&self, name: &str) -> Option<usize> {
         let by_name = self.customers.iter().position(|known| known == name);
-        by_name.or_else(|| name.parse().ok()).unwrap_or(0)
+        let by_number = || name.parse().ok().filter(|number| *number < self.customers.len());
+        if self.customers.is_empty() { Some(0) } else { by_name.or_else(by_number) }
     }
 }
 
@@ -219,6 +260,25 @@
             b"OPEN 1 k d=1",
             b"OPEN 1 k c=a,d=x",
             b"\xff",
+            // Guards against lines that are guessed at: whatever they ask for would be served.
+            b"PING x",
+            b"OPEN  k c=a,d=1",
+            b"OPEN 1  c=a,d=1",
+            b"OPEN 1 k  c=a,d=1",
+            b"OPEN 1 k c=a,d=1 x",
+            b"OPEN 1 k c=a,d=1,c=a",
+            b"OPEN 1 k c=a,d=+5",
+            b"OPEN 1 k c=a,d=-5",
+            b"OPEN 1 k c=a,d=5.0",
+            b"OPEN 1 k c=a,d=99999999999999999999",
+            b"OPEN 1 k c=a,d=",
+            b"OPEN 1 k c=a,d=1,g=",
+            b"OPEN 1 k c=a,d=1,r=2",
+            b"OPEN 1 k c=a,d=1,h=much",
+            b"OPEN 1 k c=a,d=1,h=nan",
+            b"OPEN 1 k c=a,d=1,h=inf",
+            b"OPEN 1 k c=a,d=1\tx",
+            format!("OPEN 1 k c=a{}", (0..40).map(|n| format!(",x{n}=1")).collect::<String>()).as_bytes(),
         ] {
             assert!(first(bad).is_err(), "{bad:?}");
         }
@@ -241,6 +301,10 @@
         let busy = Report { connections: Some(7.0), beta: Some(0.61) };
         for (line, expected) in [
             ("UP 12ab", Answer::Up),
+            // Without a receipt it is no server's word; a figure that is no number is none.
+            ("UP", Answer::Ended(End::Error, false, none)),
+            ("BUSY util=nan,inflight=-3", Answer::Ended(End::Full, true, none)),
+            ("BUSY inflight=7,queue=inf,util=0.61", Answer::Ended(End::Full, true, busy)),
             ("BUSY inflight=7,queue=2,util=0.61", Answer::Ended(End::Full, true, busy)),
             ("BYE", Answer::Ended(End::Done, false, none)),
             ("ERR", Answer::Ended(End::Error, false, none)),
@@ -263,6 +327,10 @@
             let report = Report { connections: Some(7.0), beta: Some(0.61) };
             assert_eq!((passing.between_lines(), passing.last), (true, Some((End::Done, report))));
         }
+        for bad in ["nan", "inf", "-1", "1e999", ""] {
+            let line = format!("LOAD {bad}\r\n");
+            assert_eq!(Passing::new(Reports::default()).pass(line.as_bytes()), None, "{line}");
+        }
         assert_eq!(line_end(b"PING\r\nx"), Some((4, 6)));
         assert_eq!(line_end(b"\n"), Some((0, 1)));
         assert_eq!(line_end(b"PING\r"), None);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -29,6 +29,7 @@
 pub type Read<T> = Result<T, Malformed>;
 
 /// The settings, each read where it is used.
+#[derive(PartialEq)]
 pub struct Settings(Value);
 
 impl Settings {
@@ -78,11 +79,16 @@
             ))
     }
 
-    /// The longest that any client waits; without a limit in the settings, as long as a time can be.
-    pub fn longest_wait(&self) -> Time {
+    /// The longest that clients of each service type wait, where the settings have a limit.
+    pub fn longest_waits(&self) -> Vec<Option<Time>> {
         let list = self.maybe("service-types").and_then(Value::as_array);
         let limits = list.into_iter().flatten().map(|one| one.get("hard-limit").and_then(Value::as_f64));
-        limits.map(|us| us.map_or(Time::MAX, |us| (us * US as f64) as Time)).max().unwrap_or(Time::MAX)
+        limits.map(|us| us.map(|us| (us * US as f64) as Time)).collect()
+    }
+
+    /// The longest that any client waits; without a limit in the settings, as long as a time can be.
+    pub fn longest_wait(&self) -> Time {
+        self.longest_waits().into_iter().map(|wait| wait.unwrap_or(Time::MAX)).max().unwrap_or(Time::MAX)
     }
 
     fn hall(&self) -> Read<u64> {
@@ -157,6 +163,12 @@
     }
 }
 
+/// A number as servers and clients tell it; guards against `nan`, `inf` and the like, which Rust reads as numbers too.
+pub fn figure(text: &str) -> Option<f64> {
+    let plain = text.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'.' | b'-' | b'e'));
+    text.parse().ok().filter(|value: &f64| plain && value.is_finite())
+}
+
 /// What a load report's figures mean.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Reports {
@@ -172,10 +184,8 @@
         for pair in pairs.split(',') {
             let no_pair = || Malformed::new("report", format!("'{pair}' is no pair"));
             let (name, value) = pair.split_once(sign).ok_or_else(no_pair)?;
-            let value = match value {
-                "-" => continue,
-                _ => value.parse().map_err(|_| Malformed::new("report", format!("can't read '{pair}'")))?,
-            };
+            // One figure that is none costs us that one only.
+            let Some(value) = figure(value).filter(|value| *value >= 0.0) else { continue };
             match name {
                 "x0" if self.x0_is_load => report.beta = Some(value),
                 "busy" | "util" => busy = Some(value),
