--- a/crates/balancer/src/desk.rs
+++ b/crates/balancer/src/desk.rs
@@ -127,11 +127,11 @@
     }
 }
 
-/// After a call to end clients are moved from here on: the front has stopped sending us new ones, which it does
-/// within 0.4 s, or they would come straight back.
-const MOVE_FROM: Time = 500 * MS;
-/// And up to here, or to the last answer if that is sooner.
-const MOVE_UNTIL: Time = 2 * SEC;
+/// Time that is left after the last answer for what is still to be moved: SIGKILL comes 0.7 s after it at the
+/// earliest.
+const LAST_MOVES: Time = 200 * MS;
+/// Between one move and the next, and how often what is due while ending is looked at.
+const STEP: Time = 50 * MS;
 /// What is owed an answer is given up once the longest connect timeout has passed, and this at the latest:
 /// SIGKILL comes 0.7 s after that.
 pub const LAST_ANSWER: Time = 3 * SEC;
@@ -154,6 +154,7 @@
     due: Option<Time>,
     terminated: Option<Time>,
     last_answer: Time,
+    next_move: Time,
     moved_up_to: FlowId,
     given_up: bool,
 }
@@ -181,6 +182,7 @@
             due: None,
             terminated: None,
             last_answer,
+            next_move: 0,
             moved_up_to: 0,
             given_up: false,
         }
@@ -196,7 +198,7 @@
                 self.due = Some(self.due.map_or(at, |due| due.min(at)));
             }
             // Something is due soon while ending.
-            let ending = self.terminated.map(|_| now + 50 * MS);
+            let ending = self.terminated.map(|_| now + STEP);
             let until = [self.due, ending].into_iter().flatten().min().unwrap_or(now + SEC);
             let ask = self.asks.next(until);
             let flow = match &ask {
@@ -419,12 +421,17 @@
     fn ending(&mut self, since: Time) -> bool {
         let now = clock::now();
         let passed = now.saturating_sub(since);
-        let move_until = MOVE_UNTIL.min(self.last_answer);
-        if passed >= MOVE_FROM {
-            // Spread, so that clients don't come to the other balancers all at once. Each is moved once, in
-            // order; those that are still on their way up are told too and go once they are up.
+        // Late, since the connections are sound and others may be restarting with us, and spread, so that clients
+        // don't come to those all at once. Nor too early: the front sends us new ones for up to 0.4 s, and they
+        // would come straight back.
+        let move_until = self.last_answer + LAST_MOVES;
+        if passed >= self.last_answer / 2 && now >= self.next_move {
+            // Guards against one step for each thing that the desk is told: each move is told, and so moved the
+            // next, and all clients went within 10 ms.
+            self.next_move = now + STEP;
+            // Each is moved once, in order; those that are on their way up are told too and go once they are up.
             let left = self.flows.range(self.moved_up_to..).count();
-            let turns = (move_until.saturating_sub(passed) / (50 * MS)).max(1) as usize;
+            let turns = (move_until.saturating_sub(passed) / STEP).max(1) as usize;
             let ids: Vec<FlowId> =
                 self.flows.range(self.moved_up_to..).take(left.div_ceil(turns)).map(|(id, _)| *id).collect();
             for id in ids {
--- a/crates/balancer/tests/sockets.rs
+++ b/crates/balancer/tests/sockets.rs
@@ -457,9 +457,14 @@
     let mut late = stand.client("c=chat,d=2500");
     let answer = late.line();
     assert!(answer == "UP 1" || answer.starts_with("BUSY"), "{answer}");
+    let mut moved = Vec::new();
     for client in &mut clients {
         assert_eq!((client.line(), client.line()), ("MOVE".into(), "end".into()));
+        moved.push(since.elapsed());
     }
+    // Guards against moves all at once, which other balancers get all at once.
+    let spread = moved[9] - moved[0];
+    assert!(spread > Duration::from_millis(300) && moved[0] > Duration::from_millis(1200), "{moved:?}");
     if answer == "UP 1" {
         assert_eq!(late.line(), "MOVE");
     }
