Let returning clients in at a balancer that has just restarted, and keep probing there

The balancer that is just back gets all clients of the next one; its own placements, 0.1 each and counted twice for the other balancer, shut all servers; clients waited 0.9 s, then 19 of 48 went to the first server whose old report read 0.0 (load 1.65, others 0.1). A server asked before the first flow came was not asked for 9.5 s. Ruled out: moves at once (paced), descriptors, CPU, discovery. At fault: policy.rs, `place` (room, `theirs`), `probe_every` (as if no traffic would come).

--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -61,9 +61,9 @@
         flow.give_up = now + parts.time("ttl")?;
         let _effort: Option<f64> = parts.maybe("effort")?;
         flow.group = parts.maybe("team-id")?;
-        for field in ["resent", "rerouted", "came-back"] {
-            parts.flag(field)?;
-        }
+        parts.flag("resent")?;
+        parts.flag("rerouted")?;
+        flow.returning = parts.flag("came-back")?;
         let place = self.policy.place(now, &flow);
         let id = flow.id;
         self.flows.insert(id, flow);
--- a/crates/balancer/src/admit.rs
+++ b/crates/balancer/src/admit.rs
@@ -107,6 +107,7 @@
                     service_type,
                     customer,
                     group: open.group.filter(|_| core.known.groups).map(String::from),
+                    returning: open.returning,
                     taken: taken.at,
                     give_up: taken.at + wait,
                     connects: Vec::new(),
--- a/crates/balancer/src/wire.rs
+++ b/crates/balancer/src/wire.rs
@@ -26,6 +26,8 @@
     pub customer: Option<&'a str>,
     /// The server that held it before.
     pub at: Option<&'a str>,
+    /// Its connection broke or was moved.
+    pub returning: bool,
 }
 
 /// More values than any line has; guards against lines whose names are compared for long.
@@ -73,6 +75,7 @@
             "t" => open.customer = Some(value),
             "at" => open.at = Some(value),
             "r" | "again" if value != "1" => return Err("a mark is not 1"),
+            "again" => open.returning = true,
             _ if figure(value).is_none() => return Err("a figure is no number"),
             _ => {}
         }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -32,8 +32,7 @@
 /// The design's start for the probe interval, and its bound.
 const PROBE_EVERY: Time = 2 * SEC;
 const PROBE_BOUND: Time = 10 * SEC;
-/// The most that probes may cost, of the value of our flows: with many balancers on many servers few flows
-/// come to each probe.
+/// The most that probes may cost, of the value of our flows: many balancers have few flows to each probe.
 const PROBES_WORTH: f64 = 0.02;
 /// A figure is kept so long past the next probe that is due.
 const KEEP_FIGURE: Time = 5 * SEC;
@@ -43,8 +42,7 @@
 const REPORT_AGE: Time = SEC;
 /// Reports outside of this are taken for broken: no server lives that is asked for so much.
 const SANE: std::ops::Range<f64> = 0.0..100.0;
-/// A server is taken to hold this many connections at least: a balancer that has just started holds none and
-/// would count its first one for a whole server.
+/// A server is taken to hold so many connections at least: our first one must not count for all of it.
 const FEWEST: f64 = 8.0;
 /// How many samples of each kind are kept.
 const SAMPLES: usize = 8;
@@ -60,8 +58,7 @@
 const NARROWEST: f64 = 1.0 / 16.0;
 /// Flows that may wait for their turn, for each connect that may be in flight.
 const QUEUE: f64 = 4.0;
-/// How soon flows that wait are looked at again: well inside setup targets, and each look walks all servers
-/// for each of them.
+/// How soon flows that wait are looked at again: well inside setup targets; each look walks all servers.
 const LOOK_AGAIN: Time = 60 * MS;
 
 /// From news of a drain to the first move: servers that send their clients away themselves have begun to.
@@ -179,15 +176,26 @@
     }
 }
 
+/// Random draws from a seed.
+struct Dice(WyRand);
+
+impl Default for Dice {
+    fn default() -> Self {
+        Dice(WyRand::new_seed(0))
+    }
+}
+
 /// The part of the rule on cold servers that is this balancer's.
+#[derive(Default)]
 struct Cold {
     start: f64,
     warm_up: Time,
     multiple: f64,
 }
 
+#[derive(Default)]
 pub struct Policy {
-    rng: WyRand,
+    rng: Dice,
     service_types: Vec<ServiceType>,
     hall: u64,
     balancers: f64,
@@ -229,6 +237,7 @@
 
 /// How many connects may be in flight at once: widened by those that are established, narrowed when
 /// servers that answer fail or are late, which is the sign of something they share.
+#[derive(Default)]
 struct Window {
     width: f64,
     /// Widened quickly up to here, then by one a round.
@@ -260,34 +269,18 @@
     /// A balancer that knows no servers yet.
     pub fn new(seed: u64, hall: u64, service_types: Vec<ServiceType>) -> Self {
         Policy {
-            rng: WyRand::new_seed(seed),
+            rng: Dice(WyRand::new_seed(seed)),
             service_types,
             hall,
             balancers: 1.0,
-            shares: Vec::new(),
             surplus: 1.0,
             max_connects: 1,
             margin: 10 * MS,
-            come_back: None,
-            second_copies: false,
-            may_call_off: false,
-            probes: false,
-            probe_price: 0.0,
             every: PROBE_EVERY,
-            live_weights: false,
-            next_ask: None,
-            next_probe: None,
             cold: Cold { start: 0.1, warm_up: 30 * SEC, multiple: 1.0 },
-            cold_until: 0,
-            servers: BTreeMap::new(),
-            book: Book::default(),
-            settled: VecDeque::new(),
-            began: None,
             window: Window { width: CALM, steady: f64::INFINITY, narrowed: 0 },
-            held: 0,
-            leaving: None,
             they_move: true,
-            least: (0, 0.0),
+            ..Policy::default()
         }
     }
 
@@ -359,7 +352,7 @@
             }
             let fresh = Server {
                 listed: *entry,
-                turn: self.rng.generate::<f64>(),
+                turn: self.rng.0.generate::<f64>(),
                 reports: ArrayVec::new(),
                 base: None,
                 placed: VecDeque::new(),
@@ -367,10 +360,10 @@
                 unprobed: VecDeque::new(),
                 last_established: 0,
                 // Guards against all balancers probing a server in step.
-                next_probe: now + self.rng.generate_range(0..PROBE_EVERY),
+                next_probe: now + self.rng.0.generate_range(0..PROBE_EVERY),
                 shed: None,
                 // Balancers don't agree on who goes first: each draws its first credit.
-                credit: (self.rng.generate::<f64>(), now),
+                credit: (self.rng.0.generate::<f64>(), now),
             };
             match self.servers.get_mut(&entry.rs) {
                 Some(known) if known.listed.started == entry.started => {
@@ -393,7 +386,7 @@
 
     /// The list could not be had; it is asked for again after a while.
     pub fn list_failed(&mut self, now: Time) {
-        self.next_ask = Some(now + SEC + self.rng.generate_range(0..SEC));
+        self.next_ask = Some(now + SEC + self.rng.0.generate_range(0..SEC));
     }
 
     /// A connection that flowed through this balancer before it started.
@@ -424,7 +417,7 @@
         // Guards against walking all servers for each of the flows that wait, when none has room at this
         // moment.
         let worth = if self.worthy(flow) { RESERVE } else { 0.0 };
-        if self.least.0 == now && self.least.1 >= T_H.min(worth + FULL) {
+        if !flow.returning && self.least.0 == now && self.least.1 >= T_H.min(worth + FULL) {
             return self.hold(now, flow);
         }
         // Rules 2 and 3: only ready servers, and only where a repeat can do no harm.
@@ -452,7 +445,10 @@
         // server on one and the same figure.
         let each = 2.0 * mean / (mean_own * self.balancers).max(FEWEST);
         let lately = healthy.iter().map(|(server, _)| server.placed.len()).sum::<usize>() as f64 / number;
-        let theirs = (self.balancers - 1.0) * lately;
+        // Guards against a balancer that has just restarted and turns away the clients of the next one that does,
+        // or puts all that wait on the first server that shows room: they bring no new load, the figures have it.
+        let returns = flow.returning && self.afresh(now);
+        let theirs = if returns { -lately } else { (self.balancers - 1.0) * lately };
         let expected = |(server, beta): &Seen| {
             beta.map_or(mean, |beta| beta + each * (server.placed.len() as f64 + theirs))
         };
@@ -473,7 +469,7 @@
         let homes = healthy.iter().filter(|(server, _)| alone && is_near(server));
         let home = homes.min_by_key(|(server, _)| rank(server)).map(|(server, _)| server.listed.rs);
         let room = |server: &Server| match () {
-            () if holds(server) => T_H.min(worth + FULL),
+            () if holds(server) || returns => T_H.min(worth + FULL),
             () if home == Some(server.listed.rs) => T_H.min(worth + (T_H - SPARE * each).clamp(NEW, FULL)),
             () => T_H.min(worth + NEW),
         };
@@ -486,7 +482,7 @@
             kin = kin.into_iter().min_by_key(|(server, _)| rank(server)).into_iter().collect();
         }
         let among: Vec<Rs> = kin.iter().map(|(server, _)| server.listed.rs).collect();
-        if flow.connects.is_empty() {
+        if flow.connects.is_empty() && !returns {
             self.least = (now, least);
         }
         let Some(rs) = self.turn(&among) else {
@@ -607,13 +603,20 @@
         next.map(|at| at.saturating_sub(now))
     }
 
-    /// The probe interval: as long as keeps probes within their worth, by how many flows of ours come to
-    /// them.
+    /// Whether we have started lately, from nothing: all that we hold was made since.
+    fn afresh(&self, now: Time) -> bool {
+        let young = self.began.is_none_or(|began| now < began + RATE_SPAN);
+        young && self.book.own.len() <= self.settled.len() + self.book.out.len()
+    }
+
+    /// The probe interval: as long as keeps probes within their worth, by how many of our flows come to them.
     fn probe_every(&self, now: Time) -> Time {
         let settled = self.settled.iter().filter(|(at, _)| at + RATE_SPAN >= now).count();
         // Until a span has passed, what was inherited tells: connections are taken to live for three of them.
+        // Where nothing was, guards against a restart whose first figures stand for 10 s while it fills.
         let young = self.began.is_none_or(|began| now < began + RATE_SPAN);
-        let flows = settled.max(if young { self.book.own.len() / 3 } else { 1 }).max(1);
+        let expected = if self.afresh(now) { FEWEST as usize } else { self.book.own.len() / 3 };
+        let flows = settled.max(if young { expected } else { 1 }).max(1);
         let probes = PROBES_WORTH * flows as f64 / self.probe_price.max(f64::MIN_POSITIVE);
         (RATE_SPAN as f64 * self.servers.len() as f64 / probes) as Time
     }
@@ -670,7 +673,7 @@
             Repeat::Referenced(scope, _) if may_have_run && scope != Scope::All => Place::Abort,
             // Spread, so that clients that were rejected together don't come again together.
             _ => Place::Reject(
-                self.come_back.map(|most| self.rng.generate_range(most.min(250 * MS) / 2..=most.min(SEC))),
+                self.come_back.map(|most| self.rng.0.generate_range(most.min(250 * MS) / 2..=most.min(SEC))),
             ),
         }
     }
@@ -815,7 +818,7 @@
         for m in &mine {
             // Guards against several balancers that each round up: together they would empty the server.
             // The one that goes past the goal is moved as often as it takes to meet the goal on average.
-            if covered + self.rng.generate::<f64>() * load(m) >= goal {
+            if covered + self.rng.0.generate::<f64>() * load(m) >= goal {
                 break;
             }
             covered += load(m);
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -51,6 +51,8 @@
     pub customer: usize,
     /// Flows of one group cost a server their common work once.
     pub group: Option<String>,
+    /// The client's connection broke or was moved: it comes back with the load that it had.
+    pub returning: bool,
     pub taken: Time,
     /// When the connect timeout runs out.
     pub give_up: Time,
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -509,6 +509,44 @@
     }
 }
 
+#[test]
+fn a_balancer_that_has_just_restarted_lets_returning_clients_in_evenly() {
+    // Guards against turning away the clients of the next balancer that restarts, or putting all of them on the first
+    // server that shows room. Inherited connections, whether the clients return, whether all get in.
+    for (own, returning, all) in [(0, true, true), (0, false, false), (20, true, false)] {
+        let mut policy = balancer(Repeat::Repeatable).among(2.0);
+        policy.list(T0, &(0..5).map(ready).collect::<Vec<_>>(), true);
+        (100..100 + own).for_each(|id| policy.inherit(&flow(T0, id), id % 5));
+        (0..5).for_each(|rs| drop(probe(&mut policy, T0, rs, 0.45)));
+        let mut on = [0; 5];
+        for id in 0..30 {
+            let now = T0 + SEC / 2 + id * 25 * MS;
+            if let Place::To(rs, _) = policy.place(now, &Flow { returning, ..flow(now, id) }) {
+                on[rs as usize] += 1;
+                policy.after(now, Outcome::Established { flow: id, took: MS });
+            }
+        }
+        assert_eq!(on.iter().sum::<u64>() == 30, all, "{own} own, returning {returning}: {on:?}");
+        assert!(!all || on.iter().all(|on| (5..=7).contains(on)), "{on:?}");
+    }
+}
+
+#[test]
+fn first_figures_after_a_restart_do_not_stand_for_ten_seconds() {
+    // Guards against probes by a traffic that has not come yet: the figure stood while the servers filled.
+    let mut policy = balancer(Repeat::Repeatable).probing(true, 0.002);
+    policy.list(T0, &(0..5).map(ready).collect::<Vec<_>>(), true);
+    let (mut now, mut count) = (T0, 0);
+    while now < T0 + 8 * SEC {
+        now += policy.wait(now).expect("a probe is due").max(MS);
+        for rs in policy.after(now, Outcome::Elapsed).probe {
+            count += usize::from(rs == 3);
+            probe(&mut policy, now, rs, 0.5);
+        }
+    }
+    assert!(count >= 3, "{count} probes in 8 s");
+}
+
 #[test]
 fn older_figures_follow_live_weights_where_probes_are_scarce() {
     // Guards against figures of 10 s at full size. Live weights, price, second weight, age of the report in
