--- a/crates/balancer/tests/sockets.rs
+++ b/crates/balancer/tests/sockets.rs
@@ -322,9 +322,10 @@
     stand.toys[0].set(Mood::Silent);
     let mut client = stand.client("c=chat,d=900");
     thread::sleep(Duration::from_millis(50));
-    client.send("OPEN 2 k c=chat,d=900\r\n");
+    client.send(&"OPEN 2 k c=chat,d=900\r\n".repeat(200));
     let since = Instant::now();
-    assert_eq!(client.line(), "ERR");
+    // Guards against an answer that is destroyed by the reset that a close with unread bytes causes.
+    assert_eq!((client.line(), client.line()), ("ERR".into(), "end".into()));
     assert!(since.elapsed() < Duration::from_millis(300));
 }
 
