--- a/crates/balancer/tests/sockets.rs
+++ b/crates/balancer/tests/sockets.rs
@@ -489,6 +489,17 @@
     soon("room again", || stand.client("c=chat,d=900").says("UP 1"));
 }
 
+/// Guards against servers that are never asked, or taken for silent, where there are more of them than descriptors
+/// for probes.
+#[test]
+fn more_servers_than_descriptors_for_probes_are_all_asked() {
+    let stand = Stand::with(40, |config| config.replace("\"sockets\": 1024", "\"sockets\": 256"));
+    soon("two probes of each", || stand.toys.iter().all(|toy| toy.asked() >= 2));
+    let open = std::fs::read_dir(format!("/proc/{}/fd", stand.child.id())).unwrap().count();
+    assert!(open < 60, "{open} descriptors with nobody served");
+    assert_eq!(stand.client("c=chat,d=900").line(), "UP 1");
+}
+
 #[test]
 fn a_reset_is_passed_on() {
     let stand = Stand::new(1);
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -30,6 +30,8 @@
     load: Mutex<f64>,
     /// First lines, in order.
     seen: Mutex<Vec<String>>,
+    /// How often it was asked for its load.
+    asked: Mutex<usize>,
     open: Mutex<Vec<TcpStream>>,
 }
 
@@ -41,6 +43,7 @@
             mood: Mutex::new(Mood::Up),
             load: Mutex::new(0.01),
             seen: Mutex::default(),
+            asked: Mutex::default(),
             open: Mutex::default(),
         });
         let serving = toy.clone();
@@ -65,6 +68,10 @@
         self.seen.lock().unwrap().clone()
     }
 
+    pub fn asked(&self) -> usize {
+        *self.asked.lock().unwrap()
+    }
+
     /// Says so on all open connections, and ends them unless told to stay.
     pub fn say(&self, text: &str, end: bool) {
         for mut stream in self.open.lock().unwrap().iter() {
@@ -81,6 +88,7 @@
         while let Some(Ok(line)) = lines.next() {
             let mood = *self.mood.lock().unwrap();
             if line == "PING" || line == "STATS" {
+                *self.asked.lock().unwrap() += 1;
                 let load = *self.load.lock().unwrap();
                 let report = if line == "STATS" { format!(" x0={load},util={load}") } else { String::new() };
                 if mood != Mood::Silent {
