Spread returning clients at a restarted balancer over servers, not by their groups

Checked, a table each half second of reports and connections: 34 returning clients of six groups in half a second, 18 of them on two servers, none on two others; probes came in time.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -176,7 +176,6 @@
     }
 }
 
-/// Random draws from a seed.
 struct Dice(WyRand);
 
 impl Default for Dice {
@@ -469,7 +468,8 @@
         let homes = healthy.iter().filter(|(server, _)| alone && is_near(server));
         let home = homes.min_by_key(|(server, _)| rank(server)).map(|(server, _)| server.listed.rs);
         let room = |server: &Server| match () {
-            () if holds(server) || returns => T_H.min(worth + FULL),
+            () if returns => T_H.min(worth + mean.clamp(NEW, FULL)),
+            () if holds(server) => T_H.min(worth + FULL),
             () if home == Some(server.listed.rs) => T_H.min(worth + (T_H - SPARE * each).clamp(NEW, FULL)),
             () => T_H.min(worth + NEW),
         };
