--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -7,12 +7,11 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use nettlemux_core::discovery::{self, News};
 use nettlemux_policy::Time;
 use nettlemux_settings::Settings;
 use serde_json::Value;
 
-use crate::discovery::{self, News};
-
 /// Where no limit is told. Many systems allow a process so many.
 const SOCKETS: u64 = 1024;
 /// Fewer can't carry a flow beside what the program itself needs.
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -1,24 +1,9 @@
 //! nettlemux, a balancer for long-lived connections: the command line and how the parts are put together. It
 //! owns the start and the end of the process and must hold no logic of its own.
 
-mod admit;
-mod book;
-mod chain;
-mod clock;
 mod config;
-mod desk;
-mod discovery;
 mod log;
-mod mail;
-mod net;
-mod pool;
-mod probe;
-mod relay;
-mod route;
-mod send;
 mod signals;
-mod take_in;
-mod wire;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -26,18 +11,20 @@
 use std::sync::atomic::AtomicU64;
 
 use bpaf::{Parser, construct, long, pure};
+use nettlemux_core::desk::{Desk, LAST_ANSWER};
+use nettlemux_core::discovery::{self, Agent};
+use nettlemux_core::mail::Mailbox;
+use nettlemux_core::orders::Ask;
+use nettlemux_core::pool::{Buffers, Shares};
+use nettlemux_core::probe::{self, Prober};
+use nettlemux_core::shared::Core;
+use nettlemux_front_lines::first::Known;
+use nettlemux_front_lines::take_in::{self, Front};
 use nettlemux_policy::{MS, State, Time};
 use signal_hook::iterator::Signals;
 use tracing::{Level, error, info};
 
-use crate::chain::Core;
 use crate::config::Config;
-use crate::desk::{Ask, Desk, LAST_ANSWER};
-use crate::discovery::Agent;
-use crate::mail::Mailbox;
-use crate::pool::{Buffers, Shares};
-use crate::probe::Prober;
-use crate::wire::Known;
 
 /// How long before a connect timeout we answer. Answers were measured up to 1.4 ms late, and up to 5.5 ms with another
 /// program busy on the same core.
@@ -116,18 +103,19 @@
         reports,
         stats,
     });
+    let known = Known::new(settings).map_err(faulty)?;
     let core = Arc::new(Core {
         desk: desk.clone(),
         buffers: buffers.clone(),
         shares,
-        lobby: Arc::default(),
         ids: Arc::default(),
-        known: Known::new(settings).map_err(faulty)?,
         reports,
         dial_limit: config.dial_limit,
         numbers: AtomicU64::new(1),
     });
 
+    let front = Front::new(core.clone(), known);
+
     let version = config.known.as_ref().map(|known| known.version);
     if let Some(known) = config.known.take() {
         let mut entries = known.entries;
@@ -146,7 +134,7 @@
         .map_err(|e| format!("can't listen for signals: {e}"))?;
     let means = discovery::Means { agent, descriptors, buffers };
     may::go!(move || discovery::watch(version, &means, &desk));
-    may::go!(move || take_in::accept(&core, &listener));
+    may::go!(move || take_in::accept(&front, &listener));
     if running.join().is_err() {
         error!("the desk has ended");
         return Err("the desk has ended".into());
--- a/crates/balancer/src/signals.rs
+++ b/crates/balancer/src/signals.rs
@@ -7,14 +7,14 @@
 use std::sync::Arc;
 use std::thread;
 
+use nettlemux_core::discovery::Agent;
+use nettlemux_core::mail::Sender;
+use nettlemux_core::orders::Ask;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tracing::{error, info, warn};
 
 use crate::config::{self, Config};
-use crate::desk::Ask;
-use crate::discovery::Agent;
-use crate::mail::Sender;
 
 /// The thread's stack: it reads the configuration, whose JSON may be nested.
 const STACK: usize = 1 << 20;
--- a/crates/balancer/tests/sockets.rs
+++ b/crates/balancer/tests/sockets.rs
@@ -38,10 +38,10 @@
         for (i, toy) in toys.iter().enumerate() {
             agent.tell(&format!("s-{i}"), toy.address, "Ready");
         }
-        let at = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let at = own_address();
         let config = EXAMPLE.replace("127.0.0.1:7000", &at.to_string());
         let config = change(config.replace("127.0.0.1:7100", &agent.address.to_string()));
-        let file = std::env::temp_dir().join(format!("nettlemux-{}-{}.json", std::process::id(), at.port()));
+        let file = std::env::temp_dir().join(format!("nettlemux-{}-{}.json", std::process::id(), at.ip()));
         std::fs::write(&file, &config).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
         command.args(["serve", "--log", "debug", "--config"]).arg(&file).stderr(Stdio::null());
@@ -74,6 +74,15 @@
     }
 }
 
+/// An address that nothing else has. Guards against a port that was free a moment ago and is then given to a client's
+/// end of another test's connection.
+fn own_address() -> SocketAddr {
+    static STANDS: AtomicU64 = AtomicU64::new(0);
+    let number = STANDS.fetch_add(1, Ordering::Relaxed);
+    let run = 2 + std::process::id() % 250;
+    format!("127.{run}.{}.{}:7000", 1 + number / 250, 1 + number % 250).parse().unwrap()
+}
+
 struct Client {
     stream: TcpStream,
     lines: BufReader<TcpStream>,
--- a/crates/balancer/src/book.rs
+++ b/crates/core/src/book.rs
@@ -1,4 +1,4 @@
-//! The last stage: the book of one flow, kept from its admission on. It owns the client's socket and  the client its one final answer, tells the desk what came of each connect, and gives
+//! The last stage: the book of one flow, kept from its admission on. It owns the client's socket, gives the client its one final answer, tells the desk what came of each connect, and gives
 //! everything back. It must never answer twice, and never let a flow go without an answer.
 
 use std::sync::Arc;
@@ -6,12 +6,10 @@
 use nettlemux_policy::{End, Flow, FlowId, MS, Report, Time};
 use tracing::{debug, error, info, warn};
 
-use crate::admit::Id;
-use crate::chain::Core;
 use crate::clock;
-use crate::desk::{Ask, Target};
-use crate::net::Caller;
-use crate::take_in::LINGER;
+use crate::net::{Caller, LINGER};
+use crate::orders::{Ask, Target};
+use crate::shared::{Core, Id};
 use crate::wire;
 
 /// How a connect has ended that brought no connection.
@@ -123,12 +121,11 @@
     use std::net::{TcpListener, TcpStream};
     use std::sync::atomic::AtomicU64;
 
-    use nettlemux_settings::{Reports, Settings};
+    use nettlemux_settings::Reports;
 
     use super::*;
     use crate::mail::Mailbox;
     use crate::pool::{Buffers, Descriptors, Shares};
-    use crate::wire::Known;
 
     /// Guards against a flow that is lost, and a desk that keeps it, when its coroutine panics.
     #[test]
@@ -139,9 +136,7 @@
             desk: asks.sender(),
             buffers: Buffers::new(),
             shares: Shares::new(256, 32 << 20),
-            lobby: Arc::default(),
             ids: Arc::default(),
-            known: Known::new(&Settings::parse("{}").unwrap()).unwrap(),
             reports: Reports::default(),
             dial_limit: 0,
             numbers: AtomicU64::new(1),
--- a/crates/balancer/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -8,108 +8,20 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use nettlemux_policy::{
-    Connect, End, Flow, FlowId, Listed, MS, Outcome, Place, Policy, Report, Rs, SEC, State, Time, Todo,
-};
-use tracing::{debug, error, info, warn};
+use nettlemux_hand::{Act, Hand};
+use nettlemux_policy::{Flow, FlowId, Listed, MS, Policy, Rs, SEC, State, Time};
+use tracing::{error, info, warn};
 
 use crate::clock;
-use crate::discovery::Entry;
 use crate::mail::{Mailbox, Sender};
-use crate::net::Event;
+use crate::orders::{Ask, Entry, Event, Order, Server, Target};
 use crate::probe::Prober;
 
-/// What the desk is asked or told.
-pub enum Ask {
-    Place {
-        flow: Flow,
-        mail: Sender<Event>,
-    },
-    /// A connection that was open at that server before the run.
-    Inherit {
-        flow: Flow,
-        at: String,
-        mail: Sender<Event>,
-    },
-    Established {
-        flow: FlowId,
-        took: Time,
-    },
-    Ended {
-        flow: FlowId,
-        rs: Rs,
-        number: usize,
-        end: End,
-        never_ran: bool,
-        report: Report,
-    },
-    Load {
-        flow: FlowId,
-        load: f64,
-    },
-    /// The client went away.
-    Left {
-        flow: FlowId,
-    },
-    /// Nothing more comes of this flow.
-    Over {
-        flow: FlowId,
-    },
-    Probed {
-        rs: Rs,
-        passed: bool,
-        report: Report,
-    },
-    List {
-        entries: Vec<Entry>,
-        whole: bool,
-    },
-    ListFailed,
-    /// The balancer is to end.
-    Terminate,
-}
-
-/// What a flow's coroutine is told to do.
-pub enum Order {
-    Connect(Target),
-    Reject(Option<Time>),
-    Abort,
-    /// Send the client away.
-    Move,
-    /// Stop waiting for the connect, as the client is gone.
-    CallOff,
-    /// Stop waiting for the connect: its time is up.
-    TimeUp,
-}
-
-/// Where a connect goes and how long it is waited for.
-pub struct Target {
-    pub rs: Rs,
-    pub number: usize,
-    pub server: Arc<Server>,
-    pub until: Time,
-}
-
-/// A server as the list has it now. Shared with those that send, who look again just before they do.
-pub struct Server {
-    pub name: String,
-    pub address: std::net::SocketAddr,
-    ready: AtomicBool,
-}
-
-impl Server {
-    pub fn ready(&self) -> bool {
-        self.ready.load(Ordering::Acquire)
-    }
-}
-
-struct InHand {
-    flow: Flow,
+/// Who is told what becomes of a flow.
+struct Client {
     mail: Sender<Event>,
-    /// Still owed an answer.
-    owed: bool,
-    /// Where it was open before the run.
-    at: Option<Rs>,
+    /// Where it was open before the run, until it is open there again.
+    inherited: Option<(Flow, Rs)>,
 }
 
 /// Names of the wire and the numbers that the module has for them, in order of arrival.
@@ -139,11 +51,9 @@
 const EXIT: Time = 500 * MS;
 
 pub struct Desk {
-    policy: Policy,
+    hand: Hand,
     asks: Mailbox<Ask>,
-    flows: BTreeMap<FlowId, InHand>,
-    /// Flows to ask about again.
-    held: Vec<FlowId>,
+    clients: BTreeMap<FlowId, Client>,
     servers: BTreeMap<Rs, Arc<Server>>,
     ids: Names,
     halls: Names,
@@ -169,10 +79,9 @@
         last_answer: Time,
     ) -> Self {
         Desk {
-            policy,
+            hand: Hand::new(policy),
             asks,
-            flows: BTreeMap::new(),
-            held: Vec::new(),
+            clients: BTreeMap::new(),
             servers: BTreeMap::new(),
             ids: Names::default(),
             halls: Names::of(halls),
@@ -192,7 +101,7 @@
     pub fn run(mut self) {
         loop {
             let now = clock::now();
-            if let Some(wait) = self.policy.wait(now) {
+            if let Some(wait) = self.hand.wait(now) {
                 // Never at once again, so that a due time that is not met can't keep the core busy.
                 let at = now + wait.max(MS);
                 self.due = Some(self.due.map_or(at, |due| due.min(at)));
@@ -210,7 +119,8 @@
             if catch_unwind(AssertUnwindSafe(|| self.turn(ask))).is_err() {
                 error!(?flow, "a decision panicked; its flow is aborted");
                 if let Some(id) = flow {
-                    self.answer(clock::now(), id, Place::Abort);
+                    let now = clock::now();
+                    self.acts(now, |hand, acts| hand.abort(now, id, acts));
                 }
             }
             if self.terminated.is_some_and(|at| self.ending(at)) {
@@ -226,24 +136,15 @@
         }
         if self.due.is_some_and(|due| due <= now) {
             self.due = None;
-            let todo = self.policy.after(now, Outcome::Elapsed);
-            for id in std::mem::take(&mut self.held) {
-                if let Some(in_hand) = self.flows.get(&id).filter(|f| f.owed) {
-                    let place = self.policy.place(now, &in_hand.flow);
-                    self.answer(now, id, place);
-                }
-            }
-            self.carry_out(todo);
+            self.acts(now, |hand, acts| hand.elapsed(now, acts));
         }
     }
 
     fn handle(&mut self, now: Time, ask: Ask) {
         match ask {
             Ask::Place { flow, mail } => {
-                let place = self.policy.place(now, &flow);
-                let id = flow.id;
-                self.flows.insert(id, InHand { flow, mail, owed: true, at: None });
-                self.answer(now, id, place);
+                self.clients.insert(flow.id, Client { mail, inherited: None });
+                self.acts(now, |hand, acts| hand.take(now, flow, acts));
             }
             Ask::Inherit { flow, at, mail } => {
                 let rs = self.ids.number(&at);
@@ -252,61 +153,39 @@
                     Order::Connect(Target { rs, number: 0, server: server.clone(), until: flow.give_up })
                 });
                 mail.send(Event::Order(order));
-                self.flows.insert(flow.id, InHand { flow, mail, owed: false, at: Some(rs) });
+                self.clients.insert(flow.id, Client { mail, inherited: Some((flow, rs)) });
             }
             Ask::Established { flow, took } => {
-                let Some(in_hand) = self.flows.get_mut(&flow) else { return };
-                in_hand.owed = false;
-                if let Some(rs) = in_hand.at {
-                    self.policy.inherit(&in_hand.flow, rs);
-                } else {
-                    let todo = self.policy.after(now, Outcome::Established { flow, took });
-                    self.carry_out(todo);
+                let Some(client) = self.clients.get_mut(&flow) else { return };
+                match client.inherited.take() {
+                    Some((flow, rs)) => self.hand.inherit(flow, rs),
+                    None => self.acts(now, |hand, acts| hand.established(now, flow, took, acts)),
                 }
             }
             Ask::Ended { flow, rs, number, end, never_ran, report } => {
-                self.reported(now, rs, report);
-                let Some(in_hand) = self.flows.get_mut(&flow) else { return };
-                if let Some(connect) = in_hand.flow.connects.get_mut(number) {
-                    (connect.out, connect.never_ran) = (false, never_ran);
+                let how = (end, never_ran);
+                if self.clients.contains_key(&flow) {
+                    self.acts(now, |hand, acts| hand.ended(now, (flow, number), rs, how, report, acts));
                 }
-                let owed = in_hand.owed.then_some(&in_hand.flow);
-                let todo = self.policy.after(now, Outcome::Ended { flow, rs, end, owed });
-                if let Some(place) = todo.place {
-                    self.answer(now, flow, place);
-                }
-                self.carry_out(todo);
             }
-            Ask::Load { flow, load } => self.policy.told_load(flow, load),
-            Ask::Left { flow } => {
-                if let Some(in_hand) = self.flows.get_mut(&flow) {
-                    in_hand.owed = false;
-                }
-                let todo = self.policy.after(now, Outcome::Left { flow });
-                self.carry_out(todo);
+            Ask::Load { flow, load } => self.hand.told_load(flow, load),
+            Ask::Left { flow } => self.acts(now, |hand, acts| hand.left(now, flow, acts)),
+            Ask::Over { flow } => {
+                self.hand.over(flow);
+                self.clients.remove(&flow);
             }
-            Ask::Over { flow } => drop(self.flows.remove(&flow)),
             Ask::Probed { rs, passed, report } => {
-                let todo = self.policy.after(now, Outcome::Probed { rs, passed, report });
-                self.carry_out(todo);
+                self.acts(now, |hand, acts| hand.probed(now, rs, passed, report, acts));
             }
             Ask::List { entries, whole } => self.list(now, entries, whole),
-            Ask::ListFailed => self.policy.list_failed(now),
+            Ask::ListFailed => self.hand.list_failed(now),
             Ask::Terminate => {
-                info!(flows = self.flows.len(), "asked to end");
+                info!(flows = self.clients.len(), "asked to end");
                 self.terminated.get_or_insert(now);
             }
         }
     }
 
-    /// A load report that came with an answer counts like a probe's: it is the server's own word.
-    fn reported(&mut self, now: Time, rs: Rs, report: Report) {
-        if report.beta.is_some() {
-            let todo = self.policy.after(now, Outcome::Probed { rs, passed: true, report });
-            self.carry_out(todo);
-        }
-    }
-
     fn list(&mut self, now: Time, entries: Vec<Entry>, whole: bool) {
         let mut listed = Vec::new();
         let mut told = Vec::new();
@@ -356,64 +235,52 @@
         }
         let servers = &self.servers;
         self.prober.keep(|rs| servers.contains_key(&rs));
-        self.policy.list(now, &listed, whole);
+        self.hand.list(now, &listed, whole);
     }
 
-    fn answer(&mut self, now: Time, id: FlowId, place: Place) {
-        let Some(in_hand) = self.flows.get_mut(&id) else { return };
-        let order = match place {
-            Place::To(rs, limit) => {
-                in_hand.flow.connects.push(Connect { rs, at: now, out: true, never_ran: false });
-                let number = in_hand.flow.connects.len() - 1;
-                match self.servers.get(&rs) {
-                    Some(server) => {
-                        let server = server.clone();
-                        Order::Connect(Target { rs, number, server, until: now + limit })
-                    }
-                    None => {
-                        warn!(id, rs, "the module names a server without an address");
-                        in_hand.owed = false;
-                        Order::Abort
-                    }
-                }
-            }
-            Place::NotYet => {
-                debug!(id, "not yet");
-                return self.held.push(id);
-            }
-            Place::Reject(come_back) => {
-                in_hand.owed = false;
-                Order::Reject(come_back)
-            }
-            Place::Abort => {
-                in_hand.owed = false;
-                Order::Abort
-            }
-        };
-        in_hand.mail.send(Event::Order(order));
+    /// Asks the module by way of the hand, and carries out what it says.
+    fn acts(&mut self, now: Time, ask: impl FnOnce(&mut Hand, &mut Vec<Act>)) {
+        let mut acts = Vec::new();
+        ask(&mut self.hand, &mut acts);
+        let moves = acts.iter().filter(|act| matches!(act, Act::Move { .. })).count();
+        if moves > 0 {
+            info!(count = moves, "moving connections off a hot server");
+        }
+        for act in acts {
+            self.carry_out(now, act);
+        }
     }
 
-    fn carry_out(&mut self, todo: Todo) {
-        for rs in todo.probe {
-            if let Some(server) = self.servers.get(&rs) {
-                self.prober.probe(rs, server.clone());
+    fn carry_out(&mut self, now: Time, act: Act) {
+        match act {
+            Act::Connect { flow, rs, number, limit } => match self.servers.get(&rs) {
+                Some(server) => {
+                    let (server, until) = (server.clone(), now + limit);
+                    self.order(flow, Order::Connect(Target { rs, number, server, until }));
+                }
+                None => {
+                    warn!(id = flow, rs, "the module names a server without an address");
+                    self.hand.settle(flow);
+                    self.order(flow, Order::Abort);
+                }
+            },
+            Act::Reject { flow, come_back } => self.order(flow, Order::Reject(come_back)),
+            Act::Abort { flow } => self.order(flow, Order::Abort),
+            Act::Move { flow } => self.order(flow, Order::Move),
+            Act::CallOff { flow, .. } => self.order(flow, Order::CallOff),
+            Act::Probe { rs } => {
+                if let Some(server) = self.servers.get(&rs) {
+                    self.prober.probe(rs, server.clone());
+                }
             }
+            // The watch always runs, so there is nothing to ask for.
+            Act::AskList => {}
         }
-        if !todo.shift.is_empty() {
-            info!(count = todo.shift.len(), "moving connections off a hot server");
-        }
-        for id in todo.shift {
-            self.order(id, Order::Move);
-        }
-        for id in todo.call_off {
-            self.order(id, Order::CallOff);
-        }
-        // `ask_list`: the watch always runs, so there is nothing to ask for.
     }
 
     fn order(&self, id: FlowId, order: Order) {
-        if let Some(in_hand) = self.flows.get(&id) {
-            in_hand.mail.send(Event::Order(order));
+        if let Some(client) = self.clients.get(&id) {
+            client.mail.send(Event::Order(order));
         }
     }
 
@@ -430,10 +297,14 @@
             // next, and all clients went within 10 ms.
             self.next_move = now + STEP;
             // Each is moved once, in order; those that are on their way up are told too and go once they are up.
-            let left = self.flows.range(self.moved_up_to..).count();
+            let left = self.clients.range(self.moved_up_to..).count();
             let turns = (move_until.saturating_sub(passed) / STEP).max(1) as usize;
-            let ids: Vec<FlowId> =
-                self.flows.range(self.moved_up_to..).take(left.div_ceil(turns)).map(|(id, _)| *id).collect();
+            let ids: Vec<FlowId> = self
+                .clients
+                .range(self.moved_up_to..)
+                .take(left.div_ceil(turns))
+                .map(|(id, _)| *id)
+                .collect();
             for id in ids {
                 self.order(id, Order::Move);
                 self.moved_up_to = id + 1;
@@ -441,11 +312,10 @@
         }
         if passed >= self.last_answer && !self.given_up {
             self.given_up = true;
-            for in_hand in self.flows.values_mut().filter(|f| f.owed) {
-                in_hand.flow.give_up = in_hand.flow.give_up.min(now);
-                in_hand.mail.send(Event::Order(Order::TimeUp));
+            for id in self.hand.cut_short(now) {
+                self.order(id, Order::TimeUp);
             }
         }
-        passed >= self.last_answer + EXIT || passed >= move_until && self.flows.is_empty()
+        passed >= self.last_answer + EXIT || passed >= move_until && self.clients.is_empty()
     }
 }
--- a/crates/balancer/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -12,9 +12,9 @@
 use tracing::{debug, info, warn};
 
 use crate::clock;
-use crate::desk::Ask;
 use crate::mail::{Mailbox, Sender};
-use crate::net::{Caller, Event};
+use crate::net::Caller;
+use crate::orders::{Ask, Entry, Event};
 use crate::pool::{Buffers, Descriptors};
 
 /// How long one call is held. Short, since a silent agent shows only once a hold is over: what it should have
@@ -27,19 +27,6 @@
 /// An answer is no longer than this: guards against an endless one.
 const MOST: usize = 4 << 20;
 
-/// A server as discovery tells of it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    pub name: String,
-    pub address: SocketAddr,
-    pub zone: String,
-    pub machine: String,
-    pub cell: String,
-    pub state: State,
-    pub weight: f64,
-    pub started: Time,
-}
-
 /// One answer: a version of the list, whole or what has changed since the last.
 #[derive(Debug, PartialEq)]
 pub struct News {
--- a/crates/balancer/src/mail.rs
+++ b/crates/core/src/mail.rs
@@ -37,6 +37,12 @@
     }
 }
 
+impl<T> Default for Mailbox<T> {
+    fn default() -> Self {
+        Mailbox::new()
+    }
+}
+
 impl<T> Mailbox<T> {
     pub fn new() -> Self {
         Mailbox(Arc::new(Shared { posts: SegQueue::new(), reader: OnceLock::new() }))
--- a/crates/balancer/src/net.rs
+++ b/crates/core/src/net.rs
@@ -10,23 +10,14 @@
 use std::time::Duration;
 
 use may::io::{CoIo, WaitIo};
-use nettlemux_policy::{MS, Time};
+use nettlemux_policy::{MS, SEC, Time};
 use socket2::{Domain, SockRef, Type};
 
 use crate::clock;
-use crate::desk::Order;
 use crate::mail::{Mailbox, Sender};
+use crate::orders::Event;
 use crate::pool::Slot;
 
-/// What a flow's coroutine is woken by.
-pub enum Event {
-    /// Something may have happened on one of its sockets.
-    Rung,
-    Order(Order),
-    /// Give up what is waited for.
-    Stop,
-}
-
 struct Inner {
     stream: Option<CoIo<TcpStream>>,
     slot: Mutex<Slot>,
@@ -150,6 +141,8 @@
     }
 }
 
+/// How long one that has its answer may take to close.
+pub const LINGER: Time = SEC;
 /// So much of what a peer sends after its answer is read.
 const DRAINED: usize = 64 << 10;
 /// How long one that sends more may take to read its answer before the reset: it reads while it sends.
--- /dev/null
+++ b/crates/core/src/orders.rs
@@ -0,0 +1,116 @@
+//! What the coroutines tell one another: questions to the desk, its orders, and the plain values in them. It owns
+//! nothing but the flag that says whether a server may be sent to, and must never send, wait or decide.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use nettlemux_policy::{End, Flow, FlowId, Report, Rs, State, Time};
+
+use crate::mail::Sender;
+
+/// What a flow's coroutine is woken by.
+pub enum Event {
+    /// Something may have happened on one of its sockets.
+    Rung,
+    Order(Order),
+    /// Give up what is waited for.
+    Stop,
+}
+
+/// A server as discovery tells of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub name: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub machine: String,
+    pub cell: String,
+    pub state: State,
+    pub weight: f64,
+    pub started: Time,
+}
+
+/// What the desk is asked or told.
+pub enum Ask {
+    Place {
+        flow: Flow,
+        mail: Sender<Event>,
+    },
+    /// A connection that was open at that server before the run.
+    Inherit {
+        flow: Flow,
+        at: String,
+        mail: Sender<Event>,
+    },
+    Established {
+        flow: FlowId,
+        took: Time,
+    },
+    Ended {
+        flow: FlowId,
+        rs: Rs,
+        number: usize,
+        end: End,
+        never_ran: bool,
+        report: Report,
+    },
+    Load {
+        flow: FlowId,
+        load: f64,
+    },
+    /// The client went away.
+    Left {
+        flow: FlowId,
+    },
+    /// Nothing more comes of this flow.
+    Over {
+        flow: FlowId,
+    },
+    Probed {
+        rs: Rs,
+        passed: bool,
+        report: Report,
+    },
+    List {
+        entries: Vec<Entry>,
+        whole: bool,
+    },
+    ListFailed,
+    /// The balancer is to end.
+    Terminate,
+}
+
+/// What a flow's coroutine is told to do.
+pub enum Order {
+    Connect(Target),
+    Reject(Option<Time>),
+    Abort,
+    /// Send the client away.
+    Move,
+    /// Stop waiting for the connect, as the client is gone.
+    CallOff,
+    /// Stop waiting for the connect: its time is up.
+    TimeUp,
+}
+
+/// Where a connect goes and how long it is waited for.
+pub struct Target {
+    pub rs: Rs,
+    pub number: usize,
+    pub server: Arc<Server>,
+    pub until: Time,
+}
+
+/// A server as the list has it now. Shared with those that send, who look again just before they do.
+pub struct Server {
+    pub name: String,
+    pub address: SocketAddr,
+    pub(crate) ready: AtomicBool,
+}
+
+impl Server {
+    pub fn ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+}
--- a/crates/balancer/src/probe.rs
+++ b/crates/core/src/probe.rs
@@ -12,9 +12,9 @@
 use tracing::{debug, warn};
 
 use crate::clock;
-use crate::desk::{Ask, Server};
 use crate::mail::{Mailbox, Sender};
 use crate::net::Caller;
+use crate::orders::{Ask, Server};
 use crate::pool::{Buffers, Descriptors};
 use crate::wire;
 
--- a/crates/balancer/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -6,12 +6,11 @@
 use tracing::{debug, info};
 
 use crate::book::Book;
-use crate::chain::Core;
 use crate::clock;
-use crate::desk::{Ask, Order, Target};
-use crate::net::{Event, Socket};
+use crate::net::{LINGER, Socket};
+use crate::orders::{Ask, Event, Order, Target};
 use crate::pool::{Buffer, Buffers};
-use crate::take_in::LINGER;
+use crate::shared::Core;
 use crate::wire::{self, Passing};
 
 /// A client's line that brought nothing back for so long: the server is silent. Clients send every 2 s and
--- a/crates/balancer/src/route.rs
+++ b/crates/core/src/route.rs
@@ -7,10 +7,9 @@
 use tracing::error;
 
 use crate::book::Book;
-use crate::chain::Core;
 use crate::clock;
-use crate::desk::{Ask, Order};
-use crate::net::Event;
+use crate::orders::{Ask, Event, Order};
+use crate::shared::Core;
 
 /// The desk's word is late by so much past the connect timeout only if something is badly wrong.
 const OVERDUE: Time = 20 * MS;
--- a/crates/balancer/src/send.rs
+++ b/crates/core/src/send.rs
@@ -7,11 +7,11 @@
 use tracing::warn;
 
 use crate::book::{Book, Ended};
-use crate::chain::Core;
 use crate::clock;
-use crate::desk::{Ask, Order, Target};
-use crate::net::{Event, Socket};
+use crate::net::Socket;
+use crate::orders::{Ask, Event, Order, Target};
 use crate::pool::Buffer;
+use crate::shared::Core;
 use crate::wire::{self, Answer};
 
 /// Errors of this machine: ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS.
--- /dev/null
+++ b/crates/core/src/shared.rs
@@ -0,0 +1,88 @@
+//! What all flows share, whichever front they came by, and what a front hands over: a flow that is admitted. It owns the
+//! clients' ids that are in use and those that lately were. It must never decide what becomes of a flow.
+
+use std::collections::{HashSet, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use nettlemux_policy::{Flow, Time};
+use nettlemux_settings::Reports;
+
+use crate::mail::Sender;
+use crate::net::Caller;
+use crate::orders::Ask;
+use crate::pool::{Buffers, Shares};
+
+/// Ids of ended flows that are remembered: an id is new with every connection, so one that comes again is somebody
+/// else's, also when its flow has just ended.
+const REMEMBERED: usize = 1024;
+
+pub struct Core {
+    pub desk: Sender<Ask>,
+    pub buffers: Arc<Buffers>,
+    pub shares: Shares,
+    pub ids: Arc<Ids>,
+    pub reports: Reports,
+    /// A connection that isn't made by then can't be made.
+    pub dial_limit: Time,
+    pub numbers: AtomicU64,
+}
+
+impl Core {
+    pub fn number(&self) -> u64 {
+        self.numbers.fetch_add(1, Ordering::Relaxed)
+    }
+}
+
+/// A flow that a front has taken, with all that the stages need of it.
+pub struct Admitted {
+    pub flow: Flow,
+    /// The server that held it before the run.
+    pub at: Option<String>,
+    pub caller: Caller,
+    /// The first line as it came, without its end.
+    pub line: Vec<u8>,
+    pub id: Id,
+}
+
+/// The clients' ids that can't be used again.
+#[derive(Default)]
+pub struct Ids {
+    known: Mutex<Known>,
+}
+
+#[derive(Default)]
+struct Known {
+    all: HashSet<Arc<str>>,
+    ended: VecDeque<Arc<str>>,
+}
+
+impl Ids {
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes an id until the flow ends; none if it was taken before.
+    pub fn take(self: &Arc<Self>, id: &str) -> Option<Id> {
+        let id: Arc<str> = id.into();
+        self.known().all.insert(id.clone()).then(|| Id { ids: self.clone(), id })
+    }
+}
+
+/// A flow's id, given back when it is dropped.
+pub struct Id {
+    ids: Arc<Ids>,
+    id: Arc<str>,
+}
+
+impl Drop for Id {
+    fn drop(&mut self) {
+        let mut known = self.ids.known();
+        known.ended.push_back(self.id.clone());
+        if known.ended.len() > REMEMBERED
+            && let Some(oldest) = known.ended.pop_front()
+        {
+            known.all.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/front-lines/src/first.rs
@@ -0,0 +1,166 @@
+//! First lines, as clients send them. It owns their form and the names that the settings allow in them, and must never
+//! touch a socket, a clock or a flow. Names of the wire end here.
+
+use arrayvec::ArrayVec;
+use nettlemux_policy::{MS, Time};
+use nettlemux_settings::{Read, Settings, figure};
+
+/// A connection's first line.
+#[derive(Debug, PartialEq, Eq)]
+pub enum First<'a> {
+    Open(Open<'a>),
+    Ping,
+    Stats,
+}
+
+/// What a client asks for.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Open<'a> {
+    pub id: &'a str,
+    pub class: &'a str,
+    /// How long the client waits, in milliseconds.
+    pub wait: Option<u64>,
+    pub group: Option<&'a str>,
+    pub customer: Option<&'a str>,
+    /// The server that held it before.
+    pub at: Option<&'a str>,
+    /// Its connection broke or was moved.
+    pub returning: bool,
+}
+
+/// More values than any line has; guards against lines whose names are compared for long.
+const MOST_VALUES: usize = 32;
+
+/// Reads a first line, without its end. Whatever a real client would not send is refused: it must not be guessed what
+/// was meant, since servers guess differently.
+pub fn first(line: &[u8]) -> Result<First<'_>, &'static str> {
+    let line = std::str::from_utf8(line).map_err(|_| "no text")?;
+    if line.contains(|c: char| c.is_control()) {
+        return Err("no line of text");
+    }
+    let mut parts = line.split(' ');
+    match (parts.next(), line.len()) {
+        (Some("PING"), 4) => return Ok(First::Ping),
+        (Some("STATS"), 5) => return Ok(First::Stats),
+        (Some("OPEN"), _) => {}
+        _ => return Err("neither OPEN, PING nor STATS"),
+    }
+    let mut next = |why| parts.next().filter(|part| !part.is_empty()).ok_or(why);
+    let mut open = Open { id: next("no id")?, ..Open::default() };
+    next("no key")?;
+    let values = next("no values")?;
+    if parts.next().is_some() {
+        return Err("more than an id, a key and values");
+    }
+    let mut names = ArrayVec::<&str, MOST_VALUES>::new();
+    for pair in values.split(',') {
+        let (name, value) = pair.split_once('=').ok_or("a value has no name")?;
+        if name.is_empty() || value.is_empty() {
+            return Err("a name or a value is empty");
+        }
+        if names.contains(&name) {
+            return Err("a name comes twice");
+        }
+        names.try_push(name).map_err(|_| "too many values")?;
+        match name {
+            "c" => open.class = value,
+            // No sign, and no more digits than a time can have.
+            "d" if value.bytes().all(|byte| byte.is_ascii_digit()) => {
+                open.wait = Some(value.parse().map_err(|_| "d is too large")?);
+            }
+            "d" => return Err("d is no whole number"),
+            "g" => open.group = Some(value),
+            "t" => open.customer = Some(value),
+            "at" => open.at = Some(value),
+            "r" | "again" if value != "1" => return Err("a mark is not 1"),
+            "again" => open.returning = true,
+            _ if figure(value).is_none() => return Err("a figure is no number"),
+            _ => {}
+        }
+    }
+    if open.class.is_empty() { Err("no class") } else { Ok(First::Open(open)) }
+}
+
+/// A service type as first lines name it, and the longest that its clients wait.
+pub struct Class {
+    pub name: String,
+    pub longest: Time,
+}
+
+/// Where the settings have no limit: an hour is no client's.
+const LONGEST: Time = 60_000 * MS;
+
+/// Reads what the settings say of first lines.
+pub struct Known {
+    pub classes: Vec<Class>,
+    pub customers: Vec<String>,
+    pub groups: bool,
+}
+
+impl Known {
+    pub fn new(settings: &Settings) -> Read<Self> {
+        Ok(Known {
+            classes: (settings.names("service-types").into_iter().zip(settings.longest_waits()))
+                .map(|(name, longest)| Class { name, longest: longest.unwrap_or(LONGEST) })
+                .collect(),
+            customers: settings.names("accounts"),
+            groups: settings.maybe("specifics/groups").and_then(|v| v.as_bool()).unwrap_or(false),
+        })
+    }
+
+    /// A customer's place among the settings', told by name or number; none for one that is unknown. Where there
+    /// are no customers all are alike.
+    pub fn customer(&self, name: &str) -> Option<usize> {
+        let by_name = self.customers.iter().position(|known| known == name);
+        let by_number = || name.parse().ok().filter(|number| *number < self.customers.len());
+        if self.customers.is_empty() { Some(0) } else { by_name.or_else(by_number) }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn first_lines() {
+        let line = b"OPEN 9b1f 7f3a c=chat,d=2000,g=5c0f,h=3,x";
+        assert_eq!(first(line), Err("a value has no name"));
+        let open =
+            Open { id: "9b1f", class: "chat", wait: Some(2000), group: Some("5c0f"), ..Open::default() };
+        assert_eq!(first(&line[..line.len() - 2]), Ok(First::Open(open)));
+        let at = Open { id: "1", class: "c", at: Some("s-2"), ..Open::default() };
+        assert_eq!(first(b"OPEN 1 k c=c,at=s-2"), Ok(First::Open(at)));
+        assert_eq!(first(b"PING"), Ok(First::Ping));
+        for bad in [
+            &b""[..],
+            b"HELLO",
+            b"OPEN",
+            b"OPEN 1",
+            b"OPEN 1 k",
+            b"OPEN 1 k d=1",
+            b"OPEN 1 k c=a,d=x",
+            b"\xff",
+            // Guards against lines that are guessed at: whatever they ask for would be served.
+            b"PING x",
+            b"OPEN  k c=a,d=1",
+            b"OPEN 1  c=a,d=1",
+            b"OPEN 1 k  c=a,d=1",
+            b"OPEN 1 k c=a,d=1 x",
+            b"OPEN 1 k c=a,d=1,c=a",
+            b"OPEN 1 k c=a,d=+5",
+            b"OPEN 1 k c=a,d=-5",
+            b"OPEN 1 k c=a,d=5.0",
+            b"OPEN 1 k c=a,d=99999999999999999999",
+            b"OPEN 1 k c=a,d=",
+            b"OPEN 1 k c=a,d=1,g=",
+            b"OPEN 1 k c=a,d=1,r=2",
+            b"OPEN 1 k c=a,d=1,h=much",
+            b"OPEN 1 k c=a,d=1,h=nan",
+            b"OPEN 1 k c=a,d=1,h=inf",
+            b"OPEN 1 k c=a,d=1\tx",
+            format!("OPEN 1 k c=a{}", (0..40).map(|n| format!(",x{n}=1")).collect::<String>()).as_bytes(),
+        ] {
+            assert!(first(bad).is_err(), "{bad:?}");
+        }
+    }
+}
--- a/crates/balancer/src/take_in.rs
+++ b/crates/front-lines/src/take_in.rs
@@ -10,16 +10,20 @@
 use std::time::Duration;
 
 use may::io::{CoIo, WaitIo};
-use nettlemux_policy::{MS, SEC, Time};
+use nettlemux_core::chain;
+use nettlemux_core::clock;
+use nettlemux_core::mail::Sender;
+use nettlemux_core::net::{Caller, LINGER};
+use nettlemux_core::orders::Event;
+use nettlemux_core::pool::{Buffer, Slot};
+use nettlemux_core::shared::Core;
+use nettlemux_core::wire;
+use nettlemux_policy::{MS, Time};
 use socket2::{Domain, Socket, Type};
 use tracing::{debug, warn};
 
-use crate::chain::{Core, serve};
-use crate::clock;
-use crate::mail::Sender;
-use crate::net::{Caller, Event};
-use crate::pool::{Buffer, Slot};
-use crate::wire;
+use crate::admit::admit;
+use crate::first::Known;
 
 /// Clients that may wait to be accepted: all of a balancer that died may come at once, and one that finds the
 /// queue full tries again only after a second.
@@ -30,8 +34,6 @@
 const FIRST_LINE: Time = 2500 * MS;
 /// One that has been in the lobby for less isn't sent away: its line may be on its way.
 const STAY: Time = 30 * MS;
-/// How long a client that has its answer may take to close.
-pub const LINGER: Time = SEC;
 /// Accepted at one go, and the pause before the next: guards against a flood that keeps the worker from flows, since
 /// the worker looks at sockets only once nobody is ready to run.
 const TURN: usize = 8;
@@ -155,20 +157,50 @@
     CoIo::new(socket.into()).map_err(|e| io::Error::other(e.to_string()))
 }
 
+/// What all connections of this front share.
+pub struct Front {
+    pub core: Arc<Core>,
+    pub known: Known,
+    pub lobby: Arc<Lobby>,
+}
+
+impl Front {
+    pub fn new(core: Arc<Core>, known: Known) -> Arc<Self> {
+        Arc::new(Front { core, known, lobby: Arc::default() })
+    }
+
+    /// One client's connection, from its first byte to its last.
+    fn serve(&self, stream: TcpStream, slot: Slot) {
+        let Some(taken) = self.first_line(stream, slot) else { return };
+        if let Some(admitted) = admit(&self.core, &self.known, taken) {
+            chain::serve(&self.core, admitted);
+        }
+    }
+
+    fn first_line(&self, stream: TcpStream, slot: Slot) -> Option<Taken> {
+        stream.set_nonblocking(true).ok()?;
+        let caller = Caller::new(stream, slot).map_err(|e| warn!(error = %e, "a connection is lost")).ok()?;
+        let guest = self.lobby.enter(caller.mailbox.sender());
+        let (bytes, at) = (self.core.buffers.take(), clock::now());
+        let taken = Taken { caller, _guest: guest, bytes, held: 0, line: (0, 0), at, until: at + FIRST_LINE };
+        taken.next_line(&self.core)
+    }
+}
+
 /// Accepts for as long as the program runs.
-pub fn accept(core: &Arc<Core>, listener: &CoIo<TcpListener>) {
+pub fn accept(front: &Arc<Front>, listener: &CoIo<TcpListener>) {
     let mut turn = 0;
     loop {
         // Taken before a connection is: one that there is no place for waits in the listener's queue.
-        let Some(slot) = core.shares.waiting.take(0) else {
-            core.lobby.make_room(clock::now());
+        let Some(slot) = front.core.shares.waiting.take(0) else {
+            front.lobby.make_room(clock::now());
             may::coroutine::sleep(PAUSE);
             continue;
         };
         match listener.inner().accept() {
             Ok((stream, _)) => {
-                let core = core.clone();
-                may::go!(move || serve(&core, stream, slot));
+                let front = front.clone();
+                may::go!(move || front.serve(stream, slot));
                 turn += 1;
                 if turn == TURN {
                     turn = 0;
@@ -189,11 +221,3 @@
         }
     }
 }
-
-pub fn first_line(core: &Core, stream: TcpStream, slot: Slot) -> Option<Taken> {
-    stream.set_nonblocking(true).ok()?;
-    let caller = Caller::new(stream, slot).map_err(|e| warn!(error = %e, "a connection is lost")).ok()?;
-    let guest = core.lobby.enter(caller.mailbox.sender());
-    let (bytes, at) = (core.buffers.take(), clock::now());
-    Taken { caller, _guest: guest, bytes, held: 0, line: (0, 0), at, until: at + FIRST_LINE }.next_line(core)
-}
--- /dev/null
+++ b/crates/hand/src/lib.rs
@@ -0,0 +1,352 @@
+//! The flows in a balancer's hands. A [`Hand`] owns one decision module, the flows that it has been asked about and the
+//! time at which it wants to be asked again; it turns what the module says into [`Act`]s, in the order in which they are to
+//! be carried out. The balancer on sockets, the adapter and the laboratory all keep their flows here, so that none of
+//! them keeps them differently. It has no I/O, clock, thread or chance of its own and must never decide
+//! anything: where a flow goes, whether it goes again and what is refused is the module's word.
+
+use std::collections::BTreeMap;
+
+use nettlemux_policy::{Connect, End, Flow, FlowId, Listed, Outcome, Place, Policy, Report, Rs, Time, Todo};
+
+/// What is asked of a decision module; times are nanoseconds of the caller's clock. [`Policy`] is the one that serves;
+/// the laboratory has others to compare it with.
+pub trait Brain {
+    fn place(&mut self, now: Time, flow: &Flow) -> Place;
+    fn after(&mut self, now: Time, outcome: Outcome) -> Todo;
+    fn wait(&self, now: Time) -> Option<Time>;
+    fn list(&mut self, now: Time, entries: &[Listed], whole: bool);
+    fn list_failed(&mut self, now: Time);
+    fn inherit(&mut self, flow: &Flow, rs: Rs);
+    fn told_load(&mut self, flow: FlowId, load: f64);
+}
+
+impl Brain for Policy {
+    fn place(&mut self, now: Time, flow: &Flow) -> Place {
+        Policy::place(self, now, flow)
+    }
+    fn after(&mut self, now: Time, outcome: Outcome) -> Todo {
+        Policy::after(self, now, outcome)
+    }
+    fn wait(&self, now: Time) -> Option<Time> {
+        Policy::wait(self, now)
+    }
+    fn list(&mut self, now: Time, entries: &[Listed], whole: bool) {
+        Policy::list(self, now, entries, whole);
+    }
+    fn list_failed(&mut self, now: Time) {
+        Policy::list_failed(self, now);
+    }
+    fn inherit(&mut self, flow: &Flow, rs: Rs) {
+        Policy::inherit(self, flow, rs);
+    }
+    fn told_load(&mut self, flow: FlowId, load: f64) {
+        Policy::told_load(self, flow, load);
+    }
+}
+
+/// What is to be carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Make this flow's connect of that number, and wait for it so long.
+    Connect {
+        flow: FlowId,
+        rs: Rs,
+        number: usize,
+        limit: Time,
+    },
+    Reject {
+        flow: FlowId,
+        come_back: Option<Time>,
+    },
+    Abort {
+        flow: FlowId,
+    },
+    /// Send its client away.
+    Move {
+        flow: FlowId,
+    },
+    /// Stop waiting for the connect of that number: its client is gone.
+    CallOff {
+        flow: FlowId,
+        number: usize,
+    },
+    Probe {
+        rs: Rs,
+    },
+    /// Ask for the list.
+    AskList,
+}
+
+struct InHand {
+    flow: Flow,
+    /// Still owed an answer.
+    owed: bool,
+}
+
+/// The flows in hand and the module that says what becomes of them.
+pub struct Hand<B = Policy> {
+    brain: B,
+    flows: BTreeMap<FlowId, InHand>,
+    /// Flows to ask about again.
+    held: Vec<FlowId>,
+}
+
+impl<B: Brain> Hand<B> {
+    pub fn new(brain: B) -> Self {
+        Hand { brain, flows: BTreeMap::new(), held: Vec::new() }
+    }
+
+    /// How long until [`Hand::elapsed`] is to be called at the latest; none where nothing is due.
+    pub fn wait(&self, now: Time) -> Option<Time> {
+        self.brain.wait(now)
+    }
+
+    /// A flow that has just been taken: it is owed an answer from now on.
+    pub fn take(&mut self, now: Time, flow: Flow, acts: &mut Vec<Act>) {
+        let place = self.brain.place(now, &flow);
+        let id = flow.id;
+        self.flows.insert(id, InHand { flow, owed: true });
+        self.answer(now, id, place, acts);
+    }
+
+    /// A connection that was open at that server before the balancer started.
+    pub fn inherit(&mut self, flow: Flow, rs: Rs) {
+        self.brain.inherit(&flow, rs);
+        self.flows.insert(flow.id, InHand { flow, owed: false });
+    }
+
+    /// A connect was answered with a connection: the client has its answer.
+    pub fn established(&mut self, now: Time, flow: FlowId, took: Time, acts: &mut Vec<Act>) {
+        if let Some(in_hand) = self.flows.get_mut(&flow) {
+            in_hand.owed = false;
+        }
+        let todo = self.brain.after(now, Outcome::Established { flow, took });
+        self.carry_out(todo, acts);
+    }
+
+    /// A connect, or the connection that it became, has ended. `never_ran`: the connect is known not to have run.
+    #[allow(clippy::too_many_arguments)]
+    pub fn ended(
+        &mut self,
+        now: Time,
+        (flow, number): (FlowId, usize),
+        rs: Rs,
+        (end, never_ran): (End, bool),
+        report: Report,
+        acts: &mut Vec<Act>,
+    ) {
+        // A load report that came with an answer counts like a probe's: it is the server's own word.
+        if report.beta.is_some() {
+            self.probed(now, rs, true, report, acts);
+        }
+        let mut owed = None;
+        if let Some(in_hand) = self.flows.get_mut(&flow) {
+            if let Some(connect) = in_hand.flow.connects.get_mut(number) {
+                (connect.out, connect.never_ran) = (false, never_ran);
+            }
+            owed = in_hand.owed.then_some(&in_hand.flow);
+        }
+        let todo = self.brain.after(now, Outcome::Ended { flow, rs, end, owed });
+        if let Some(place) = todo.place {
+            self.answer(now, flow, place, acts);
+        }
+        self.carry_out(todo, acts);
+    }
+
+    /// The client went away: it is owed nothing any more.
+    pub fn left(&mut self, now: Time, flow: FlowId, acts: &mut Vec<Act>) {
+        self.settle(flow);
+        let todo = self.brain.after(now, Outcome::Left { flow });
+        self.carry_out(todo, acts);
+    }
+
+    pub fn probed(&mut self, now: Time, rs: Rs, passed: bool, report: Report, acts: &mut Vec<Act>) {
+        let todo = self.brain.after(now, Outcome::Probed { rs, passed, report });
+        self.carry_out(todo, acts);
+    }
+
+    /// The wait has passed: what was held is asked about again.
+    pub fn elapsed(&mut self, now: Time, acts: &mut Vec<Act>) {
+        let todo = self.brain.after(now, Outcome::Elapsed);
+        for id in std::mem::take(&mut self.held) {
+            if let Some(in_hand) = self.flows.get(&id).filter(|f| f.owed) {
+                let place = self.brain.place(now, &in_hand.flow);
+                self.answer(now, id, place, acts);
+            }
+        }
+        self.carry_out(todo, acts);
+    }
+
+    pub fn told_load(&mut self, flow: FlowId, load: f64) {
+        self.brain.told_load(flow, load);
+    }
+
+    pub fn list(&mut self, now: Time, entries: &[Listed], whole: bool) {
+        self.brain.list(now, entries, whole);
+    }
+
+    pub fn list_failed(&mut self, now: Time) {
+        self.brain.list_failed(now);
+    }
+
+    /// The flow is owed no answer any more, for a reason that the module is not asked about.
+    pub fn settle(&mut self, flow: FlowId) {
+        if let Some(in_hand) = self.flows.get_mut(&flow) {
+            in_hand.owed = false;
+        }
+    }
+
+    /// Aborts a flow without asking the module, which has failed on it.
+    pub fn abort(&mut self, now: Time, flow: FlowId, acts: &mut Vec<Act>) {
+        self.answer(now, flow, Place::Abort, acts);
+    }
+
+    /// From now on no flow that is owed an answer has longer than till then; returns these.
+    pub fn cut_short(&mut self, at: Time) -> Vec<FlowId> {
+        let owed = self.flows.iter_mut().filter(|(_, f)| f.owed);
+        owed.map(|(id, in_hand)| {
+            in_hand.flow.give_up = in_hand.flow.give_up.min(at);
+            *id
+        })
+        .collect()
+    }
+
+    /// Nothing more comes of this flow: the one place where it is given back.
+    pub fn over(&mut self, flow: FlowId) {
+        self.flows.remove(&flow);
+    }
+
+    /// Whether the flow is still owed an answer.
+    pub fn owed(&self, flow: FlowId) -> bool {
+        self.flows.get(&flow).is_some_and(|f| f.owed)
+    }
+
+    /// Whether a connect of this flow is still out.
+    pub fn out(&self, flow: FlowId) -> bool {
+        self.flows.get(&flow).is_some_and(|f| f.flow.connects.iter().any(|c| c.out))
+    }
+
+    /// The flow as it was taken, with its connects so far.
+    pub fn flow(&self, flow: FlowId) -> Option<&Flow> {
+        self.flows.get(&flow).map(|in_hand| &in_hand.flow)
+    }
+
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
+    fn answer(&mut self, now: Time, id: FlowId, place: Place, acts: &mut Vec<Act>) {
+        let Some(in_hand) = self.flows.get_mut(&id) else { return };
+        acts.push(match place {
+            Place::To(rs, limit) => {
+                in_hand.flow.connects.push(Connect { rs, at: now, out: true, never_ran: false });
+                Act::Connect { flow: id, rs, number: in_hand.flow.connects.len() - 1, limit }
+            }
+            Place::NotYet => return self.held.push(id),
+            Place::Reject(come_back) => {
+                in_hand.owed = false;
+                Act::Reject { flow: id, come_back }
+            }
+            Place::Abort => {
+                in_hand.owed = false;
+                Act::Abort { flow: id }
+            }
+        });
+    }
+
+    fn carry_out(&mut self, todo: Todo, acts: &mut Vec<Act>) {
+        acts.extend(todo.probe.into_iter().map(|rs| Act::Probe { rs }));
+        acts.extend(todo.shift.into_iter().map(|flow| Act::Move { flow }));
+        let number = |flow| self.flow(flow).map_or(0, |f: &Flow| f.connects.len().saturating_sub(1));
+        acts.extend(todo.call_off.into_iter().map(|flow| Act::CallOff { flow, number: number(flow) }));
+        acts.extend(todo.ask_list.then_some(Act::AskList));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Says what the test wants next, and keeps what it was asked.
+    #[derive(Default)]
+    struct Script {
+        places: Vec<Place>,
+        owed: Vec<bool>,
+    }
+
+    impl Brain for Script {
+        fn place(&mut self, _: Time, _: &Flow) -> Place {
+            self.places.remove(0)
+        }
+        fn after(&mut self, now: Time, outcome: Outcome) -> Todo {
+            let mut todo = Todo::default();
+            match outcome {
+                Outcome::Ended { owed, .. } => {
+                    self.owed.push(owed.is_some());
+                    todo.place = owed.map(|flow| self.place(now, flow));
+                }
+                Outcome::Left { flow } => todo.call_off.push(flow),
+                Outcome::Probed { rs, .. } => (todo.probe, todo.shift) = (vec![rs], vec![9]),
+                _ => {}
+            }
+            todo
+        }
+        fn wait(&self, _: Time) -> Option<Time> {
+            None
+        }
+        fn list(&mut self, _: Time, _: &[Listed], _: bool) {}
+        fn list_failed(&mut self, _: Time) {}
+        fn inherit(&mut self, _: &Flow, _: Rs) {}
+        fn told_load(&mut self, _: FlowId, _: f64) {}
+    }
+
+    fn hand(places: &[Place]) -> Hand<Script> {
+        Hand::new(Script { places: places.to_vec(), ..Script::default() })
+    }
+
+    #[test]
+    fn a_flow_is_connected_again_and_answered_once() {
+        let mut hand = hand(&[Place::To(4, 70), Place::To(5, 60), Place::Reject(Some(8))]);
+        let mut acts = Vec::new();
+        hand.take(1, Flow { id: 7, ..Flow::default() }, &mut acts);
+        let report = Report { beta: Some(0.4), connections: None };
+        hand.ended(2, (7, 0), 4, (End::Full, true), report, &mut acts);
+        assert!(hand.out(7) && hand.flow(7).is_some_and(|f| f.connects[0].never_ran));
+        hand.ended(3, (7, 1), 5, (End::Cut, false), Report::default(), &mut acts);
+        assert_eq!(
+            acts,
+            [
+                Act::Connect { flow: 7, rs: 4, number: 0, limit: 70 },
+                Act::Probe { rs: 4 },
+                Act::Move { flow: 9 },
+                Act::Connect { flow: 7, rs: 5, number: 1, limit: 60 },
+                Act::Reject { flow: 7, come_back: Some(8) },
+            ]
+        );
+        // Guards against a second answer for a flow that has had its own.
+        hand.ended(4, (7, 1), 5, (End::Cut, false), Report::default(), &mut acts);
+        assert_eq!((acts.len(), hand.brain.owed.as_slice()), (5, &[true, true, false][..]));
+        hand.over(7);
+        assert!(hand.is_empty());
+    }
+
+    #[test]
+    fn what_is_held_is_asked_about_again_unless_its_client_has_left() {
+        let mut hand = hand(&[Place::NotYet, Place::NotYet, Place::To(4, 9)]);
+        let mut acts = Vec::new();
+        hand.take(1, Flow { id: 1, ..Flow::default() }, &mut acts);
+        hand.take(1, Flow { id: 2, ..Flow::default() }, &mut acts);
+        hand.left(2, 1, &mut acts);
+        hand.elapsed(3, &mut acts);
+        assert_eq!(
+            acts,
+            [Act::CallOff { flow: 1, number: 0 }, Act::Connect { flow: 2, rs: 4, number: 0, limit: 9 }]
+        );
+        assert_eq!(hand.cut_short(5), [2]);
+        assert_eq!(hand.flow(2).map(|f| f.give_up), Some(0));
+    }
+}
