Name unknown configuration keys, write logs as JSON, read an operator's file

Need: a misspelt 'limts' was accepted in silence and its limits with it, and features to come had no home in a file.

--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -10,6 +10,7 @@
 use nettlemux_core::discovery::{self, News};
 use nettlemux_policy::Time;
 use nettlemux_settings::Settings;
+use nettlemux_settings::operator::{self, Operator};
 use serde_json::Value;
 
 /// Where no limit is told. Many systems allow a process so many.
@@ -20,6 +21,11 @@
 const MEMORY_MB: u64 = 192;
 const LEAST_MEMORY_MB: u64 = 16;
 
+/// All keys that a configuration may have, and those under `limits`. `cores` is told and needs no acting on: all work is
+/// one worker's.
+const KEYS: [&str; 7] = ["name", "listen", "discovery", "seed", "limits", "known", "settings"];
+const LIMITS: [&str; 3] = ["cores", "memory_mb", "sockets"];
+
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
@@ -76,6 +82,13 @@
     parse(&text(&file)?, |name| env::var(name).ok())
 }
 
+/// Reads the operator's file; without one, the defaults.
+pub fn operator(file: Option<&Path>) -> Result<Operator, String> {
+    let Some(file) = file else { return Ok(Operator::default()) };
+    let text = fs::read_to_string(file).map_err(|e| format!("operator's file {}: {e}", file.display()))?;
+    operator::parse(&text).map_err(|e| e.to_string())
+}
+
 fn text(file: &Path) -> Result<String, Faulty> {
     fs::read_to_string(file).map_err(|e| Faulty::new("LB_CONFIG", format!("{}: {e}", file.display())))
 }
@@ -87,6 +100,18 @@
     if !value.is_object() {
         return Err(Faulty::new("(whole file)", "no object"));
     }
+    // Guards against a slip of the pen that silently costs a limit. What stands in `settings` is the platform's.
+    let keys =
+        |value: &Value| value.as_object().into_iter().flatten().map(|(k, _)| k.clone()).collect::<Vec<_>>();
+    let check = |value: &Value, known: &[&str], path: &str| {
+        let names = keys(value);
+        nettlemux_settings::known(names.iter().map(String::as_str), known)
+            .map_err(|(key, why)| Faulty::new(&format!("{path}{key}"), why))
+    };
+    check(&value, &KEYS, "")?;
+    if let Some(limits) = value.get("limits") {
+        check(limits, &LIMITS, "limits.")?;
+    }
     let told = |key: &str, variable: &str| match value.get(key) {
         Some(Value::String(text)) => Ok(Some(text.clone())),
         Some(other) => Err(Faulty::new(key, format!("{other} is no text"))),
--- a/crates/balancer/src/log.rs
+++ b/crates/balancer/src/log.rs
@@ -7,6 +7,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Instant;
 
+use nettlemux_settings::operator::Format;
 use tracing::callsite::Identifier;
 use tracing::{Level, Metadata};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
@@ -20,7 +21,7 @@
 const A_SECOND: u64 = 20;
 
 /// Starts the log; what waits is written when the guard is dropped.
-pub fn start(level: Level) -> WorkerGuard {
+pub fn start(level: Level, format: Format) -> WorkerGuard {
     let (writer, guard) =
         NonBlockingBuilder::default().buffered_lines_limit(LINES).lossy(true).finish(std::io::stderr());
     let counts = Mutex::new(Counts::default());
@@ -34,17 +35,33 @@
         let (allowed, left_out) = counts.count(metadata.callsite(), since.elapsed().as_secs());
         if left_out > 0 {
             let (target, line) = (metadata.target(), metadata.line().unwrap_or(0));
-            let _ =
-                writeln!(out.clone(), "{target}:{line}: {left_out} more lines like the next were left out");
+            let _ = out.clone().write_all(left_out_line(format, target, line, left_out).as_bytes());
         }
         allowed
     };
+    let filter = dynamic_filter_fn(move |metadata: &Metadata, _: &_| allowed(metadata));
     let lines = tracing_subscriber::fmt::layer().with_ansi(false).with_writer(move || writer.clone());
-    let lines = lines.with_filter(dynamic_filter_fn(move |metadata, _| allowed(metadata)));
-    tracing_subscriber::registry().with(LevelFilter::from_level(level)).with(lines).init();
+    let registry = tracing_subscriber::registry().with(LevelFilter::from_level(level));
+    match format {
+        Format::Text => registry.with(lines.with_filter(filter)).init(),
+        Format::Json => registry.with(lines.json().flatten_event(true).with_filter(filter)).init(),
+    }
     guard
 }
 
+/// The line that stands for those that were left out, in the form of all others.
+fn left_out_line(format: Format, target: &str, line: u32, left_out: u64) -> String {
+    let message = "lines like the next were left out";
+    match format {
+        Format::Text => format!("{target}:{line}: {left_out} more {message}\n"),
+        Format::Json => {
+            let object =
+                serde_json::json!({"message": message, "target": target, "line": line, "left_out": left_out});
+            format!("{object}\n")
+        }
+    }
+}
+
 /// How many lines came from each place in its current second.
 #[derive(Default)]
 struct Counts(HashMap<Identifier, (u64, u64)>);
@@ -78,6 +95,17 @@
         assert_eq!(counts.count(place, 9), (true, 0));
     }
 
+    #[test]
+    fn a_line_for_those_left_out_is_an_object_where_all_are() {
+        let line = left_out_line(Format::Json, "a \"b\"", 7, 480);
+        let read: serde_json::Value = serde_json::from_str(line.trim_end()).unwrap();
+        assert_eq!((&read["left_out"], line.matches('\n').count()), (&serde_json::json!(480), 1));
+        assert_eq!(
+            left_out_line(Format::Text, "a", 7, 480),
+            "a:7: 480 more lines like the next were left out\n"
+        );
+    }
+
     struct Place;
     static PLACE: Place = Place;
     impl tracing::Callsite for Place {
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -5,6 +5,7 @@
 mod log;
 mod signals;
 
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 use nettlemux_front_lines::first::Known;
 use nettlemux_front_lines::take_in::{self, Front};
 use nettlemux_policy::{MS, State, Time};
+use nettlemux_settings::operator::{self, Format};
 use signal_hook::iterator::Signals;
 use tracing::{Level, error, info};
 
@@ -34,41 +36,66 @@
 const STACK: usize = 0x2000;
 #[derive(Clone)]
 enum Command {
-    Serve { config: Option<PathBuf>, log: Level },
-    Check { config: Option<PathBuf> },
+    Serve { config: Option<PathBuf>, operator: Option<PathBuf>, log: Option<Level>, format: Option<Format> },
+    Check { config: Option<PathBuf>, operator: Option<PathBuf> },
+    Schema,
     Version,
 }
 
 fn command() -> bpaf::OptionParser<Command> {
-    fn file() -> impl Parser<Option<PathBuf>> {
+    fn config() -> impl Parser<Option<PathBuf>> {
         let help = "the configuration, as JSON; without it, the file that LB_CONFIG names";
         long("config").help(help).argument::<PathBuf>("FILE").optional()
     }
-    let level = long("log").help("error, warn, info, debug or trace").argument::<Level>("LEVEL");
-    let (config, log) = (file(), level.fallback(Level::INFO));
-    let serve = construct!(Command::Serve { config, log }).to_options();
+    fn operator() -> impl Parser<Option<PathBuf>> {
+        long("operator").help("the operator's file, as TOML").argument::<PathBuf>("FILE").optional()
+    }
+    let log = long("log").help("error, warn, info, debug or trace").argument::<Level>("LEVEL").optional();
+    let format = long("log-format").help("text, or json: one object a line").argument::<String>("FORMAT");
+    let format = format
+        .parse(|word| match word.as_str() {
+            "text" => Ok(Format::Text),
+            "json" => Ok(Format::Json),
+            other => Err(format!("'{other}' is neither text nor json")),
+        })
+        .optional();
+    let (config_, operator_) = (config(), operator());
+    let serve = construct!(Command::Serve { config(config_), operator(operator_), log, format }).to_options();
     let serve = serve.descr("Run the balancer until SIGTERM").command("serve");
-    let config = file();
-    let check = construct!(Command::Check { config }).to_options();
+    let (config, operator) = (config(), operator());
+    let check = construct!(Command::Check { config, operator }).to_options();
     let check = check.descr("Check a configuration and say what is wrong with it").command("check");
+    let schema = pure(Command::Schema).to_options().descr("Print the JSON schema of the operator's file");
+    let schema = schema.command("schema");
     let version = pure(Command::Version).to_options().descr("Print the version").command("version");
-    construct!([serve, check, version]).to_options().descr("A balancer for long-lived connections")
+    construct!([serve, check, schema, version]).to_options().descr("A balancer for long-lived connections")
 }
 
 fn main() -> ExitCode {
     // Before all else: a SIGHUP that nobody handles ends the process.
     let signals = signals::catch();
     let done = match command().run() {
-        Command::Serve { config: file, log } => {
+        Command::Serve { config: file, operator, log, format } => {
             config::load(file.clone()).map_err(|e| e.to_string()).and_then(|config| {
-                let _guard = log::start(log);
+                let operator = config::operator(operator.as_deref())?;
+                let level = log.unwrap_or(level(operator.log.level));
+                let _guard = log::start(level, format.unwrap_or(operator.log.format));
                 let signals = signals.map_err(|e| format!("can't listen for signals: {e}"))?;
                 serve(config, file, signals)
             })
         }
-        Command::Check { config } => config::load(config).map_err(|e| e.to_string()).map(|config| {
-            println!("{}: listens at {}, asks {}: good", config.name, config.listen, config.discovery);
-        }),
+        Command::Check { config, operator } => {
+            config::load(config).map_err(|e| e.to_string()).and_then(|config| {
+                config::operator(operator.as_deref())?;
+                println!("{}: listens at {}, asks {}: good", config.name, config.listen, config.discovery);
+                Ok(())
+            })
+        }
+        Command::Schema => {
+            // A reader that has seen enough is no fault.
+            let _ = writeln!(std::io::stdout(), "{:#}", operator::schema());
+            Ok(())
+        }
         Command::Version => {
             println!("nettlemux {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -83,6 +110,16 @@
     }
 }
 
+fn level(level: operator::Level) -> Level {
+    match level {
+        operator::Level::Error => Level::ERROR,
+        operator::Level::Warn => Level::WARN,
+        operator::Level::Info => Level::INFO,
+        operator::Level::Debug => Level::DEBUG,
+        operator::Level::Trace => Level::TRACE,
+    }
+}
+
 fn serve(mut config: Config, file: Option<PathBuf>, signals: Signals) -> Result<(), String> {
     // One core is all there is: one worker, free to run where the system puts it.
     may::config().set_workers(1).set_stack_size(STACK).set_worker_pin(false);
--- a/crates/balancer/tests/sockets.rs
+++ b/crates/balancer/tests/sockets.rs
@@ -547,9 +547,47 @@
         ("\"dial-timeout\": 250000", "\"dial-timeout\": \"soon\"", "'settings.limits.dial-timeout'"),
         ("single_shot", "sometimes", "'settings.repeat'"),
         ("\"settings\"", "\"known\": {}, \"settings\"", "'known'"),
-        ("\"settings\"", "\"set\"", "'settings'"),
+        ("\"settings\"", "\"setings\"", "'setings': unknown; is 'settings' meant?"),
+        // Guards against a limit that a slip of the pen lets go of in silence.
+        ("\"limits\"", "\"limts\"", "'limts': unknown; is 'limits' meant?"),
+        ("\"sockets\"", "\"socket\"", "'limits.socket': unknown; is 'sockets' meant?"),
     ] {
         let (good, text) = check(&EXAMPLE.replacen(from, to, 1));
         assert!(!good && text.contains(key) && !text.contains("panicked"), "{key}: {text}");
     }
 }
+
+#[test]
+fn the_operators_file_is_read_and_the_log_comes_as_objects() {
+    let name = |kind| std::env::temp_dir().join(format!("nettlemux-operator-{}-{kind}", std::process::id()));
+    let (config, operator) = (name("config.json"), name("operator.toml"));
+    let at = own_address().to_string();
+    std::fs::write(&config, EXAMPLE.replace("127.0.0.1:7000", &at)).unwrap();
+    let command = |word: &str| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
+        command.arg(word).arg("--config").arg(&config).arg("--operator").arg(&operator);
+        command
+    };
+    std::fs::write(&operator, "[log]\nformt = \"json\"\n").unwrap();
+    let output = command("check").output().unwrap();
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success() && text.contains("'log.formt': unknown; is 'format' meant?"), "{text}");
+    std::fs::write(&operator, "[log]\nformat = \"json\"\n").unwrap();
+    assert!(command("check").status().unwrap().success());
+    let mut child = command("serve").stderr(Stdio::piped()).spawn().unwrap();
+    soon("PONG", || TcpStream::connect(&at).is_ok());
+    assert!(Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap().success());
+    assert!(child.wait().unwrap().success());
+    let mut log = String::new();
+    child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+    let objects: Vec<serde_json::Value> =
+        log.lines().map(|line| serde_json::from_str(line).expect("an object a line")).collect();
+    assert!(
+        objects.iter().any(|object| object["message"] == "serving" && object["sockets"] == 1024),
+        "{log}"
+    );
+    let schema = Command::new(env!("CARGO_BIN_EXE_nettlemux")).arg("schema").output().unwrap();
+    let schema: serde_json::Value = serde_json::from_slice(&schema.stdout).unwrap();
+    assert!(schema["properties"]["log"].is_object());
+    let _ = (std::fs::remove_file(config), std::fs::remove_file(operator));
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,11 +1,16 @@
 //! The settings that a balancer gets at its start, the same object on every wire, and the [`Policy`] made
-//! from them. It owns the names and units of the settings and must never decide anything.
+//! from them; beside it the operator's file. It owns the names and units of the settings and must never decide anything.
+
+mod keys;
+pub mod operator;
 
 use std::fmt;
 
 use nettlemux_policy::{Policy, Repeat, Report, Scope, ServiceType, Time};
 use serde_json::Value;
 
+pub use crate::keys::{known, nearest};
+
 const US: Time = 1_000;
 
 #[derive(Debug)]
