--- a/crates/hand/src/lib.rs
+++ b/crates/hand/src/lib.rs
@@ -44,6 +44,30 @@
     }
 }
 
+impl Brain for Box<dyn Brain> {
+    fn place(&mut self, now: Time, flow: &Flow) -> Place {
+        (**self).place(now, flow)
+    }
+    fn after(&mut self, now: Time, outcome: Outcome) -> Todo {
+        (**self).after(now, outcome)
+    }
+    fn wait(&self, now: Time) -> Option<Time> {
+        (**self).wait(now)
+    }
+    fn list(&mut self, now: Time, entries: &[Listed], whole: bool) {
+        (**self).list(now, entries, whole);
+    }
+    fn list_failed(&mut self, now: Time) {
+        (**self).list_failed(now);
+    }
+    fn inherit(&mut self, flow: &Flow, rs: Rs) {
+        (**self).inherit(flow, rs);
+    }
+    fn told_load(&mut self, flow: FlowId, load: f64) {
+        (**self).told_load(flow, load);
+    }
+}
+
 /// What is to be carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Act {
--- /dev/null
+++ b/crates/lab/src/brains.rs
@@ -0,0 +1,205 @@
+//! What a balancer's decisions may come from in virtual time: the decision module, or a textbook baseline to hold it against.
+//! Baselines keep the rules on repeats and drains, as any sound balancer would, and know nothing of load reports, cold
+//! servers or moving: they place by their own counts alone. Each owns its draws.
+
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+use nettlemux_hand::Brain;
+use nettlemux_policy::{
+    Flow, FlowId, Listed, MS, Outcome, Place, Policy, Repeat, Rs, Scope, ServiceType, State, Time, Todo,
+};
+use nettlemux_settings::Settings;
+use nettlemux_world::dice::Dice;
+
+/// How long before a connect timeout a balancer answers in virtual time, as one on sockets does.
+pub const MARGIN: Time = 15 * MS;
+/// What those who are turned away by a baseline are told at most.
+const COME_BACK: [f64; 2] = [0.25, 1.0];
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Module,
+    Random,
+    RoundRobin,
+    LeastConnections,
+    PowerOfTwo,
+}
+
+impl Kind {
+    pub const BASELINES: [Kind; 4] =
+        [Kind::Random, Kind::RoundRobin, Kind::LeastConnections, Kind::PowerOfTwo];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Module => "module",
+            Kind::Random => "random",
+            Kind::RoundRobin => "round-robin",
+            Kind::LeastConnections => "least-connections",
+            Kind::PowerOfTwo => "power-of-two",
+        }
+    }
+
+    /// A brain for one balancer.
+    pub fn brain(self, settings: &Settings, seed: u64) -> Box<dyn Brain> {
+        match self {
+            Kind::Module => Box::new(module(settings, seed)),
+            _ => Box::new(Baseline::new(self, settings, seed)),
+        }
+    }
+}
+
+impl FromStr for Kind {
+    type Err = String;
+    fn from_str(name: &str) -> Result<Self, String> {
+        let mut all = Kind::BASELINES.into_iter().chain([Kind::Module]);
+        all.find(|kind| kind.name() == name).ok_or_else(|| {
+            format!("'{name}' is none of module, random, round-robin, least-connections, power-of-two")
+        })
+    }
+}
+
+/// The decision module as a balancer on sockets has it.
+pub fn module(settings: &Settings, seed: u64) -> Policy {
+    settings.policy(seed, MARGIN, true).expect("settings made by the lab")
+}
+
+struct Baseline {
+    kind: Kind,
+    dice: Dice,
+    types: Vec<ServiceType>,
+    connects: usize,
+    servers: BTreeMap<Rs, Listed>,
+    /// Our connections and connects on each.
+    own: BTreeMap<Rs, usize>,
+    flows: BTreeMap<FlowId, Rs>,
+    turn: usize,
+}
+
+impl Baseline {
+    fn new(kind: Kind, settings: &Settings, seed: u64) -> Self {
+        Baseline {
+            kind,
+            dice: Dice::new(seed, 9),
+            types: settings.service_types().expect("settings made by the lab"),
+            connects: settings.number("limits/max-connects").unwrap_or(1.0) as usize,
+            servers: BTreeMap::new(),
+            own: BTreeMap::new(),
+            flows: BTreeMap::new(),
+            turn: 0,
+        }
+    }
+
+    /// Whether a repeat there can do no harm.
+    fn safe(&self, now: Time, flow: &Flow, server: &Listed) -> bool {
+        let mut ran = flow.connects.iter().filter(|c| !c.never_ran);
+        match self.types[flow.service_type].repeat {
+            Repeat::Repeatable => true,
+            Repeat::OnceOnly => ran.next().is_none(),
+            Repeat::Referenced(scope, window) => ran.all(|c| {
+                let first = self.servers.get(&c.rs);
+                let same = match scope {
+                    Scope::All => true,
+                    Scope::Hall => first.is_some_and(|first| first.hall == server.hall),
+                    Scope::Cell => first.is_some_and(|first| first.cell == server.cell),
+                };
+                same && now + MARGIN < c.at + window
+            }),
+        }
+    }
+
+    fn give_up(&mut self, flow: &Flow) -> Place {
+        let ran = flow.connects.iter().any(|c| !c.never_ran);
+        match self.types[flow.service_type].repeat {
+            Repeat::OnceOnly if ran => Place::Abort,
+            Repeat::Referenced(scope, _) if ran && scope != Scope::All => Place::Abort,
+            _ => Place::Reject(Some((self.dice.between(COME_BACK[0], COME_BACK[1]) * 1e9) as Time)),
+        }
+    }
+
+    fn held(&self, rs: Rs) -> usize {
+        self.own.get(&rs).copied().unwrap_or(0)
+    }
+
+    fn enter(&mut self, flow: FlowId, rs: Rs) {
+        self.strike(flow);
+        self.flows.insert(flow, rs);
+        *self.own.entry(rs).or_default() += 1;
+    }
+
+    fn strike(&mut self, flow: FlowId) {
+        if let Some(rs) = self.flows.remove(&flow)
+            && let Some(count) = self.own.get_mut(&rs)
+        {
+            *count -= 1;
+        }
+    }
+}
+
+impl Brain for Baseline {
+    fn place(&mut self, now: Time, flow: &Flow) -> Place {
+        let left = flow.give_up.saturating_sub(now + MARGIN);
+        if left == 0 || flow.connects.len() >= self.connects || flow.connects.iter().any(|c| c.out) {
+            return self.give_up(flow);
+        }
+        let ready = self.servers.values().filter(|s| s.state == State::Ready && self.safe(now, flow, s));
+        let all: Vec<Rs> = ready.map(|server| server.rs).collect();
+        let fresh: Vec<Rs> =
+            all.iter().copied().filter(|rs| flow.connects.iter().all(|c| c.rs != *rs)).collect();
+        let among = if fresh.is_empty() { all } else { fresh };
+        if among.is_empty() {
+            return self.give_up(flow);
+        }
+        self.turn += 1;
+        let start = self.dice.below(among.len());
+        let rs = match self.kind {
+            Kind::Random | Kind::Module => among[start],
+            Kind::RoundRobin => among[self.turn % among.len()],
+            // Ties fall anywhere, so that balancers don't fill the first server together.
+            Kind::LeastConnections => {
+                let order = (0..among.len()).map(|i| among[(start + i) % among.len()]);
+                order.min_by_key(|rs| self.held(*rs)).expect("not empty")
+            }
+            Kind::PowerOfTwo => {
+                let two = [among[start], among[self.dice.below(among.len())]];
+                two.into_iter().min_by_key(|rs| self.held(*rs)).expect("two")
+            }
+        };
+        self.enter(flow.id, rs);
+        // Each try gets its part of the time that is left.
+        let tries = (self.connects - flow.connects.len()) as u64;
+        Place::To(rs, left / tries.max(1))
+    }
+
+    fn after(&mut self, now: Time, outcome: Outcome) -> Todo {
+        let mut todo = Todo::default();
+        match outcome {
+            Outcome::Ended { flow, owed, .. } => {
+                self.strike(flow);
+                todo.place = owed.map(|flow| self.place(now, flow));
+            }
+            Outcome::Left { flow } => todo.call_off.extend(self.flows.contains_key(&flow).then_some(flow)),
+            _ => {}
+        }
+        todo
+    }
+
+    fn wait(&self, _: Time) -> Option<Time> {
+        None
+    }
+
+    fn list(&mut self, _: Time, entries: &[Listed], whole: bool) {
+        if whole {
+            self.servers.clear();
+        }
+        self.servers.extend(entries.iter().map(|entry| (entry.rs, *entry)));
+    }
+
+    fn list_failed(&mut self, _: Time) {}
+
+    fn inherit(&mut self, flow: &Flow, rs: Rs) {
+        self.enter(flow.id, rs);
+    }
+
+    fn told_load(&mut self, _: FlowId, _: f64) {}
+}
--- /dev/null
+++ b/crates/lab/src/experiment.rs
@@ -0,0 +1,231 @@
+//! Experiments in virtual time: the same seeds under two brains, one key over several values, and a hunt for the worst day. It
+//! owns how runs are shared out among threads; each run is its own, so what comes out doesn't depend on their number.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+use nettlemux_world::dice::Dice;
+use nettlemux_world::fault::{Fault, Leaving, What};
+use nettlemux_world::scenario::Scenario;
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+use crate::brains::Kind;
+use crate::figures::Figures;
+use crate::rules::Verdict;
+use crate::simulate::{Outcome, Who, simulate};
+
+/// Runs without a record, in order of the list, on so many threads.
+pub fn all(runs: &[(Scenario, u64, Who)], threads: usize) -> Vec<Outcome> {
+    let next = AtomicUsize::new(0);
+    let done: Mutex<Vec<Option<Outcome>>> = Mutex::new(runs.iter().map(|_| None).collect());
+    std::thread::scope(|scope| {
+        for _ in 0..threads.clamp(1, 64).min(runs.len().max(1)) {
+            scope.spawn(|| {
+                while let Some((scenario, seed, who)) = runs.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let index =
+                        runs.iter().position(|run| std::ptr::eq(&run.0, scenario)).expect("one of them");
+                    let outcome = simulate(scenario, *seed, *who, None).expect("nothing is written");
+                    done.lock().unwrap_or_else(PoisonError::into_inner)[index] = Some(outcome);
+                }
+            });
+        }
+    });
+    let done = done.into_inner().unwrap_or_else(PoisonError::into_inner);
+    done.into_iter().map(|outcome| outcome.expect("each was run")).collect()
+}
+
+/// A mean and the half-width of its 95 % interval (Student's t); no interval for one value.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    pub mean: f64,
+    pub within: Option<f64>,
+}
+
+pub fn estimate(values: &[f64]) -> Estimate {
+    let count = values.len() as f64;
+    let mean = values.iter().sum::<f64>() / count;
+    if values.len() < 2 {
+        return Estimate { mean, within: None };
+    }
+    let variance = values.iter().map(|value| (value - mean).powi(2)).sum::<f64>() / (count - 1.0);
+    let t = StudentsT::new(0.0, 1.0, count - 1.0).expect("more than one value").inverse_cdf(0.975);
+    Estimate { mean, within: Some(t * (variance / count).sqrt()) }
+}
+
+/// One figure under both, and the paired difference.
+#[derive(Clone, Debug)]
+pub struct Row {
+    pub name: &'static str,
+    pub a: Estimate,
+    pub b: Estimate,
+    pub difference: Estimate,
+}
+
+/// The same seeds under two brains.
+pub fn compare(scenario: &Scenario, a: Who, b: Who, seeds: u64, threads: usize) -> Vec<Row> {
+    let each = |who| (0..seeds).map(move |k| (scenario.clone(), scenario.seed + k, who));
+    let runs: Vec<_> = each(a).chain(each(b)).collect();
+    let outcomes = all(&runs, threads);
+    let (first, second) = outcomes.split_at(seeds as usize);
+    rows(&figures(first), &figures(second))
+}
+
+fn figures(outcomes: &[Outcome]) -> Vec<Figures> {
+    outcomes.iter().map(|outcome| outcome.figures.clone()).collect()
+}
+
+/// Pairs of figures from the same seeds.
+pub fn rows(a: &[Figures], b: &[Figures]) -> Vec<Row> {
+    let names = crate::figures::NAMES.iter().map(|(name, _)| *name);
+    names
+        .map(|name| {
+            let of = |all: &[Figures]| all.iter().map(|figures| figures.get(name)).collect::<Vec<_>>();
+            let (a, b) = (of(a), of(b));
+            let difference: Vec<f64> = a.iter().zip(&b).map(|(a, b)| a - b).collect();
+            Row { name, a: estimate(&a), b: estimate(&b), difference: estimate(&difference) }
+        })
+        .collect()
+}
+
+/// What a hunt has found.
+pub struct Found {
+    pub scenario: Scenario,
+    /// How bad it is, by [`badness`].
+    pub badness: f64,
+    pub verdict: Verdict,
+    pub tried: usize,
+}
+
+/// How bad a day is: what the best baseline serves beyond the module, and 1 for each rule that the module breaks.
+fn badness(module: &Outcome, baselines: &[Outcome]) -> f64 {
+    let best = baselines.iter().map(|b| b.figures.get("worth")).fold(0.0, f64::max);
+    module.verdict.broken.len() as f64 + best - module.figures.get("worth")
+}
+
+fn judge(scenarios: &[Scenario], threads: usize) -> Vec<(f64, Verdict)> {
+    let baselines = [Kind::LeastConnections, Kind::RoundRobin];
+    let each = |s: &Scenario| {
+        let whos = std::iter::once(Kind::Module).chain(baselines);
+        whos.map(|kind| (s.clone(), s.seed, Who::Brain(kind))).collect::<Vec<_>>()
+    };
+    let runs: Vec<_> = scenarios.iter().flat_map(each).collect();
+    let mut outcomes = all(&runs, threads).into_iter();
+    let of = 1 + baselines.len();
+    let mut out = Vec::new();
+    for _ in scenarios {
+        let mut day: Vec<Outcome> = outcomes.by_ref().take(of).collect();
+        let rest = day.split_off(1);
+        let module = day.pop().expect("the module's");
+        out.push((badness(&module, &rest), module.verdict));
+    }
+    out
+}
+
+/// Draws days of up to three faults, keeps the worst and cuts it down while it stays nearly as bad.
+pub fn hunt(scenario: &Scenario, seed: u64, tries: usize, threads: usize) -> Found {
+    let mut dice = Dice::new(seed, 21);
+    let days: Vec<Scenario> = (0..tries.max(1))
+        .map(|_| {
+            let mut day = scenario.clone();
+            day.faults = (0..1 + dice.below(3)).map(|_| draw(&day, &mut dice)).collect();
+            day.expect.clear();
+            day
+        })
+        .collect();
+    let judged = judge(&days, threads);
+    let worst = (0..judged.len()).max_by(|a, b| judged[*a].0.total_cmp(&judged[*b].0)).expect("one at least");
+    let (mut found, mut bad) = (days[worst].clone(), judged[worst].clone());
+    let mut tried = days.len();
+    // Each round offers all days that are smaller by one step and takes the first that is nearly as bad.
+    while let Some((smaller, as_bad, looked)) = smaller(&found, bad.0, threads) {
+        tried += looked;
+        (found, bad) = (smaller, as_bad);
+    }
+    found.name = format!("{}-hunted", scenario.name);
+    Found { scenario: found, badness: bad.0, verdict: bad.1, tried }
+}
+
+/// So much of its badness a day keeps that is cut down.
+const KEPT: f64 = 0.8;
+
+fn smaller(of: &Scenario, bad: f64, threads: usize) -> Option<(Scenario, (f64, Verdict), usize)> {
+    let mut days = Vec::new();
+    for i in 0..of.faults.len() {
+        if of.faults.len() > 1 {
+            let mut day = of.clone();
+            day.faults.remove(i);
+            days.push(day);
+        }
+        if of.faults[i].lasts > 4.0 {
+            let mut day = of.clone();
+            day.faults[i].lasts = (day.faults[i].lasts / 2.0).round();
+            days.push(day);
+        }
+    }
+    let judged = judge(&days, threads);
+    let looked = days.len();
+    let first = judged.iter().position(|(badness, _)| *badness >= KEPT * bad && *badness > 0.0)?;
+    Some((days.swap_remove(first), judged[first].clone(), looked))
+}
+
+fn draw(scenario: &Scenario, dice: &mut Dice) -> Fault {
+    const KINDS: [What; 18] = [
+        What::Crash,
+        What::Vanish,
+        What::Slow,
+        What::Decay,
+        What::Neighbour,
+        What::StuckReports,
+        What::AbsurdReports,
+        What::FastErrors,
+        What::ProbesFail,
+        What::HallCut,
+        What::StoreSlow,
+        What::ListSilent,
+        What::ListWrong,
+        What::Grow,
+        What::Shrink,
+        What::Roll,
+        What::RestartInTurn,
+        What::Surge,
+    ];
+    let what = KINDS[dice.below(KINDS.len())];
+    let half = |value: f64| (value * 2.0).round() / 2.0;
+    let amount = match what {
+        What::Slow | What::Decay => dice.between(0.2, 0.7),
+        What::Neighbour => dice.between(0.2, 0.6),
+        What::AbsurdReports => [0.0, 0.05, 5.0][dice.below(3)],
+        What::StoreSlow => dice.between(0.05, 0.4),
+        What::RestartInTurn => 1.0,
+        What::Surge => dice.between(1.3, 3.0),
+        _ => 0.0,
+    };
+    let latest = (scenario.seconds - scenario.settle) * 0.6;
+    Fault {
+        what,
+        at: half(scenario.settle + dice.between(1.0, latest.max(1.0))).min(scenario.seconds - 0.5),
+        lasts: half(dice.between(4.0, 20.0)),
+        share: if what == What::RestartInTurn {
+            0.0
+        } else {
+            (dice.between(0.05, 0.4) * 20.0).round() / 20.0
+        },
+        who: Vec::new(),
+        hall: dice.below(scenario.halls.number),
+        amount: (amount * 100.0).round() / 100.0,
+        leaving: [Leaving::Keeps, Leaving::BitByBit, Leaving::AllAtOnce][dice.below(3)],
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn intervals_are_students() {
+        assert_eq!(estimate(&[2.0]), Estimate { mean: 2.0, within: None });
+        let two = estimate(&[1.0, 3.0]);
+        // t with one degree of freedom at 97.5 % is 12.706.
+        assert!((two.mean - 2.0).abs() < 1e-12 && (two.within.unwrap() - 12.706).abs() < 0.01);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/figures.rs
@@ -0,0 +1,246 @@
+//! The figures of a run, by name: gathered by a driver, told as a table, as JSON and against expectations. It owns their names;
+//! what a name means is the same for both drivers.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use hdrhistogram::Histogram;
+use nettlemux_policy::{SEC, Time};
+use nettlemux_world::scenario::{Expect, Scenario};
+use nettlemux_world::seen::Final;
+use serde_json::{Value, json};
+
+use crate::rules::Verdict;
+
+/// All figures, each with what it means.
+pub const NAMES: [(&str, &str); 24] = [
+    ("worth", "part of the worth wanted that was served in time, from the settling on"),
+    ("worth_worst", "the same in the worst 5 s"),
+    ("setup_p50", "seconds from a flow's taking to its connection, median"),
+    ("setup_p99", "the same, 99th percentile"),
+    ("setup_in_target", "part of established flows that were so within their target"),
+    (
+        "message_p50",
+        "seconds of a message on average on the server where it is, median over connections and time",
+    ),
+    ("message_p99", "the same, 99th percentile"),
+    ("flows", "flows taken"),
+    ("established", "part of the flows answered that were established"),
+    ("rejected", "part that was rejected"),
+    ("aborted", "part that was aborted"),
+    ("unanswered", "flows whose client gave up without an answer"),
+    ("connects_per_flow", "connects made for each flow"),
+    ("moves_per_established", "connections moved by balancers for each established"),
+    ("lost_per_established", "connections reset by servers or with their balancer for each established"),
+    ("reconnects_worst", "returning clients in the worst second"),
+    ("spread", "deviation of the servers' load over their mean, on average"),
+    ("hot", "part of server time over 0.8 of capacity"),
+    ("fell", "cold servers that fell over"),
+    ("clients_lost", "clients that gave up for good"),
+    ("standing", "connections at the end"),
+    ("rules_broken", "breaks of the four rules"),
+    ("probes", "probes made"),
+    ("steps", "events of virtual time, or lines on sockets"),
+];
+
+/// Counts and histograms while a run goes on.
+pub struct Gather {
+    settle: Time,
+    wanted: f64,
+    served: f64,
+    recent: (Time, f64, f64),
+    worst: f64,
+    setup: Histogram<u64>,
+    message: Histogram<u64>,
+    in_target: u64,
+    pub flows: u64,
+    answers: BTreeMap<Final, u64>,
+    pub unanswered: u64,
+    pub connects: u64,
+    pub moves: u64,
+    pub lost: u64,
+    returning: (Time, u64, u64),
+    spread: (f64, f64),
+    hot: (f64, f64),
+    pub fell: u64,
+    pub clients_lost: u64,
+    pub probes: u64,
+    pub steps: u64,
+}
+
+/// Worth is looked at over so long for its worst.
+const STRETCH: Time = 5 * SEC;
+/// The figure past which a server is hot, as the design has it.
+const HOT: f64 = 0.8;
+
+fn histogram() -> Histogram<u64> {
+    // Microseconds to ten minutes, three digits.
+    Histogram::new_with_bounds(1, 600_000_000, 3).expect("fixed bounds")
+}
+
+impl Gather {
+    pub fn new(settle: Time) -> Self {
+        Gather {
+            settle,
+            wanted: 0.0,
+            served: 0.0,
+            recent: (settle, 0.0, 0.0),
+            worst: 1.0,
+            setup: histogram(),
+            message: histogram(),
+            in_target: 0,
+            flows: 0,
+            answers: BTreeMap::new(),
+            unanswered: 0,
+            connects: 0,
+            moves: 0,
+            lost: 0,
+            returning: (0, 0, 0),
+            spread: (0.0, 0.0),
+            hot: (0.0, 0.0),
+            fell: 0,
+            clients_lost: 0,
+            probes: 0,
+            steps: 0,
+        }
+    }
+
+    /// Worth wanted and served over the last stretch, both times its length in seconds.
+    pub fn worth(&mut self, now: Time, wanted: f64, served: f64) {
+        if now < self.settle {
+            return;
+        }
+        self.wanted += wanted;
+        self.served += served;
+        let (since, w, s) = self.recent;
+        (self.recent.1, self.recent.2) = (w + wanted, s + served);
+        if now >= since + STRETCH {
+            self.worst = self.worst.min(part(s + served, w + wanted));
+            self.recent = (now, 0.0, 0.0);
+        }
+    }
+
+    pub fn load(&mut self, now: Time, betas: &[f64]) {
+        if now < self.settle || betas.is_empty() {
+            return;
+        }
+        let mean = betas.iter().sum::<f64>() / betas.len() as f64;
+        let square = betas.iter().map(|beta| (beta - mean).powi(2)).sum::<f64>() / betas.len() as f64;
+        self.spread = (self.spread.0 + square.sqrt() / mean.max(1e-9), self.spread.1 + 1.0);
+        self.hot.0 += betas.iter().filter(|beta| **beta > HOT).count() as f64;
+        self.hot.1 += betas.len() as f64;
+    }
+
+    pub fn message(&mut self, now: Time, seconds: f64, connections: u64) {
+        if now >= self.settle && connections > 0 {
+            self.message.saturating_record_n((seconds * 1e6) as u64, connections);
+        }
+    }
+
+    pub fn answered(&mut self, now: Time, with: Final, took: Time, target: Time) {
+        if now < self.settle {
+            return;
+        }
+        *self.answers.entry(with).or_default() += 1;
+        if with == Final::Established {
+            self.setup.saturating_record(took / 1000);
+            self.in_target += u64::from(took <= target);
+        }
+    }
+
+    pub fn returned(&mut self, now: Time) {
+        let second = now / SEC;
+        if self.returning.0 != second {
+            (self.returning.0, self.returning.1) = (second, 0);
+        }
+        self.returning.1 += 1;
+        if now >= self.settle {
+            self.returning.2 = self.returning.2.max(self.returning.1);
+        }
+    }
+
+    pub fn finish(self, standing: usize, verdict: &Verdict) -> Figures {
+        let answer = |with| self.answers.get(&with).copied().unwrap_or(0) as f64;
+        let answered: f64 = self.answers.values().sum::<u64>() as f64;
+        let established = answer(Final::Established);
+        let seconds = |histogram: &Histogram<u64>, at| histogram.value_at_quantile(at) as f64 / 1e6;
+        let values = [
+            part(self.served, self.wanted),
+            self.worst,
+            seconds(&self.setup, 0.5),
+            seconds(&self.setup, 0.99),
+            part(self.in_target as f64, established),
+            seconds(&self.message, 0.5),
+            seconds(&self.message, 0.99),
+            self.flows as f64,
+            part(established, answered),
+            part(answer(Final::Rejected), answered),
+            part(answer(Final::Aborted), answered),
+            self.unanswered as f64,
+            part(self.connects as f64, self.flows as f64),
+            part(self.moves as f64, established),
+            part(self.lost as f64, established),
+            self.returning.2 as f64,
+            part(self.spread.0, self.spread.1),
+            part(self.hot.0, self.hot.1),
+            self.fell as f64,
+            self.clients_lost as f64,
+            standing as f64,
+            verdict.broken.values().sum::<usize>() as f64,
+            self.probes as f64,
+            self.steps as f64,
+        ];
+        Figures(NAMES.iter().map(|(name, _)| *name).zip(values).collect())
+    }
+}
+
+/// A part of a whole; all of it where there is nothing to have a part of, 0 where the part is 0 too.
+fn part(of: f64, whole: f64) -> f64 {
+    if whole > 0.0 { of / whole } else { 0.0 }
+}
+
+/// A run's figures.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Figures(pub BTreeMap<&'static str, f64>);
+
+impl Figures {
+    pub fn get(&self, name: &str) -> f64 {
+        self.0.get(name).copied().unwrap_or(f64::NAN)
+    }
+
+    pub fn json(&self) -> Value {
+        json!(self.0)
+    }
+
+    /// A table, in the order of [`NAMES`].
+    pub fn table(&self) -> String {
+        let mut out = String::new();
+        for (name, means) in NAMES {
+            writeln!(out, "{name:<22} {:>12}  {means}", show(self.get(name))).expect("a string takes all");
+        }
+        out
+    }
+
+    /// What is not as the scenario expects; empty where all is.
+    pub fn unmet(&self, scenario: &Scenario) -> Vec<String> {
+        let check = |(name, expect): (&String, &Expect)| {
+            let value = self.get(name);
+            let under = expect.min.is_some_and(|min| value.is_nan() || value < min);
+            let over = expect.max.is_some_and(|max| value.is_nan() || value > max);
+            let bound = if under { ("under", expect.min) } else { ("over", expect.max) };
+            (under || over).then(|| {
+                format!("{name} {} is {} {}", show(value), bound.0, show(bound.1.unwrap_or(f64::NAN)))
+            })
+        };
+        scenario.expect.iter().filter_map(check).collect()
+    }
+}
+
+/// Four digits that count.
+pub fn show(value: f64) -> String {
+    match value.abs() {
+        size if size >= 1000.0 || value.fract() == 0.0 => format!("{value:.0}"),
+        size if size >= 10.0 => format!("{value:.2}"),
+        _ => format!("{value:.4}"),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,13 @@
+//! The laboratory. [`simulate`] runs a scenario in virtual time with a decision module as each balancer's brain; [`rules`]
+//! judges any run by its record alone; [`experiment`] compares, sweeps and hunts. Uses go down to the model
+//! (`nettlemux-world`) and the flows in hand (`nettlemux-hand`). Nothing here may know how the decision module decides.
+
+pub mod brains;
+pub mod check;
+pub mod experiment;
+pub mod figures;
+pub mod file;
+pub mod mischief;
+pub mod record;
+pub mod rules;
+pub mod simulate;
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,289 @@
+//! `nettlemux-lab`: the command line of the laboratory. It owns arguments, what is printed and the exit code, and nothing else.
+
+use std::fmt::Write as _;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::{Bpaf, Parser};
+use nettlemux_lab::brains::Kind;
+use nettlemux_lab::experiment::{self, Estimate, Row};
+use nettlemux_lab::figures::show;
+use nettlemux_lab::record::{self, Writer};
+use nettlemux_lab::rules::{Rules, Verdict};
+use nettlemux_lab::simulate::{Outcome, Who, simulate};
+use nettlemux_lab::{check, file};
+use nettlemux_policy::{MS, SEC};
+use nettlemux_world::scenario::Scenario;
+use serde_json::json;
+
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+/// The laboratory of nettlemux: scenarios, experiments, and the judge of the rules
+enum Command {
+    /// Runs a scenario in virtual time; exit code 0 only if all expectations and the rules hold
+    #[bpaf(command)]
+    Simulate {
+        /// Draws from this seed in place of the scenario's
+        #[bpaf(argument("N"))]
+        seed: Option<u64>,
+        /// What decides: module, random, round-robin, least-connections or power-of-two
+        #[bpaf(argument("NAME"), fallback(Kind::Module))]
+        policy: Kind,
+        /// Writes the record there
+        #[bpaf(argument("FILE"))]
+        record: Option<PathBuf>,
+        /// Prints the figures as JSON
+        json: bool,
+        #[bpaf(positional("SCENARIO"))]
+        scenario: PathBuf,
+    },
+    /// The same seeds under two policies, with the paired difference and its 95 % interval
+    #[bpaf(command)]
+    Compare {
+        #[bpaf(argument("NAME"), fallback(Kind::Module))]
+        a: Kind,
+        /// `all` baselines where it is not given
+        #[bpaf(argument("NAME"))]
+        b: Option<Kind>,
+        #[bpaf(argument("N"), fallback(5))]
+        seeds: u64,
+        #[bpaf(external)]
+        threads: usize,
+        json: bool,
+        #[bpaf(positional("SCENARIO"))]
+        scenario: PathBuf,
+    },
+    /// One key of a scenario over several values
+    #[bpaf(command)]
+    Sweep {
+        /// The key's path, for example clients.rate or faults.0.amount
+        #[bpaf(argument("KEY"))]
+        key: String,
+        /// Values, set apart by commas
+        #[bpaf(argument("V,V,…"))]
+        values: String,
+        #[bpaf(argument("NAME"), fallback(Kind::Module))]
+        policy: Kind,
+        #[bpaf(argument("N"), fallback(3))]
+        seeds: u64,
+        #[bpaf(external)]
+        threads: usize,
+        json: bool,
+        #[bpaf(positional("SCENARIO"))]
+        scenario: PathBuf,
+    },
+    /// Looks for the faults that are worst for the module and cuts them down to a small scenario
+    #[bpaf(command)]
+    Hunt {
+        #[bpaf(argument("N"), fallback(30))]
+        tries: usize,
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+        /// Writes the scenario there
+        #[bpaf(argument("FILE"))]
+        out: Option<PathBuf>,
+        #[bpaf(external)]
+        threads: usize,
+        #[bpaf(positional("SCENARIO"))]
+        scenario: PathBuf,
+    },
+    /// Judges a record by the rules
+    #[bpaf(command)]
+    Judge {
+        /// Milliseconds by which each time limit is longer: 50 for a record from sockets
+        #[bpaf(argument("MS"), fallback(0))]
+        slack: u64,
+        #[bpaf(positional("SCENARIO"))]
+        scenario: PathBuf,
+        #[bpaf(positional("RECORD"))]
+        record: PathBuf,
+    },
+    /// Runs balancers that break one rule each and fails unless each is caught and a sound one passes
+    #[bpaf(command("self-check"))]
+    SelfCheck,
+}
+
+fn threads() -> impl Parser<usize> {
+    let all = std::thread::available_parallelism().map_or(1, usize::from);
+    bpaf::long("threads").help("Runs at a time").argument::<usize>("N").fallback(all)
+}
+
+fn main() -> ExitCode {
+    match run(command().run()) {
+        Ok((text, good)) => {
+            // A reader that has seen enough is no fault.
+            let _ = std::io::Write::write_all(&mut std::io::stdout(), text.as_bytes());
+            if good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
+        Err(why) => {
+            eprintln!("nettlemux-lab: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// What to print, and whether all was as expected; an error is a fault in what was asked.
+fn run(command: Command) -> Result<(String, bool), String> {
+    match command {
+        Command::Simulate { seed, policy, record, json, scenario } => {
+            let (scenario, _) = file::load(&scenario).map_err(|e| e.to_string())?;
+            let seed = seed.unwrap_or(scenario.seed);
+            let at = |e: std::io::Error| {
+                format!("{}: {e}", record.as_deref().unwrap_or(&PathBuf::new()).display())
+            };
+            let mut writer = record.as_ref().map(|file| Writer::create(file)).transpose().map_err(at)?;
+            let outcome = simulate(&scenario, seed, Who::Brain(policy), writer.as_mut()).map_err(at)?;
+            writer.map_or(Ok(()), Writer::finish).map_err(at)?;
+            Ok(told(&scenario, seed, policy.name(), &outcome, json))
+        }
+        Command::Compare { a, b, seeds, threads, json, scenario } => {
+            let (scenario, _) = file::load(&scenario).map_err(|e| e.to_string())?;
+            let others = b.map_or(Kind::BASELINES.to_vec(), |b| vec![b]);
+            let mut out = String::new();
+            for b in others {
+                let rows =
+                    experiment::compare(&scenario, Who::Brain(a), Who::Brain(b), seeds.max(1), threads);
+                out += &compared(&scenario, (a.name(), b.name()), seeds, &rows, json);
+            }
+            Ok((out, true))
+        }
+        Command::Sweep { key, values, policy, seeds, threads, json, scenario: path } => {
+            let (_, table) = file::load(&path).map_err(|e| e.to_string())?;
+            let mut out = String::new();
+            for value in values.split(',') {
+                let number: f64 =
+                    value.trim().parse().map_err(|_| format!("--values: '{value}' is no number"))?;
+                let mut table = table.clone();
+                file::set(&mut table, &key, number).map_err(|why| format!("--key: {why}"))?;
+                let scenario = file::read(&table, &path).map_err(|e| e.to_string())?;
+                let runs: Vec<_> = (0..seeds.max(1))
+                    .map(|k| (scenario.clone(), scenario.seed + k, Who::Brain(policy)))
+                    .collect();
+                let outcomes = experiment::all(&runs, threads);
+                let mean = |name: &str| {
+                    let values: Vec<f64> = outcomes.iter().map(|o| o.figures.get(name)).collect();
+                    experiment::estimate(&values)
+                };
+                let names = ["worth", "worth_worst", "setup_p99", "rejected", "spread", "rules_broken"];
+                if json {
+                    let figures: serde_json::Map<_, _> =
+                        names.iter().map(|name| (name.to_string(), json!(mean(name).mean))).collect();
+                    writeln!(out, "{}", json!({"key": key, "value": number, "figures": figures}))
+                } else {
+                    let told: Vec<String> =
+                        names.iter().map(|n| format!("{n} {}", interval(mean(n)))).collect();
+                    writeln!(out, "{key} = {value:<8} {}", told.join("  "))
+                }
+                .expect("a string takes all");
+            }
+            Ok((out, true))
+        }
+        Command::Hunt { tries, seed, out, threads, scenario } => {
+            let (scenario, mut table) = file::load(&scenario).map_err(|e| e.to_string())?;
+            let found = experiment::hunt(&scenario, seed, tries, threads);
+            table.insert("name".into(), found.scenario.name.clone().into());
+            let faults = toml::Value::try_from(&found.scenario.faults).map_err(|e| e.to_string())?;
+            table.insert("faults".into(), faults);
+            table.remove("expect");
+            let text = toml::to_string(&table).map_err(|e| e.to_string())?;
+            if let Some(file) = out {
+                std::fs::write(&file, &text).map_err(|e| format!("{}: {e}", file.display()))?;
+            }
+            let told = format!(
+                "{text}\n# {} days tried; worst: the best baseline serves {} of the worth more than the module, {}\n",
+                found.tried,
+                show(found.badness - found.verdict.broken.len() as f64),
+                rules(&found.verdict)
+            );
+            Ok((told, found.verdict.kept()))
+        }
+        Command::Judge { slack, scenario, record } => {
+            let (scenario, _) = file::load(&scenario).map_err(|e| e.to_string())?;
+            let name = record.display().to_string();
+            let opened = std::fs::File::open(&record).map_err(|e| format!("{name}: {e}"))?;
+            let read = record::read(opened).map_err(|e| format!("{name}: {e}"))?;
+            let mut judge = Rules::new(&scenario, slack * MS);
+            read.seen.iter().for_each(|seen| judge.see(seen));
+            let end = read.seen.iter().filter_map(|seen| seen.at()).max().unwrap_or(0);
+            let verdict = judge.finish(end);
+            let cut =
+                read.cut.map_or(String::new(), |line| format!("the record is cut off at line {line}\n"));
+            Ok((format!("{cut}{}{}\n", breaks(&verdict), rules(&verdict)), verdict.kept()))
+        }
+        Command::SelfCheck => {
+            let (text, good) = check::self_check()?;
+            Ok((text, good))
+        }
+    }
+}
+
+fn told(scenario: &Scenario, seed: u64, policy: &str, outcome: &Outcome, json: bool) -> (String, bool) {
+    let unmet = outcome.figures.unmet(scenario);
+    let good = unmet.is_empty() && outcome.verdict.kept();
+    if json {
+        let all = json!({"scenario": scenario.name, "seed": seed, "policy": policy, "simulated": true, "good": good,
+            "version": env!("CARGO_PKG_VERSION"), "figures": outcome.figures.json(), "unmet": unmet,
+            "rules": outcome.verdict});
+        return (format!("{all}\n"), good);
+    }
+    let mut out = outcome.figures.table();
+    out += &breaks(&outcome.verdict);
+    unmet.iter().for_each(|what| writeln!(out, "unmet: {what}").expect("a string takes all"));
+    let word = if good { "good" } else { "NOT GOOD" };
+    let (worth, rules) = (show(outcome.figures.get("worth")), rules(&outcome.verdict));
+    let met = scenario.expect.len() - unmet.len();
+    let count = scenario.expect.len();
+    writeln!(
+        out,
+        "{word}: {} (simulated, {policy}, seed {seed}): worth {worth}, {rules}, {met} of {count} expectations met",
+        scenario.name
+    )
+    .expect("a string takes all");
+    (out, good)
+}
+
+fn rules(verdict: &Verdict) -> String {
+    if verdict.kept() {
+        return format!("rules kept over {} flows and {} connects", verdict.flows, verdict.connects);
+    }
+    let each: Vec<String> =
+        verdict.broken.iter().map(|(rule, count)| format!("{rule:?} {count} times")).collect();
+    format!("RULES BROKEN: {}", each.join(", "))
+}
+
+fn breaks(verdict: &Verdict) -> String {
+    let at = |one: &nettlemux_lab::rules::Broken| one.at as f64 / SEC as f64;
+    verdict.told.iter().map(|one| format!("{:>9.3} s {:?}: {}\n", at(one), one.rule, one.what)).collect()
+}
+
+fn interval(estimate: Estimate) -> String {
+    match estimate.within {
+        Some(within) => format!("{} ± {}", show(estimate.mean), show(within)),
+        None => show(estimate.mean),
+    }
+}
+
+fn compared(scenario: &Scenario, (a, b): (&str, &str), seeds: u64, rows: &[Row], json: bool) -> String {
+    if json {
+        let estimate = |e: &Estimate| json!({"mean": e.mean, "within": e.within});
+        let rows: Vec<_> = rows
+            .iter()
+            .map(|row| {
+                json!({"figure": row.name, "a": estimate(&row.a), "b": estimate(&row.b),
+                    "difference": estimate(&row.difference)})
+            })
+            .collect();
+        return format!(
+            "{}\n",
+            json!({"scenario": scenario.name, "a": a, "b": b, "seeds": seeds, "rows": rows})
+        );
+    }
+    let mut out =
+        format!("{} (simulated), {seeds} seeds from {}: {a} against {b}\n", scenario.name, scenario.seed);
+    for row in rows {
+        let cells = [interval(row.a), interval(row.b), interval(row.difference)];
+        writeln!(out, "{:<22} {:>20} {:>20} {:>20}", row.name, cells[0], cells[1], cells[2])
+            .expect("a string takes all");
+    }
+    out
+}
--- /dev/null
+++ b/crates/lab/src/mischief.rs
@@ -0,0 +1,151 @@
+//! Balancers that break one rule each on purpose, to show that the judge catches them. What can be done in the decisions is done
+//! by a [`Brain`] around the sound one; the rest is done by the driver where it carries acts out. It owns nothing else and is
+//! never part of a run that isn't asked for it.
+
+use nettlemux_hand::Brain;
+use nettlemux_policy::{Flow, FlowId, Listed, Outcome, Place, Rs, State, Time, Todo};
+use nettlemux_settings::Settings;
+use serde_json::Value;
+
+use crate::rules::Rule;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mischief {
+    LosesAnswers,
+    AnswersTwice,
+    AnswersLate,
+    ConnectsTwice,
+    SendsToDraining,
+    FloodsCold,
+    CutsWithoutMove,
+    RepeatsOnceOnly,
+    RejectsWhatMayHaveRun,
+}
+
+impl Mischief {
+    pub const ALL: [Mischief; 9] = [
+        Mischief::LosesAnswers,
+        Mischief::AnswersTwice,
+        Mischief::AnswersLate,
+        Mischief::ConnectsTwice,
+        Mischief::SendsToDraining,
+        Mischief::FloodsCold,
+        Mischief::CutsWithoutMove,
+        Mischief::RepeatsOnceOnly,
+        Mischief::RejectsWhatMayHaveRun,
+    ];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Mischief::LosesAnswers => "loses-answers",
+            Mischief::AnswersTwice => "answers-twice",
+            Mischief::AnswersLate => "answers-late",
+            Mischief::ConnectsTwice => "connects-twice",
+            Mischief::SendsToDraining => "sends-to-draining",
+            Mischief::FloodsCold => "floods-cold",
+            Mischief::CutsWithoutMove => "cuts-without-move",
+            Mischief::RepeatsOnceOnly => "repeats-once-only",
+            Mischief::RejectsWhatMayHaveRun => "rejects-what-may-have-run",
+        }
+    }
+
+    /// The rule that it breaks.
+    pub fn breaks(self) -> Rule {
+        match self {
+            Mischief::LosesAnswers => Rule::Lost,
+            Mischief::AnswersTwice => Rule::AnsweredTwice,
+            Mischief::AnswersLate => Rule::Late,
+            Mischief::ConnectsTwice => Rule::TwoInFlight,
+            Mischief::SendsToDraining => Rule::Drain,
+            Mischief::FloodsCold => Rule::Cold,
+            Mischief::CutsWithoutMove => Rule::Cut,
+            Mischief::RepeatsOnceOnly | Mischief::RejectsWhatMayHaveRun => Rule::Twice,
+        }
+    }
+
+    /// The brain of one that breaks its rule in its decisions; else the sound one.
+    pub fn brain(self, settings: &Value, seed: u64) -> Box<dyn Brain> {
+        let sound = |settings: &Value| -> Box<dyn Brain> {
+            let settings = Settings::within(settings).expect("an object");
+            Box::new(crate::brains::module(&settings, seed))
+        };
+        match self {
+            Mischief::SendsToDraining | Mischief::FloodsCold | Mischief::RejectsWhatMayHaveRun => {
+                Box::new(Bent { inner: sound(settings), mischief: self, youngest: None })
+            }
+            Mischief::RepeatsOnceOnly => {
+                let mut settings = settings.clone();
+                for one in settings["service-types"].as_array_mut().into_iter().flatten() {
+                    one["repeat"] = "free".into();
+                }
+                sound(&settings)
+            }
+            _ => sound(settings),
+        }
+    }
+}
+
+/// A sound brain that is misled, or whose word is bent.
+struct Bent {
+    inner: Box<dyn Brain>,
+    mischief: Mischief,
+    /// The server that started last.
+    youngest: Option<(Time, Rs)>,
+}
+
+impl Bent {
+    fn bend(&self, place: Place, flow: &Flow) -> Place {
+        match (place, self.mischief, self.youngest) {
+            (Place::To(_, limit), Mischief::FloodsCold, Some((_, rs))) => Place::To(rs, limit),
+            (Place::Abort, Mischief::RejectsWhatMayHaveRun, _) if !flow.connects.is_empty() => {
+                Place::Reject(None)
+            }
+            (place, ..) => place,
+        }
+    }
+}
+
+impl Brain for Bent {
+    fn place(&mut self, now: Time, flow: &Flow) -> Place {
+        let place = self.inner.place(now, flow);
+        self.bend(place, flow)
+    }
+
+    fn after(&mut self, now: Time, outcome: Outcome) -> Todo {
+        let mut todo = self.inner.after(now, outcome);
+        if let (Some(place), Outcome::Ended { owed: Some(flow), .. }) = (todo.place, outcome) {
+            todo.place = Some(self.bend(place, flow));
+        }
+        todo
+    }
+
+    fn wait(&self, now: Time) -> Option<Time> {
+        self.inner.wait(now)
+    }
+
+    fn list(&mut self, now: Time, entries: &[Listed], whole: bool) {
+        let mut entries = entries.to_vec();
+        for entry in &mut entries {
+            if self.mischief == Mischief::SendsToDraining && entry.state == State::Draining {
+                entry.state = State::Ready;
+            }
+            if self.mischief == Mischief::FloodsCold && entry.started > 0 {
+                self.youngest = self.youngest.max(Some((entry.started, entry.rs)));
+                entry.started = 0;
+            }
+        }
+        self.inner.list(now, &entries, whole);
+    }
+
+    fn list_failed(&mut self, now: Time) {
+        self.inner.list_failed(now);
+    }
+
+    fn inherit(&mut self, flow: &Flow, rs: Rs) {
+        self.inner.inherit(flow, rs);
+    }
+
+    fn told_load(&mut self, flow: FlowId, load: f64) {
+        self.inner.told_load(flow, load);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/rules.rs
@@ -0,0 +1,439 @@
+//! The judge of the rules. It reads only what crossed the stand-ins ([`Seen`]), in order of time, and keeps what it needs to
+//! judge and no more: open flows, the last few seconds of closed ones, and cold servers' connects. It must never be told
+//! anything by a balancer, nor by the model about what it would have done.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use nettlemux_policy::{MS, SEC, Time};
+use nettlemux_world::scenario::{Scenario, seconds};
+use nettlemux_world::seen::{Ender, Final, Kind, Scope, Seen};
+use nettlemux_world::server::SLACK;
+use serde::Serialize;
+
+/// How long after a flow's end a further answer or connect is still noticed.
+const REMEMBERED: Time = 10 * SEC;
+/// So many breaks are told one by one; all are counted.
+const TOLD: usize = 20;
+
+/// The rules, by the names that are told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// 1: a flow without an answer by its time.
+    Lost,
+    /// 1: a second answer.
+    AnsweredTwice,
+    /// 1: an answer after its time.
+    Late,
+    /// 1: an answer, or a connect, for a flow that is over.
+    AfterTheEnd,
+    /// 1: a connection cut off by the balancer, unannounced, while its server still answered.
+    Cut,
+    /// 2: an effect that may come twice.
+    Twice,
+    /// 2: two connects in flight.
+    TwoInFlight,
+    /// 3: new work to a server that drains or is gone, after the grace.
+    Drain,
+    /// 4: a cold server sent more than it can bear.
+    Cold,
+}
+
+/// One break.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Broken {
+    pub rule: Rule,
+    pub at: Time,
+    pub what: String,
+}
+
+/// What a whole run comes to.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Verdict {
+    pub broken: BTreeMap<Rule, usize>,
+    /// The first few.
+    pub told: Vec<Broken>,
+    pub flows: usize,
+    pub connects: usize,
+}
+
+impl Verdict {
+    pub fn kept(&self) -> bool {
+        self.broken.is_empty()
+    }
+}
+
+struct Made {
+    number: usize,
+    server: usize,
+    at: Time,
+    /// Once it is out no more: whether it was known not to have run.
+    ended: Option<bool>,
+}
+
+struct Flow {
+    balancer: usize,
+    kind: Kind,
+    give_up: Time,
+    answered: Option<Final>,
+    /// Nothing more is owed, and since when.
+    over: Option<Time>,
+    connects: Vec<Made>,
+}
+
+#[derive(Default)]
+struct Place {
+    hall: usize,
+    cell: usize,
+    started: Option<Time>,
+    /// Connects since it started, while it is cold.
+    sent: VecDeque<Time>,
+}
+
+/// Watches a run.
+pub struct Rules {
+    second_copies: bool,
+    grace: Time,
+    cold_share: f64,
+    warm_up: Time,
+    multiple: f64,
+    fall: Time,
+    newcomers: f64,
+    /// What is added to each time limit: nothing in virtual time, 50 ms on sockets.
+    slack: Time,
+    servers: BTreeMap<usize, Place>,
+    /// When a balancer was told that a server is not ready.
+    told: BTreeMap<(usize, usize), Time>,
+    flows: BTreeMap<u64, Flow>,
+    over: VecDeque<(Time, u64)>,
+    verdict: Verdict,
+    now: Time,
+}
+
+impl Rules {
+    pub fn new(scenario: &Scenario, slack: Time) -> Self {
+        let (limits, fleet) = (&scenario.limits, &scenario.fleet);
+        Rules {
+            second_copies: limits.second_copies,
+            grace: seconds(limits.grace),
+            cold_share: fleet.cold_share,
+            warm_up: seconds(fleet.warm_up),
+            multiple: fleet.fall_multiple,
+            fall: seconds(fleet.fall),
+            newcomers: fleet.newcomers,
+            slack,
+            servers: BTreeMap::new(),
+            told: BTreeMap::new(),
+            flows: BTreeMap::new(),
+            over: VecDeque::new(),
+            verdict: Verdict::default(),
+            now: 0,
+        }
+    }
+
+    fn broken(&mut self, rule: Rule, what: String) {
+        *self.verdict.broken.entry(rule).or_default() += 1;
+        if self.verdict.told.len() < TOLD {
+            self.verdict.told.push(Broken { rule, at: self.now, what });
+        }
+    }
+
+    /// The next fact, in order of time.
+    pub fn see(&mut self, seen: &Seen) {
+        self.now = self.now.max(seen.at().unwrap_or(self.now));
+        while self.over.front().is_some_and(|(at, _)| at + REMEMBERED < self.now) {
+            let (_, flow) = self.over.pop_front().expect("looked at");
+            self.flows.remove(&flow);
+        }
+        match *seen {
+            Seen::Header { .. } => {}
+            Seen::Server { server, hall, cell, .. } => {
+                let place = self.servers.entry(server).or_default();
+                (place.hall, place.cell) = (hall, cell);
+            }
+            Seen::Started { at, server } => {
+                let place = self.servers.entry(server).or_default();
+                place.started = Some(at);
+                place.sent.clear();
+            }
+            Seen::Fell { server, .. } => {
+                self.broken(Rule::Cold, format!("server {server} fell over when it was cold"));
+            }
+            Seen::Told { at, balancer, server, ready } => {
+                if ready {
+                    self.told.remove(&(balancer, server));
+                } else {
+                    self.told.entry((balancer, server)).or_insert(at);
+                }
+            }
+            Seen::Taken { flow, balancer, kind, give_up, .. } => {
+                self.verdict.flows += 1;
+                let (answered, over, connects) = (None, None, Vec::new());
+                self.flows.insert(flow, Flow { balancer, kind, give_up, answered, over, connects });
+            }
+            Seen::Answered { at, flow, with } => self.answered(at, flow, with),
+            Seen::Left { at, flow } => {
+                // Guards against a client that has waited in vain and is taken for one that changed its mind.
+                let owed = self.flows.get(&flow).filter(|f| f.answered.is_none() && f.over.is_none());
+                if owed.is_some_and(|f| at > f.give_up + self.slack) {
+                    self.broken(Rule::Lost, format!("flow {flow} was not answered in time"));
+                }
+                self.ends(at, flow);
+            }
+            Seen::Connect { at, balancer, flow, number, server } => {
+                self.verdict.connects += 1;
+                self.connect(at, balancer, flow, (number, server));
+            }
+            Seen::ConnectEnded { flow, number, never_ran, .. } => {
+                let made = self.flows.get_mut(&flow).and_then(|f| {
+                    f.connects.iter_mut().rev().find(|made| made.number == number && made.ended.is_none())
+                });
+                if let Some(made) = made {
+                    made.ended = Some(never_ran);
+                }
+            }
+            Seen::Ended { at, flow, by, told, sound } => {
+                if by == Ender::Balancer && sound && !told {
+                    self.broken(Rule::Cut, format!("flow {flow} was cut off unannounced"));
+                }
+                self.ends(at, flow);
+            }
+            Seen::BalancerEnded { at, balancer, planned } => {
+                let held: Vec<u64> = (self.flows.iter())
+                    .filter(|(_, f)| f.balancer == balancer && f.over.is_none())
+                    .map(|(id, _)| *id)
+                    .collect();
+                for flow in held {
+                    // One that is ended in an orderly way still owes each flow an answer, and each client a word.
+                    if planned {
+                        let unanswered = self.flows[&flow].answered.is_none();
+                        let (rule, what) = match unanswered {
+                            true => (Rule::Lost, "unanswered"),
+                            false => (Rule::Cut, "open"),
+                        };
+                        self.broken(rule, format!("flow {flow} was {what} when balancer {balancer} ended"));
+                    }
+                    self.ends(at, flow);
+                }
+                self.told.retain(|(b, _), _| *b != balancer);
+            }
+        }
+    }
+
+    fn answered(&mut self, at: Time, id: u64, with: Final) {
+        let Some(flow) = self.flows.get_mut(&id) else {
+            return self.broken(Rule::AfterTheEnd, format!("flow {id} was answered {with:?}, long over"));
+        };
+        let before = flow.answered.replace(with);
+        let (late, left) = (at > flow.give_up + self.slack, flow.over.is_some() && before.is_none());
+        let may_have_run = flow.connects.iter().any(|made| made.ended != Some(true));
+        let unsafe_word = with == Final::Rejected
+            && may_have_run
+            && match flow.kind {
+                Kind::Repeatable => false,
+                // It is dropped wherever it comes again, while the window lasts.
+                Kind::Referenced { scope, .. } => scope != Scope::All,
+                Kind::OnceOnly => true,
+            };
+        if with != Final::Established {
+            self.ends(at, id);
+        }
+        if let Some(before) = before {
+            self.broken(Rule::AnsweredTwice, format!("flow {id}: {before:?}, then {with:?}"));
+        } else if late && !left {
+            self.broken(Rule::Late, format!("flow {id}: {with:?}"));
+        }
+        if unsafe_word {
+            self.broken(Rule::Twice, format!("flow {id} was rejected and may have run"));
+        }
+    }
+
+    fn ends(&mut self, at: Time, id: u64) {
+        if let Some(flow) = self.flows.get_mut(&id)
+            && flow.over.is_none()
+        {
+            flow.over = Some(at);
+            self.over.push_back((at, id));
+        }
+    }
+
+    fn connect(&mut self, at: Time, balancer: usize, id: u64, (number, server): (usize, usize)) {
+        let since = self.told.get(&(balancer, server)).copied();
+        if since.is_some_and(|since| at > since + self.grace + self.slack) {
+            self.broken(Rule::Drain, format!("flow {id} went to server {server}, which takes nothing new"));
+        }
+        self.cold(at, server);
+        let (second_copies, slack) = (self.second_copies, self.slack);
+        let Some(flow) = self.flows.get(&id) else {
+            return self
+                .broken(Rule::AfterTheEnd, format!("a connect for flow {id}, which nobody asked for"));
+        };
+        let over = flow.answered.is_some() || flow.over.is_some_and(|over| at > over + slack);
+        let two = !second_copies && flow.connects.iter().any(|made| made.ended.is_none());
+        let ran = || flow.connects.iter().filter(|made| made.ended != Some(true));
+        let twice = match flow.kind {
+            Kind::Repeatable => false,
+            Kind::OnceOnly => ran().next().is_some(),
+            Kind::Referenced { scope, window } => ran().any(|made| {
+                let (first, now) = (self.servers.get(&made.server), self.servers.get(&server));
+                let same = first.zip(now).is_some_and(|(first, now)| match scope {
+                    Scope::All => true,
+                    Scope::Hall => first.hall == now.hall,
+                    Scope::Cell => first.cell == now.cell,
+                });
+                !same || at > made.at + window + slack
+            }),
+        };
+        let made = Made { number, server, at, ended: None };
+        self.flows.get_mut(&id).expect("looked at").connects.push(made);
+        if over {
+            self.broken(Rule::AfterTheEnd, format!("a connect for flow {id}, which is answered"));
+        }
+        if two {
+            self.broken(Rule::TwoInFlight, format!("flow {id} has two connects out"));
+        }
+        if twice {
+            self.broken(Rule::Twice, format!("flow {id} went again and may have run"));
+        }
+    }
+
+    /// The budget of a cold server: what it could set up in the window, so many times over, and a little chance.
+    fn cold(&mut self, at: Time, server: usize) {
+        let (fall, warm_up) = (self.fall, self.warm_up);
+        let Some(place) = self.servers.get_mut(&server) else { return };
+        let Some(age) = place.started.map(|started| at.saturating_sub(started)) else { return };
+        if age >= warm_up {
+            return;
+        }
+        place.sent.push_back(at);
+        while place.sent.front().is_some_and(|sent| sent + fall < at) {
+            place.sent.pop_front();
+        }
+        let warmth = self.cold_share + (1.0 - self.cold_share) * age as f64 / warm_up as f64;
+        let budget = self.multiple * warmth * self.newcomers * (fall as f64 / SEC as f64) + SLACK;
+        if place.sent.len() as f64 > budget {
+            let sent = place.sent.len();
+            place.sent.clear();
+            self.broken(Rule::Cold, format!("server {server} was sent {sent} connects, {budget:.1} at most"));
+        }
+    }
+
+    /// The run has ended: whoever's time was up by then must have been answered.
+    pub fn finish(mut self, end: Time) -> Verdict {
+        self.now = end;
+        let owed = self.flows.iter().filter(|(_, f)| f.answered.is_none() && f.over.is_none());
+        let lost: Vec<u64> =
+            owed.filter(|(_, f)| f.give_up + self.slack + MS < end).map(|(id, _)| *id).collect();
+        for flow in lost {
+            self.broken(Rule::Lost, format!("flow {flow} was never answered"));
+        }
+        self.verdict
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn scenario() -> Scenario {
+        let text = r#"{"name": "t", "seconds": 9, "balancers": {"number": 1},
+            "fleet": {"servers": 2, "capacity": 10, "newcomers": 4}, "clients": {"rate": 1, "life": 9},
+            "types": [{"name": "chat"}]}"#;
+        serde_json::from_str(text).unwrap()
+    }
+
+    fn taken(flow: u64, kind: Kind) -> Seen {
+        Seen::Taken { at: 0, balancer: 0, flow, kind, give_up: SEC }
+    }
+    fn connect(at: Time, number: usize, server: usize) -> Seen {
+        Seen::Connect { at, balancer: 0, flow: 1, number, server }
+    }
+    fn ended(number: usize, never_ran: bool) -> Seen {
+        Seen::ConnectEnded { at: 2, flow: 1, number, never_ran }
+    }
+    fn answered(at: Time, with: Final) -> Seen {
+        Seen::Answered { at, flow: 1, with }
+    }
+
+    fn judge(seen: &[Seen]) -> Vec<Rule> {
+        let mut rules = Rules::new(&scenario(), 0);
+        let servers =
+            [(0, 0), (1, 1)].map(|(server, hall)| Seen::Server { at: 0, server, hall, cell: 0, machine: 0 });
+        servers.iter().chain(seen).for_each(|one| rules.see(one));
+        rules.finish(9 * SEC).broken.into_keys().collect()
+    }
+
+    #[test]
+    fn each_rule_is_judged_by_what_was_seen() {
+        let hall = Kind::Referenced { scope: Scope::Hall, window: 50 };
+        let up = answered(5, Final::Established);
+        let cut = |told, sound| Seen::Ended { at: 7, flow: 1, by: Ender::Balancer, told, sound };
+        let told = Seen::Told { at: 0, balancer: 0, server: 0, ready: false };
+        let started = Seen::Started { at: 1, server: 0 };
+        let flood: Vec<Seen> = (0..20).flat_map(|n| [connect(2, n, 0), ended(n, true)]).collect();
+        let free = taken(1, Kind::Repeatable);
+        let cases: Vec<(Vec<Seen>, Vec<Rule>)> = vec![
+            (vec![free.clone(), connect(1, 0, 0), ended(0, false), connect(3, 1, 1), up.clone()], vec![]),
+            (vec![free.clone()], vec![Rule::Lost]),
+            (vec![free.clone(), Seen::Left { at: 3, flow: 1 }], vec![]),
+            (vec![free.clone(), Seen::Left { at: SEC + 1, flow: 1 }], vec![Rule::Lost]),
+            (vec![free.clone(), up.clone(), answered(6, Final::Rejected)], vec![Rule::AnsweredTwice]),
+            (vec![free.clone(), answered(SEC + 1, Final::Aborted)], vec![Rule::Late]),
+            (vec![free.clone(), answered(5, Final::Rejected), connect(6, 0, 0)], vec![Rule::AfterTheEnd]),
+            (vec![free.clone(), up.clone(), cut(false, true)], vec![Rule::Cut]),
+            (vec![free.clone(), up.clone(), cut(true, true)], vec![]),
+            (vec![free.clone(), up.clone(), cut(false, false)], vec![]),
+            (vec![free.clone(), connect(1, 0, 0), connect(1, 1, 1), up.clone()], vec![Rule::TwoInFlight]),
+            (
+                vec![
+                    taken(1, Kind::OnceOnly),
+                    connect(1, 0, 0),
+                    ended(0, true),
+                    connect(3, 1, 1),
+                    up.clone(),
+                ],
+                vec![],
+            ),
+            (
+                vec![
+                    taken(1, Kind::OnceOnly),
+                    connect(1, 0, 0),
+                    ended(0, false),
+                    connect(3, 1, 1),
+                    up.clone(),
+                ],
+                vec![Rule::Twice],
+            ),
+            (
+                vec![
+                    taken(1, Kind::OnceOnly),
+                    connect(1, 0, 0),
+                    ended(0, false),
+                    answered(5, Final::Rejected),
+                ],
+                vec![Rule::Twice],
+            ),
+            (vec![taken(1, hall), connect(1, 0, 0), ended(0, false), connect(3, 1, 0), up.clone()], vec![]),
+            (
+                vec![taken(1, hall), connect(1, 0, 0), ended(0, false), connect(3, 1, 1), up.clone()],
+                vec![Rule::Twice],
+            ),
+            (
+                vec![taken(1, hall), connect(1, 0, 0), ended(0, false), connect(60, 1, 0), up.clone()],
+                vec![Rule::Twice],
+            ),
+            (vec![free.clone(), told.clone(), connect(400 * MS, 0, 0), up.clone()], vec![]),
+            (
+                vec![free.clone(), told, connect(401 * MS, 0, 0), answered(500 * MS, Final::Established)],
+                vec![Rule::Drain],
+            ),
+            ([vec![free.clone(), started], flood, vec![up.clone()]].concat(), vec![Rule::Cold]),
+            (vec![Seen::Fell { at: 1, server: 0 }], vec![Rule::Cold]),
+            (vec![free.clone(), Seen::BalancerEnded { at: 1, balancer: 0, planned: false }], vec![]),
+            (vec![free, Seen::BalancerEnded { at: 1, balancer: 0, planned: true }], vec![Rule::Lost]),
+        ];
+        for (i, (seen, broken)) in cases.into_iter().enumerate() {
+            assert_eq!(judge(&seen), broken, "case {i}: {seen:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/lab.rs
@@ -0,0 +1,242 @@
+//! The laboratory as it is run: scenarios kept in the repository, the command line, and what must come out the same each time.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use nettlemux_lab::brains::Kind;
+use nettlemux_lab::record::{self, Writer};
+use nettlemux_lab::rules::Rules;
+use nettlemux_lab::simulate::{Who, simulate};
+use nettlemux_lab::{experiment, file};
+use nettlemux_policy::SEC;
+use nettlemux_world::fault::What;
+use nettlemux_world::scenario::Scenario;
+
+fn scenarios() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab/scenarios")
+}
+
+fn load(name: &str) -> Scenario {
+    file::load(&scenarios().join(name).with_extension("toml")).unwrap().0
+}
+
+fn lab(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_nettlemux-lab")).args(args).output().unwrap()
+}
+
+fn temporary(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("nettlemux-lab-{}-{name}", std::process::id()))
+}
+
+fn module(scenario: &Scenario, seed: u64) -> nettlemux_lab::simulate::Outcome {
+    simulate(scenario, seed, Who::Brain(Kind::Module), None).unwrap()
+}
+
+#[test]
+fn the_judge_catches_each_mischief_and_passes_a_sound_balancer() {
+    let output = lab(&["self-check"]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.success() && text.ends_with("10 passed, 0 failed\n"), "{text}");
+}
+
+#[test]
+fn the_same_seed_gives_the_same_bytes_and_another_doesnt() {
+    let scenario = load("two-faults");
+    let run = |name: &str, seed: u64| {
+        let file = temporary(name);
+        let mut writer = Writer::create(&file).unwrap();
+        let outcome = simulate(&scenario, seed, Who::Brain(Kind::Module), Some(&mut writer)).unwrap();
+        writer.finish().unwrap();
+        let bytes = std::fs::read(&file).unwrap();
+        std::fs::remove_file(file).unwrap();
+        (bytes, outcome)
+    };
+    let ((first, a), (second, b), (other, _)) = (run("a", 3), run("b", 3), run("c", 4));
+    assert!(first == second && a.figures == b.figures && first != other);
+    // The record alone leads the judge to the same verdict.
+    let read = record::read(&first[..]).unwrap();
+    let mut judge = Rules::new(&scenario, SEC / 100);
+    read.seen.iter().for_each(|seen| judge.see(seen));
+    let verdict = judge.finish(scenario.end());
+    assert!(verdict.kept() && verdict.flows == a.verdict.flows && verdict.connects == a.verdict.connects);
+}
+
+/// Each scenario in the repository must load and be as it expects, the module deciding; `size` is too long for here.
+#[test]
+fn the_scenarios_are_as_they_expect() {
+    for entry in std::fs::read_dir(scenarios()).unwrap() {
+        let path = entry.unwrap().path();
+        let (scenario, _) = file::load(&path).unwrap();
+        if scenario.name == "size" {
+            continue;
+        }
+        assert_eq!(path.file_stem().unwrap().to_string_lossy(), scenario.name);
+        let outcome = module(&scenario, scenario.seed);
+        assert_eq!(outcome.figures.unmet(&scenario), Vec::<String>::new(), "{}", scenario.name);
+        assert!(outcome.verdict.kept(), "{}: {:?}", scenario.name, outcome.verdict);
+    }
+}
+
+/// Guards against a fault that does nothing, or that stays when it is over: each kind must leave a mark, and no kind
+/// may make a sound module break a rule or lose a flow.
+#[test]
+fn every_fault_acts_and_breaks_no_rule() {
+    let mut scenario = load("calm");
+    (scenario.seconds, scenario.halls.number) = (45.0, 2);
+    scenario.clients.customers = vec![0.5, 0.5];
+    scenario.expect.clear();
+    let calm = module(&scenario, 1).figures;
+    for (what, share, amount) in [
+        (What::Crash, 0.3, 0.0),
+        (What::Vanish, 0.3, 0.0),
+        (What::Slow, 0.5, 0.3),
+        (What::Decay, 0.5, 0.3),
+        (What::Neighbour, 0.5, 0.5),
+        (What::StuckReports, 1.0, 0.0),
+        (What::AbsurdReports, 0.5, 9.0),
+        (What::FastErrors, 0.4, 0.0),
+        (What::ProbesFail, 0.4, 0.0),
+        (What::HallCut, 0.0, 0.0),
+        (What::HallFlaps, 0.0, 1.0),
+        (What::StoreSlow, 0.0, 0.05),
+        (What::ListWrong, 0.3, 0.0),
+        (What::Grow, 0.5, 0.0),
+        (What::Shrink, 0.3, 3.0),
+        (What::Roll, 0.5, 3.0),
+        (What::RestartInTurn, 0.0, 1.0),
+        (What::BalancersDie, 0.4, 0.0),
+        (What::Surge, 0.0, 3.0),
+        (What::CustomerSurge, 0.0, 4.0),
+    ] {
+        let mut day = scenario.clone();
+        let text = format!(
+            r#"{{"what": {}, "at": 12, "for": 15, "share": {share}, "amount": {amount}}}"#,
+            serde_json::to_string(&what).unwrap()
+        );
+        day.faults.push(serde_json::from_str(&text).unwrap());
+        day.check().unwrap();
+        let outcome = module(&day, 1);
+        assert!(outcome.verdict.kept(), "{what:?}: {:?}", outcome.verdict);
+        assert_eq!(outcome.figures.get("unanswered"), 0.0, "{what:?}");
+        assert_ne!(outcome.figures, calm, "{what:?} does nothing");
+    }
+    // Two that are silent alone: discovery has nothing to tell on a calm day.
+    for (what, amount) in [("list-silent", 0.0), ("list-late", 5.0)] {
+        let mut day = scenario.clone();
+        for (what, amount, at) in [(what, amount, 10), ("shrink", 3.0, 12)] {
+            let text =
+                format!(r#"{{"what": "{what}", "at": {at}, "for": 15, "share": 0.3, "amount": {amount}}}"#);
+            day.faults.push(serde_json::from_str(&text).unwrap());
+        }
+        let with = module(&day, 1);
+        day.faults.remove(0);
+        assert_ne!(module(&day, 1).figures, with.figures, "{what} does nothing");
+        assert!(with.verdict.kept(), "{what}: {:?}", with.verdict);
+    }
+}
+
+#[test]
+fn hard_cases_keep_the_rules() {
+    let day = |faults: &str, seconds: f64| {
+        let mut day = load("calm");
+        day.seconds = seconds;
+        day.faults = serde_json::from_str(faults).unwrap();
+        day.check().unwrap();
+        let outcome = module(&day, 2);
+        assert!(outcome.verdict.kept(), "{faults}: {:?}", outcome.verdict);
+        outcome.figures
+    };
+    // The fleet turns over whole within one list's delay.
+    day(
+        r#"[{"what": "grow", "at": 10, "share": 1}, {"what": "shrink", "at": 12, "for": 0.1, "amount": 2,
+        "who": [0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23]}]"#,
+        40.0,
+    );
+    // All balancers die at the same moment, while the store is slow.
+    let figures = day(
+        r#"[{"what": "balancers-die", "at": 10, "for": 2}, {"what": "store-slow", "at": 8, "amount": 0.2}]"#,
+        40.0,
+    );
+    assert!(figures.get("reconnects_worst") > 20.0 && figures.get("standing") > 100.0);
+    // Everything at once.
+    day(
+        r#"[{"what": "vanish", "at": 10, "share": 0.2}, {"what": "crash", "at": 11, "share": 0.2},
+        {"what": "list-silent", "at": 9, "for": 6}, {"what": "restart-in-turn", "at": 10, "amount": 1},
+        {"what": "fast-errors", "at": 12, "share": 0.2}, {"what": "surge", "at": 14, "amount": 3}]"#,
+        50.0,
+    );
+    // No server is left.
+    let figures = day(r#"[{"what": "crash", "at": 10, "for": 10}]"#, 40.0);
+    assert!(figures.get("worth_worst") < 0.05 && figures.get("unanswered") == 0.0);
+}
+
+#[test]
+fn faulty_scenarios_are_named_by_their_key() {
+    let calm = std::fs::read_to_string(scenarios().join("calm.toml")).unwrap();
+    let file = temporary("faulty.toml");
+    for (from, to, key) in [
+        ("seconds = 60", "second = 60", "key 'second': unknown; is 'seconds' meant?"),
+        ("seconds = 60", "seconds = -1", "key 'seconds'"),
+        ("seconds = 60\n", "", "key 'seconds': missing"),
+        ("settle = 5", "settle = 60", "key 'settle'"),
+        ("servers = 24", "servers = 0", "key 'fleet.servers'"),
+        ("standing = 528", "standing = 5000000", "key 'clients.standing'"),
+        ("repeat = \"once-only\"", "repeat = \"never\"", "once-only"),
+        ("[expect]", "[[faults]]\nwhat = \"slow\"\nat = 3\n[expect]", "key 'faults[0].amount'"),
+        ("[expect]", "[[faults]]\nwhat = \"crash\"\nat = 99\n[expect]", "key 'faults[0].at'"),
+        ("[expect]", "[[faults]]\nwhat = \"crash\"\nat = 9\nwho = [24]\n[expect]", "key 'faults[0].who'"),
+        ("worth =", "wroth =", "key 'expect.wroth': no figure; is 'worth' meant?"),
+        ("[expect]", "[expect", "key '(whole file)'"),
+    ] {
+        std::fs::write(&file, calm.replacen(from, to, 1)).unwrap();
+        let output = lab(&["simulate", file.to_str().unwrap()]);
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(output.status.code() == Some(2) && text.contains(key), "{to}: {text}");
+        assert!(text.contains("faulty.toml") && !text.contains("panicked"), "{text}");
+    }
+    std::fs::remove_file(file).unwrap();
+    assert_eq!(lab(&["simulate", "nowhere.toml"]).status.code(), Some(2));
+}
+
+#[test]
+fn exit_codes_and_json_are_for_scripts() {
+    let calm = scenarios().join("calm.toml");
+    let calm = calm.to_str().unwrap();
+    let output = lab(&["simulate", calm, "--json"]);
+    let told: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert!(output.status.success() && told["good"] == true && told["simulated"] == true);
+    assert!(told["figures"]["worth"].as_f64().unwrap() > 0.8);
+    // What is not as expected is told, last in one line.
+    let file = temporary("unmet.toml");
+    let text = std::fs::read_to_string(calm).unwrap();
+    std::fs::write(&file, text.replace("[expect]", "[expect]\nspread = { max = 0.0001 }")).unwrap();
+    let output = lab(&["simulate", file.to_str().unwrap()]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.code() == Some(1) && text.contains("unmet: spread"), "{text}");
+    assert!(text.lines().last().unwrap().starts_with("NOT GOOD: calm (simulated, module, seed 1)"), "{text}");
+    std::fs::remove_file(file).unwrap();
+}
+
+#[test]
+fn experiments_pair_seeds_sweep_and_hunt() {
+    let mut scenario = load("crash");
+    scenario.seconds = 40.0;
+    let (a, b) = (Who::Brain(Kind::Module), Who::Brain(Kind::Random));
+    let rows = experiment::compare(&scenario, a, b, 3, 3);
+    let worth = rows.iter().find(|row| row.name == "worth").unwrap();
+    assert!(worth.difference.mean > worth.difference.within.unwrap(), "{worth:?}");
+    // Nothing differs from itself, however many threads there are.
+    let same = experiment::compare(&scenario, a, a, 2, 2);
+    assert!(same.iter().all(|row| row.difference.mean == 0.0));
+    let crash = scenarios().join("crash.toml");
+    let output =
+        lab(&["sweep", "--key", "clients.rate", "--values", "4,20", "--seeds", "1", crash.to_str().unwrap()]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(
+        output.status.success() && text.lines().count() == 2 && text.contains("clients.rate = 20"),
+        "{text}"
+    );
+    let found = experiment::hunt(&scenario, 1, 6, 4);
+    assert!(!found.scenario.faults.is_empty() && found.tried >= 6);
+    found.scenario.check().unwrap();
+}
--- /dev/null
+++ b/crates/world/src/crowd.rs
@@ -0,0 +1,238 @@
+//! The clients and the plain front before the balancers. It owns who there is, what each wants and when it comes again; it must
+//! never know a server. The front deals clients out in turn and notices late that a balancer has died.
+
+use std::collections::BTreeMap;
+
+use nettlemux_policy::{MS, SEC, Time};
+
+use crate::dice::Dice;
+use crate::fleet::World;
+use crate::scenario::{Scenario, seconds};
+use crate::seen::Kind;
+
+/// How soon a client that was told to move comes again, from and to.
+const MOVED: [Time; 2] = [50 * MS, 500 * MS];
+/// And one whose connection broke.
+const BROKEN: [Time; 2] = [100 * MS, SEC];
+/// How soon one that found its balancer dead tries the front again.
+const REFUSED: Time = 200 * MS;
+
+#[derive(Clone, Debug)]
+pub struct Client {
+    pub service_type: usize,
+    pub customer: usize,
+    pub group: Option<u32>,
+    pub hall: usize,
+    pub load: f64,
+    /// Worth of a second of good service to it.
+    pub value: f64,
+    /// When it will want nothing more.
+    pub ends: Time,
+    /// Tries since it was last served.
+    pub tries: usize,
+    /// Its connection broke or was moved.
+    pub returning: bool,
+    /// It has given up for good, or has had what it wanted.
+    pub gone: bool,
+}
+
+pub struct Crowd {
+    clients: BTreeMap<u64, Client>,
+    next: u64,
+    dice: Dice,
+    /// Worth of a second of good service to all who are there, served or not.
+    pub wanted: f64,
+}
+
+impl Crowd {
+    pub fn new(seed: u64) -> Self {
+        Crowd { clients: BTreeMap::new(), next: 1, dice: Dice::new(seed, 2), wanted: 0.0 }
+    }
+
+    pub fn get(&self, id: u64) -> Option<&Client> {
+        self.clients.get(&id)
+    }
+
+    pub fn len(&self) -> usize {
+        self.clients.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.clients.is_empty()
+    }
+
+    /// How long until the next client comes.
+    pub fn next_arrival(&mut self, world: &World) -> Time {
+        let clients = &world.scenario.clients;
+        let extra = match clients.customers.first() {
+            Some(share) => share * (world.customer_surge - 1.0),
+            None => 0.0,
+        };
+        let rate = clients.rate * (world.surge + extra.max(0.0));
+        if rate <= 0.0 { SEC } else { seconds(self.dice.exponential(1.0 / rate)).max(1) }
+    }
+
+    /// A new client, who wants what it wants from now on.
+    pub fn arrive(&mut self, now: Time, world: &World) -> u64 {
+        let scenario = &world.scenario;
+        let service_type = self.dice.weighted(scenario.types.iter().map(|t| t.share));
+        let of = &scenario.types[service_type];
+        let shares = &scenario.clients.customers;
+        // What a customer brings beyond its share is worth less.
+        let extra = shares.first().map_or(0.0, |share| share * (world.customer_surge - 1.0).max(0.0));
+        let surplus = extra > 0.0 && self.dice.unit() < extra / (world.surge + extra);
+        let customer = match surplus {
+            true => 0,
+            false if shares.is_empty() => 0,
+            false => self.dice.weighted(shares.iter().copied()),
+        };
+        let groups = scenario.clients.groups;
+        // Few groups are large: squared, so that the first tenth holds a third of the clients.
+        let group = (groups > 0).then(|| (self.dice.unit().powi(2) * groups as f64) as u32);
+        let client = Client {
+            service_type,
+            customer,
+            group,
+            hall: self.dice.below(scenario.halls.number),
+            load: self.dice.around(of.load, scenario.clients.spread),
+            value: of.value * if surplus { scenario.clients.surplus } else { 1.0 },
+            ends: now + seconds(self.dice.exponential(scenario.clients.life)).max(50 * MS),
+            tries: 0,
+            returning: false,
+            gone: false,
+        };
+        self.wanted += client.value;
+        let id = self.next;
+        self.next += 1;
+        self.clients.insert(id, client);
+        id
+    }
+
+    /// It wants nothing more: the one place where it is given back.
+    pub fn over(&mut self, id: u64) {
+        if let Some(client) = self.clients.remove(&id) {
+            self.wanted = if self.clients.is_empty() { 0.0 } else { (self.wanted - client.value).max(0.0) };
+        }
+    }
+
+    /// A connection's load changes: what it is now, and how long until the next change.
+    pub fn change_load(&mut self, id: u64, scenario: &Scenario) -> Option<(f64, Time)> {
+        let client = self.clients.get_mut(&id)?;
+        client.load = self.dice.around(scenario.types[client.service_type].load, scenario.clients.spread);
+        let wait = seconds(self.dice.exponential(scenario.clients.changes)).max(MS);
+        Some((client.load, wait))
+    }
+
+    pub fn first_change(&mut self, scenario: &Scenario) -> Option<Time> {
+        let every = scenario.clients.changes;
+        (every > 0.0).then(|| seconds(self.dice.exponential(every)).max(MS))
+    }
+
+    pub fn kind(&self, id: u64, scenario: &Scenario) -> Kind {
+        self.clients.get(&id).map_or(Kind::Repeatable, |c| scenario.types[c.service_type].kind())
+    }
+
+    /// It is served.
+    pub fn established(&mut self, id: u64) {
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.tries = 0;
+        }
+    }
+
+    fn spread(&mut self, [from, to]: [Time; 2]) -> Time {
+        from + (self.dice.unit() * (to - from) as f64) as Time
+    }
+
+    /// It was turned away, with a time to come back where it was told one; when it tries again.
+    pub fn rejected(&mut self, id: u64, come_back: Option<Time>, scenario: &Scenario) -> Option<Time> {
+        let own = seconds(scenario.clients.again);
+        let own = self.spread([own, 2 * own]);
+        let client = self.clients.get_mut(&id).filter(|client| !client.gone)?;
+        client.tries += 1;
+        client.gone = client.tries >= scenario.clients.tries;
+        (!client.gone).then(|| come_back.unwrap_or(own << client.tries.min(4)))
+    }
+
+    /// Its flow failed, and may have run: only what may be repeated is tried again.
+    pub fn aborted(&mut self, id: u64, scenario: &Scenario) -> Option<Time> {
+        if self.kind(id, scenario) == Kind::OnceOnly {
+            self.clients.get_mut(&id)?.gone = true;
+            return None;
+        }
+        self.rejected(id, None, scenario)
+    }
+
+    /// It was told to move, or its connection broke; when it comes again.
+    pub fn comes_again(&mut self, id: u64, moved: bool) -> Option<Time> {
+        let wait = self.spread(if moved { MOVED } else { BROKEN });
+        let client = self.clients.get_mut(&id).filter(|client| !client.gone)?;
+        client.returning = true;
+        Some(wait)
+    }
+
+    /// It found nobody at the balancer that it was dealt.
+    pub fn refused(&mut self) -> Time {
+        self.spread([REFUSED, 2 * REFUSED])
+    }
+}
+
+/// The front: deals clients out in turn among the balancers of their hall that it takes for alive.
+pub struct Front {
+    halls: Vec<Vec<usize>>,
+    /// When it notices that a balancer has died; none while it is well.
+    notices: Vec<Option<Time>>,
+    turns: Vec<usize>,
+}
+
+impl Front {
+    pub fn new(balancers: usize, halls: usize) -> Self {
+        let of = |hall: usize| (0..balancers).filter(|b| b % halls == hall).collect();
+        Front { halls: (0..halls).map(of).collect(), notices: vec![None; balancers], turns: vec![0; halls] }
+    }
+
+    /// The balancer for a client of that hall; another hall's where its own has none; none where there is none at all.
+    pub fn deal(&mut self, now: Time, hall: usize) -> Option<usize> {
+        let halls = self.halls.len();
+        for other in 0..halls {
+            let hall = (hall + other) % halls;
+            let among = &self.halls[hall];
+            for _ in 0..among.len() {
+                self.turns[hall] = (self.turns[hall] + 1) % among.len();
+                let balancer = among[self.turns[hall]];
+                if self.notices[balancer].is_none_or(|at| now < at) {
+                    return Some(balancer);
+                }
+            }
+        }
+        None
+    }
+
+    pub fn dies(&mut self, balancer: usize, noticed: Time) {
+        self.notices[balancer] = Some(noticed);
+    }
+
+    pub fn back(&mut self, balancer: usize) {
+        self.notices[balancer] = None;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_front_deals_in_turn_notices_late_and_goes_to_another_hall() {
+        let mut front = Front::new(4, 2);
+        let dealt: Vec<_> = (0..4).map(|_| front.deal(0, 0)).collect();
+        assert_eq!(dealt, [Some(2), Some(0), Some(2), Some(0)]);
+        front.dies(0, 2 * SEC);
+        front.dies(2, 2 * SEC);
+        assert!(matches!(front.deal(SEC, 0), Some(0 | 2)), "not noticed yet");
+        assert!(matches!(front.deal(2 * SEC, 0), Some(1 | 3)));
+        front.dies(1, 0);
+        front.dies(3, 0);
+        assert_eq!(front.deal(2 * SEC, 0), None);
+        front.back(2);
+        assert_eq!(front.deal(2 * SEC, 1), Some(2));
+    }
+}
--- /dev/null
+++ b/crates/world/src/seen.rs
@@ -0,0 +1,150 @@
+//! What crossed the stand-ins: the facts that the rules are judged by. It owns their form in a record (JSON lines, one
+//! fact a line, the first a header with the version). Nothing in here comes from a balancer's own word of itself.
+
+use nettlemux_policy::Time;
+use serde::{Deserialize, Serialize};
+
+/// The version of the record's form; a reader refuses another.
+pub const VERSION: u32 = 1;
+
+/// How a flow may be repeated, as the scenario says of its service type.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    Repeatable,
+    /// Repeats are dropped everywhere, in the first one's hall, or in its cell, for so long after the first may have run.
+    Referenced {
+        scope: Scope,
+        window: Time,
+    },
+    OnceOnly,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Scope {
+    All,
+    Hall,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Final {
+    Established,
+    Rejected,
+    Aborted,
+}
+
+/// Who ended an established connection first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Ender {
+    Client,
+    Server,
+    Balancer,
+}
+
+/// One fact. Times are nanoseconds from the run's start; flows are numbered over all balancers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "what", rename_all = "kebab-case")]
+pub enum Seen {
+    Header {
+        version: u32,
+        scenario: String,
+        seed: u64,
+        program: String,
+    },
+    /// A server as it is from the start on, or when it joins.
+    Server {
+        at: Time,
+        server: usize,
+        hall: usize,
+        cell: usize,
+        machine: usize,
+    },
+    /// It has just started and is cold.
+    Started {
+        at: Time,
+        server: usize,
+    },
+    /// A server was asked for more than a cold one can bear, and fell over.
+    Fell {
+        at: Time,
+        server: usize,
+    },
+    /// A balancer has been told of a server: whether it is ready.
+    Told {
+        at: Time,
+        balancer: usize,
+        server: usize,
+        ready: bool,
+    },
+    /// A balancer has a flow whole.
+    Taken {
+        at: Time,
+        balancer: usize,
+        flow: u64,
+        kind: Kind,
+        give_up: Time,
+    },
+    Answered {
+        at: Time,
+        flow: u64,
+        with: Final,
+    },
+    /// Its client left before it was answered.
+    Left {
+        at: Time,
+        flow: u64,
+    },
+    /// A connect whose last byte has come to a server.
+    Connect {
+        at: Time,
+        balancer: usize,
+        flow: u64,
+        number: usize,
+        server: usize,
+    },
+    /// The connect is out no more. `never_ran`: the balancer could know that it had not run.
+    ConnectEnded {
+        at: Time,
+        flow: u64,
+        number: usize,
+        never_ran: bool,
+    },
+    /// An established connection has ended. `told`: its client had been told to move; `sound`: its server still answered.
+    Ended {
+        at: Time,
+        flow: u64,
+        by: Ender,
+        told: bool,
+        sound: bool,
+    },
+    /// A balancer has died or was ended; what it held is not its to answer any more.
+    BalancerEnded {
+        at: Time,
+        balancer: usize,
+        planned: bool,
+    },
+}
+
+impl Seen {
+    /// When it was seen; none for the header.
+    pub fn at(&self) -> Option<Time> {
+        Some(*match self {
+            Seen::Header { .. } => return None,
+            Seen::Server { at, .. }
+            | Seen::Started { at, .. }
+            | Seen::Fell { at, .. }
+            | Seen::Told { at, .. }
+            | Seen::Taken { at, .. }
+            | Seen::Answered { at, .. }
+            | Seen::Left { at, .. }
+            | Seen::Connect { at, .. }
+            | Seen::ConnectEnded { at, .. }
+            | Seen::Ended { at, .. }
+            | Seen::BalancerEnded { at, .. } => at,
+        })
+    }
+}
--- /dev/null
+++ b/crates/world/src/server.rs
@@ -0,0 +1,362 @@
+//! One server as the model has it: what it carries, how much it can, how long it takes, what it reports, and when it falls
+//! over. It owns the connections on it and gives them back when it dies. It must never know who sends to it, nor answer
+//! for the network in between.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use nettlemux_policy::{Report, SEC, Time};
+
+use crate::dice::Dice;
+use crate::scenario::{Fleet, seconds};
+
+/// Seconds of work that may pile up before a server drops its heaviest connections to save the others.
+const PILE: f64 = 3.0;
+/// And the part of its connections that it drops at a time.
+const DROPPED: f64 = 0.05;
+/// Never busier than this in the formula of a message's time: what is over piles up instead.
+const BUSIEST: f64 = 0.98;
+/// Connects of chance that a cold server bears beside its budget.
+pub const SLACK: f64 = 4.0;
+
+/// Whether a server runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    Up,
+    /// Its process is gone: connects are refused.
+    Down,
+    /// Its machine is gone: nothing is answered.
+    Silent,
+}
+
+/// A connection on a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Guest {
+    pub load: f64,
+    pub group: Option<u32>,
+    pub service_type: usize,
+    /// Worth of a second of good service to it.
+    pub value: f64,
+}
+
+/// How a server takes a connect.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Offer {
+    /// Served after so many seconds.
+    Up(f64),
+    /// Turned away: it has not run.
+    Busy,
+    /// Failed at once: it may have run.
+    Error,
+    /// Refused by its machine.
+    Refused,
+    /// Nothing comes back.
+    Silence,
+}
+
+pub struct Server {
+    pub hall: usize,
+    pub cell: usize,
+    pub machine: usize,
+    pub life: Life,
+    /// When it last started; 0: long ago.
+    pub started: Time,
+    /// It fell over when it was cold, and stays down.
+    pub fallen: bool,
+    pub draining: bool,
+    /// Part of its capacity that slowness, and a neighbour, leave it.
+    pub speed: f64,
+    pub neighbour: f64,
+    pub fast_errors: bool,
+    pub probes_fail: bool,
+    /// Its reports stay as they are, or say this whatever it carries.
+    pub stuck: bool,
+    pub absurd: Option<f64>,
+    pub guests: BTreeMap<u64, Guest>,
+    full: f64,
+    groups: BTreeMap<u32, usize>,
+    load: f64,
+    /// Worth of a second of good service to all on it, by service type.
+    pub worth: Vec<f64>,
+    /// Seconds of work that have piled up.
+    pile: f64,
+    at: Time,
+    /// Connects of the last while, for the budget of a cold one and the cap on newcomers.
+    offers: VecDeque<Time>,
+    newcomers: (f64, Time),
+    report: (Time, Report),
+}
+
+impl Server {
+    pub fn new(
+        fleet: &Fleet,
+        types: usize,
+        (hall, cell, machine): (usize, usize, usize),
+        dice: &mut Dice,
+    ) -> Self {
+        let full = fleet.capacity * (1.0 + dice.between(-fleet.differ, fleet.differ));
+        Server {
+            hall,
+            cell,
+            machine,
+            life: Life::Up,
+            started: 0,
+            fallen: false,
+            draining: false,
+            speed: 1.0,
+            neighbour: 0.0,
+            fast_errors: false,
+            probes_fail: false,
+            stuck: false,
+            absurd: None,
+            guests: BTreeMap::new(),
+            full,
+            groups: BTreeMap::new(),
+            load: 0.0,
+            worth: vec![0.0; types],
+            pile: 0.0,
+            at: 0,
+            offers: VecDeque::new(),
+            newcomers: (fleet.newcomers, 0),
+            report: (0, Report::default()),
+        }
+    }
+
+    /// The part of its capacity that a start leaves it now.
+    pub fn warmth(&self, fleet: &Fleet, now: Time) -> f64 {
+        let (age, warm_up) = (now.saturating_sub(self.started) as f64, fleet.warm_up * SEC as f64);
+        if self.started == 0 || age >= warm_up {
+            return 1.0;
+        }
+        fleet.cold_share + (1.0 - fleet.cold_share) * age / warm_up
+    }
+
+    pub fn capacity(&self, fleet: &Fleet, now: Time) -> f64 {
+        (self.full * self.warmth(fleet, now) * self.speed * (1.0 - self.neighbour)).max(1e-3)
+    }
+
+    /// Load asked of it.
+    pub fn asked(&self, fleet: &Fleet) -> f64 {
+        self.load + fleet.group_load * self.groups.len() as f64
+    }
+
+    /// Load over capacity.
+    pub fn beta(&self, fleet: &Fleet, now: Time) -> f64 {
+        self.asked(fleet) / self.capacity(fleet, now)
+    }
+
+    /// Seconds that a message takes on average.
+    pub fn message(&self, fleet: &Fleet, now: Time) -> f64 {
+        fleet.message / (1.0 - self.beta(fleet, now).min(BUSIEST)) + self.pile
+    }
+
+    /// The part of its messages that is answered within a target of so many seconds.
+    pub fn in_time(&self, fleet: &Fleet, now: Time, target: f64) -> f64 {
+        if self.life != Life::Up || target <= self.pile {
+            return 0.0;
+        }
+        let mean = fleet.message / (1.0 - self.beta(fleet, now).min(BUSIEST));
+        1.0 - (-(target - self.pile) / mean).exp()
+    }
+
+    /// Goes on to now: work piles up while more is asked than it can. Returns connections that it drops to save the others.
+    pub fn advance(&mut self, fleet: &Fleet, now: Time) -> Vec<u64> {
+        let passed = now.saturating_sub(self.at) as f64 / SEC as f64;
+        self.at = self.at.max(now);
+        if self.life != Life::Up {
+            return Vec::new();
+        }
+        self.pile = (self.pile + (self.beta(fleet, now) - 1.0) * passed).clamp(0.0, PILE);
+        if self.pile < PILE {
+            return Vec::new();
+        }
+        let mut heaviest: Vec<(u64, f64)> = self.guests.iter().map(|(id, guest)| (*id, guest.load)).collect();
+        heaviest.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        heaviest.truncate((heaviest.len() as f64 * DROPPED).ceil() as usize);
+        self.pile = PILE / 2.0;
+        heaviest.into_iter().map(|(id, _)| id).collect()
+    }
+
+    /// Whether it has been sent more than a cold one can bear, within the contract's window.
+    fn overrun(&self, fleet: &Fleet, now: Time) -> bool {
+        let warmth = self.warmth(fleet, now);
+        let budget = fleet.fall_multiple * warmth * fleet.newcomers * fleet.fall + SLACK;
+        warmth < 1.0 && self.offers.len() as f64 > budget
+    }
+
+    /// Takes a connect that has come; the store's call is the caller's to add. The second word: it has just fallen over.
+    pub fn offer(&mut self, fleet: &Fleet, now: Time) -> (Offer, bool) {
+        match self.life {
+            Life::Down => return (Offer::Refused, false),
+            Life::Silent => return (Offer::Silence, false),
+            Life::Up => {}
+        }
+        self.offers.push_back(now);
+        while self.offers.front().is_some_and(|at| at + seconds(fleet.fall) < now) {
+            self.offers.pop_front();
+        }
+        if self.overrun(fleet, now) {
+            self.fallen = true;
+            return (Offer::Refused, true);
+        }
+        if self.fast_errors {
+            return (Offer::Error, false);
+        }
+        // A bucket that holds a second's newcomers.
+        let pace = fleet.newcomers * self.warmth(fleet, now);
+        let (left, at) = self.newcomers;
+        let left = (left + pace * now.saturating_sub(at) as f64 / SEC as f64).min(pace.max(1.0));
+        if self.draining || self.guests.len() >= fleet.slots || left < 1.0 {
+            self.newcomers = (left, now);
+            return (Offer::Busy, false);
+        }
+        self.newcomers = (left - 1.0, now);
+        (Offer::Up(fleet.setup / (1.0 - self.beta(fleet, now).min(BUSIEST)) + self.pile), false)
+    }
+
+    pub fn seat(&mut self, id: u64, guest: Guest) {
+        self.rise(id);
+        self.load += guest.load;
+        self.worth[guest.service_type] += guest.value;
+        if let Some(group) = guest.group {
+            *self.groups.entry(group).or_default() += 1;
+        }
+        self.guests.insert(id, guest);
+    }
+
+    /// A connection goes; false if it wasn't there.
+    pub fn rise(&mut self, id: u64) -> bool {
+        let Some(guest) = self.guests.remove(&id) else { return false };
+        // Rounding must not leave a load on an empty server.
+        self.load = if self.guests.is_empty() { 0.0 } else { (self.load - guest.load).max(0.0) };
+        let worth = &mut self.worth[guest.service_type];
+        *worth = if self.guests.is_empty() { 0.0 } else { (*worth - guest.value).max(0.0) };
+        if let Some(group) = guest.group
+            && let Some(count) = self.groups.get_mut(&group)
+        {
+            *count -= 1;
+            if *count == 0 {
+                self.groups.remove(&group);
+            }
+        }
+        true
+    }
+
+    pub fn set_load(&mut self, id: u64, load: f64) {
+        if let Some(guest) = self.guests.get_mut(&id) {
+            self.load = (self.load + load - guest.load).max(0.0);
+            guest.load = load;
+        }
+    }
+
+    /// Its report: made anew now and then, noisy, and at times wrong. None: it doesn't answer the probe.
+    pub fn report(&mut self, fleet: &Fleet, now: Time, dice: &mut Dice) -> Option<Report> {
+        if self.life != Life::Up || self.probes_fail {
+            return None;
+        }
+        let (at, old) = self.report;
+        if old.beta.is_none() || !self.stuck && at + seconds(fleet.refresh) <= now {
+            let noisy = self.beta(fleet, now) * (1.0 + dice.between(-fleet.noise, fleet.noise));
+            let report = Report { beta: Some(noisy), connections: Some(self.guests.len() as f64) };
+            self.report = (now, report);
+        }
+        let (_, report) = self.report;
+        Some(Report { beta: self.absurd.or(report.beta), ..report })
+    }
+
+    /// It is down or silent from now on; its connections are given back.
+    pub fn dies(&mut self, life: Life) -> Vec<u64> {
+        self.life = life;
+        let guests: Vec<u64> = self.guests.keys().copied().collect();
+        for id in &guests {
+            self.rise(*id);
+        }
+        (self.pile, self.report) = (0.0, (0, Report::default()));
+        self.offers.clear();
+        guests
+    }
+
+    /// It starts again, cold and empty; one that has fallen over stays down.
+    pub fn starts(&mut self, now: Time) -> bool {
+        if self.fallen {
+            return false;
+        }
+        (self.life, self.started, self.draining, self.at) = (Life::Up, now.max(1), false, now);
+        self.newcomers = (1.0, now);
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fleet() -> Fleet {
+        serde_json::from_str(r#"{"servers": 1, "capacity": 10, "newcomers": 4, "group_load": 2}"#).unwrap()
+    }
+
+    fn server() -> (Fleet, Server, Dice) {
+        let (fleet, mut dice) = (fleet(), Dice::new(1, 1));
+        let server = Server::new(&fleet, 1, (0, 0, 0), &mut dice);
+        (fleet, server, dice)
+    }
+
+    fn guest(load: f64, group: Option<u32>) -> Guest {
+        Guest { load, group, service_type: 0, value: 1.0 }
+    }
+
+    #[test]
+    fn load_and_common_work_come_and_go() {
+        let (fleet, mut server, _) = server();
+        server.seat(1, guest(2.0, Some(5)));
+        server.seat(2, guest(1.0, Some(5)));
+        server.seat(3, guest(1.0, None));
+        assert_eq!(server.beta(&fleet, 0), 0.6);
+        server.set_load(3, 3.0);
+        assert!(server.rise(1) && !server.rise(1));
+        assert_eq!(server.beta(&fleet, 0), 0.6);
+        server.rise(2);
+        server.rise(3);
+        assert_eq!((server.beta(&fleet, 0), server.worth[0]), (0.0, 0.0));
+    }
+
+    #[test]
+    fn one_that_is_asked_for_too_much_slows_and_drops_its_heaviest() {
+        let (fleet, mut server, _) = server();
+        (1..=40).for_each(|id| server.seat(id, guest(0.5 + id as f64 / 100.0, None)));
+        assert!(server.in_time(&fleet, 0, 0.2) < 0.5);
+        assert!(server.advance(&fleet, SEC).is_empty() && server.message(&fleet, SEC) > 1.0);
+        assert_eq!(server.advance(&fleet, 4 * SEC), [40, 39]);
+        assert_eq!(server.in_time(&fleet, 4 * SEC, 0.2), 0.0);
+    }
+
+    #[test]
+    fn a_cold_one_falls_over_under_a_flood_and_a_warm_one_says_busy() {
+        let (fleet, mut server, _) = server();
+        let offers: Vec<Offer> = (0..60).map(|_| server.offer(&fleet, SEC).0).collect();
+        assert_eq!(offers.iter().filter(|offer| **offer == Offer::Busy).count(), 56);
+        server.dies(Life::Down);
+        assert_eq!(server.offer(&fleet, 2 * SEC).0, Offer::Refused);
+        assert!(server.starts(10 * SEC));
+        // 3 times 0.35 of 4 a second for 3 s, and the slack: 16.6.
+        let fell = (0..20).position(|_| server.offer(&fleet, 10 * SEC).1);
+        assert_eq!(fell, Some(16));
+        server.dies(Life::Down);
+        assert!(!server.starts(20 * SEC), "it stays down");
+    }
+
+    #[test]
+    fn reports_are_refreshed_now_and_then_or_stuck_or_absurd() {
+        let (fleet, mut server, mut dice) = server();
+        server.seat(1, guest(5.0, None));
+        let first = server.report(&fleet, 0, &mut dice).unwrap().beta.unwrap();
+        assert!((first - 0.5).abs() < 0.02);
+        server.set_load(1, 8.0);
+        assert_eq!(server.report(&fleet, SEC / 4, &mut dice).unwrap().beta, Some(first));
+        server.stuck = true;
+        assert_eq!(server.report(&fleet, 9 * SEC, &mut dice).unwrap().beta, Some(first));
+        (server.stuck, server.absurd) = (false, Some(7.5));
+        assert_eq!(server.report(&fleet, 10 * SEC, &mut dice).unwrap().beta, Some(7.5));
+        server.probes_fail = true;
+        assert_eq!(server.report(&fleet, 11 * SEC, &mut dice), None);
+    }
+}
--- /dev/null
+++ b/crates/world/src/store.rs
@@ -0,0 +1,66 @@
+//! The store that all servers share: each connect costs it one call. It owns the calls that wait. A fluid queue: what it
+//! can't serve piles up and every new call waits behind it, which is what makes a retry storm feed itself.
+
+use nettlemux_policy::{SEC, Time};
+
+/// Calls that wait longer than this have been given up by whoever made them; the pile is bounded by it.
+const LONGEST: f64 = 10.0;
+
+pub struct Store {
+    /// Calls a second.
+    rate: f64,
+    /// One call's time with nobody else there, in seconds.
+    alone: f64,
+    /// Part of the rate that is left; 1 while it is well.
+    pub health: f64,
+    waiting: f64,
+    at: Time,
+}
+
+impl Store {
+    pub fn new(rate: f64, alone: f64) -> Self {
+        Store { rate, alone, health: 1.0, waiting: 0.0, at: 0 }
+    }
+
+    fn pace(&self) -> f64 {
+        (self.rate * self.health).max(1e-3)
+    }
+
+    fn advance(&mut self, now: Time) {
+        let passed = now.saturating_sub(self.at) as f64 / SEC as f64;
+        self.waiting = (self.waiting - passed * self.pace()).max(0.0);
+        self.at = self.at.max(now);
+    }
+
+    /// Makes one call; in how many seconds it is answered.
+    pub fn call(&mut self, now: Time) -> f64 {
+        self.advance(now);
+        let pace = self.pace();
+        self.waiting = (self.waiting + 1.0).min(LONGEST * pace);
+        self.alone / self.health.max(1e-3) + (self.waiting - 1.0).max(0.0) / pace
+    }
+
+    /// How long a call made now would take, in seconds, without making it.
+    pub fn would_take(&mut self, now: Time) -> f64 {
+        self.advance(now);
+        self.alone / self.health.max(1e-3) + self.waiting / self.pace()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_burst_waits_and_the_queue_empties_again() {
+        let mut store = Store::new(100.0, 0.005);
+        assert_eq!(store.call(0), 0.005);
+        let last = (0..100).map(|_| store.call(0)).last().unwrap();
+        assert!((last - 1.005).abs() < 0.011, "{last}");
+        assert!((store.call(2 * SEC) - 0.005).abs() < 1e-9);
+        // A tenth of its pace: the same burst takes ten times as long.
+        store.health = 0.1;
+        let last = (0..50).map(|_| store.call(3 * SEC)).last().unwrap();
+        assert!((4.5..5.5).contains(&last), "{last}");
+    }
+}
