--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -4,36 +4,121 @@
 use std::fmt::Write;
 use std::path::Path;
 
+use nettlemux_policy::MS;
+use nettlemux_world::scenario::Scenario;
+
 use crate::brains::Kind;
 use crate::file;
 use crate::mischief::Mischief;
+use crate::rules::Verdict;
 use crate::simulate::{Who, simulate};
+use crate::sockets::{self, Program};
+
+const SCENARIO: (&str, &str) =
+    ("lab/scenarios/self-check.toml", include_str!("../../../lab/scenarios/self-check.toml"));
+const ON_SOCKETS: (&str, &str) =
+    ("lab/scenarios/self-check-sockets.toml", include_str!("../../../lab/scenarios/self-check-sockets.toml"));
+
+/// Results so far, and how many were not as they must be.
+#[derive(Default)]
+struct Said {
+    text: String,
+    all: usize,
+    missed: usize,
+}
+
+impl Said {
+    fn say(&mut self, name: &str, good: bool, what: &str) {
+        self.all += 1;
+        self.missed += usize::from(!good);
+        let word = if good { "ok  " } else { "FAIL" };
+        writeln!(self.text, "{word} {name:<36} {what}").expect("a string takes all");
+    }
 
-const SCENARIO: &str = include_str!("../../../lab/scenarios/self-check.toml");
+    fn sound(&mut self, name: &str, verdict: &Verdict) {
+        let what = format!("rules kept over {} flows: {:?}", verdict.flows, verdict.broken);
+        self.say(name, verdict.kept() && verdict.flows > 0, &what);
+    }
+
+    fn caught(&mut self, name: &str, mischief: Mischief, verdict: &Verdict) {
+        let count = verdict.broken.get(&mischief.breaks()).copied().unwrap_or(0);
+        self.say(name, count > 0, &format!("{:?} seen {count} times", mischief.breaks()));
+    }
+
+    fn closed(mut self) -> (String, bool) {
+        let good = self.missed == 0;
+        writeln!(self.text, "{} passed, {} failed", self.all - self.missed, self.missed)
+            .expect("a string takes all");
+        (self.text, good)
+    }
+}
 
-/// What to print, and whether the judge is to be trusted.
+fn scenario((name, text): (&str, &str)) -> Result<Scenario, String> {
+    let table: toml::Table = text.parse().map_err(|e: toml::de::Error| format!("{name}: {e}"))?;
+    file::read(&table, Path::new(name)).map_err(|e| e.to_string())
+}
+
+/// In virtual time: what to print, and whether the judge is to be trusted.
 ///
 /// # Errors
 /// The scenario is faulty.
 pub fn self_check() -> Result<(String, bool), String> {
-    let table: toml::Table = SCENARIO.parse().map_err(|e: toml::de::Error| e.to_string())?;
-    let scenario =
-        file::read(&table, Path::new("lab/scenarios/self-check.toml")).map_err(|e| e.to_string())?;
-    let (mut out, mut missed) = (String::new(), 0);
-    let mut say = |name: &str, good: bool, what: String| {
-        missed += usize::from(!good);
-        let word = if good { "ok  " } else { "FAIL" };
-        writeln!(out, "{word} {name:<28} {what}").expect("a string takes all");
-    };
+    let scenario = scenario(SCENARIO)?;
     let run = |who| simulate(&scenario, scenario.seed, who, None).map_err(|e| e.to_string());
-    let sound = run(Who::Brain(Kind::Module))?.verdict;
-    say("sound", sound.kept(), format!("rules kept over {} flows: {:?}", sound.flows, sound.broken));
+    let mut said = Said::default();
+    said.sound("sound", &run(Who::Brain(Kind::Module))?.verdict);
     for mischief in Mischief::ALL {
-        let verdict = run(Who::Mischief(mischief))?.verdict;
-        let count = verdict.broken.get(&mischief.breaks()).copied().unwrap_or(0);
-        say(mischief.name(), count > 0, format!("{:?} seen {count} times", mischief.breaks()));
+        said.caught(mischief.name(), mischief, &run(Who::Mischief(mischief))?.verdict);
     }
-    let all = Mischief::ALL.len() + 1;
-    writeln!(out, "{} passed, {missed} failed", all - missed).expect("a string takes all");
-    Ok((out, missed == 0))
+    Ok(said.closed())
 }
+
+/// The same on sockets, with small balancers started from this program (`lab`) and, where it is named, the real one. All
+/// run side by side, each between stand-ins of its own.
+///
+/// # Errors
+/// The scenario is faulty or a run could not be made; a run that is void is no pass.
+pub fn on_sockets(lab: &Path, real: Option<&Path>) -> Result<(String, bool), String> {
+    let scenario = scenario(ON_SOCKETS)?;
+    let small = |name: &str| Program { path: lab.into(), args: vec!["faulty-balancer".into(), name.into()] };
+    let mut runs = vec![("sound, on sockets".to_string(), None, small("sound"))];
+    if let Some(path) = real {
+        let program = Program { path: path.into(), args: vec!["serve".into()] };
+        runs.push(("the balancer itself, on sockets".into(), None, program));
+    }
+    for mischief in Mischief::ALL {
+        let name = mischief.name();
+        runs.push((format!("{name}, on sockets"), Some(mischief), small(name)));
+    }
+    let mut said = Said::default();
+    // A few at a time: the stand-ins of all at once would need more cores than there are.
+    for some in runs.chunks(AT_ONCE) {
+        let done: Vec<_> = std::thread::scope(|scope| {
+            let start = |(_, _, program): &(String, Option<Mischief>, Program)| {
+                let (scenario, program) = (&scenario, program.clone());
+                scope.spawn(move || sockets::run(scenario, scenario.seed, &program, None, None))
+            };
+            let all: Vec<_> = some.iter().map(start).collect();
+            all.into_iter().map(|one| one.join().unwrap_or_else(|_| Err("it panicked".into()))).collect()
+        });
+        for ((name, mischief, _), outcome) in some.iter().zip(done) {
+            let outcome = outcome.map_err(|why| format!("{name}: {why}"))?;
+            match (mischief, &outcome.void) {
+                // A break that was seen was seen, however slow the machine.
+                (Some(mischief), _) => said.caught(name, *mischief, &outcome.verdict),
+                (None, Some(void)) => said.say(name, false, &format!("void: {void}")),
+                (None, None) => {
+                    said.sound(name, &outcome.verdict);
+                    for one in outcome.verdict.told.iter() {
+                        said.text += &format!("     {:?} at {} ms: {}\n", one.rule, one.at / MS, one.what);
+                    }
+                    outcome.died.iter().for_each(|why| said.say(name, false, why));
+                }
+            }
+        }
+    }
+    Ok(said.closed())
+}
+
+/// Runs on sockets at a time.
+const AT_ONCE: usize = 4;
--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -13,7 +13,7 @@
 use crate::rules::Verdict;
 
 /// All figures, each with what it means.
-pub const NAMES: [(&str, &str); 24] = [
+pub const NAMES: [(&str, &str); 26] = [
     ("worth", "part of the worth wanted that was served in time, from the settling on"),
     ("worth_worst", "the same in the worst 5 s"),
     ("setup_p50", "seconds from a flow's taking to its connection, median"),
@@ -40,6 +40,8 @@
     ("standing", "connections at the end"),
     ("rules_broken", "breaks of the four rules"),
     ("probes", "probes made"),
+    ("balancer_cpu", "processor seconds a second of each balancer's process, on average; 0 in virtual time"),
+    ("balancer_mb", "largest resident memory of a balancer's process, in MB; 0 in virtual time"),
     ("steps", "events of virtual time, or lines on sockets"),
 ];
 
@@ -188,6 +190,8 @@
             standing as f64,
             verdict.broken.values().sum::<usize>() as f64,
             self.probes as f64,
+            0.0,
+            0.0,
             self.steps as f64,
         ];
         Figures(NAMES.iter().map(|(name, _)| *name).zip(values).collect())
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,11 +7,13 @@
 use bpaf::{Bpaf, Parser};
 use nettlemux_lab::brains::Kind;
 use nettlemux_lab::experiment::{self, Estimate, Row};
-use nettlemux_lab::figures::show;
+use nettlemux_lab::figures::{Figures, show};
+use nettlemux_lab::mischief::Mischief;
 use nettlemux_lab::record::{self, Writer};
 use nettlemux_lab::rules::{Rules, Verdict};
-use nettlemux_lab::simulate::{Outcome, Who, simulate};
-use nettlemux_lab::{check, file};
+use nettlemux_lab::simulate::{Who, simulate};
+use nettlemux_lab::sockets::Program;
+use nettlemux_lab::{check, file, sockets};
 use nettlemux_policy::{MS, SEC};
 use nettlemux_world::scenario::Scenario;
 use serde_json::json;
@@ -98,9 +100,44 @@
         #[bpaf(positional("RECORD"))]
         record: PathBuf,
     },
+    /// Runs a scenario on sockets with real balancers; exit code 3 if the machine was too slow for a result
+    #[bpaf(command)]
+    Run {
+        #[bpaf(external)]
+        program: PathBuf,
+        #[bpaf(argument("N"))]
+        seed: Option<u64>,
+        /// Writes the record there
+        #[bpaf(argument("FILE"))]
+        record: Option<PathBuf>,
+        /// Keeps the balancers' logs there
+        #[bpaf(argument("FOLDER"))]
+        logs: Option<PathBuf>,
+        json: bool,
+        #[bpaf(positional("SCENARIO"))]
+        scenario: PathBuf,
+    },
     /// Runs balancers that break one rule each and fails unless each is caught and a sound one passes
     #[bpaf(command("self-check"))]
-    SelfCheck,
+    SelfCheck {
+        /// On sockets too, with the balancer itself among the sound ones
+        sockets: bool,
+        #[bpaf(external)]
+        program: PathBuf,
+    },
+    /// A small balancer on sockets that is sound or breaks one rule
+    #[bpaf(command("faulty-balancer"), hide)]
+    FaultyBalancer {
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+}
+
+/// The program that is run as the balancers; the `nettlemux` beside this one where none is named.
+fn program() -> impl Parser<PathBuf> {
+    let beside = std::env::current_exe().unwrap_or_default().with_file_name("nettlemux");
+    let help = "The balancer's program; without it, the nettlemux beside this one";
+    bpaf::long("program").help(help).argument::<PathBuf>("PATH").fallback(beside)
 }
 
 fn threads() -> impl Parser<usize> {
@@ -113,7 +150,11 @@
         Ok((text, good)) => {
             // A reader that has seen enough is no fault.
             let _ = std::io::Write::write_all(&mut std::io::stdout(), text.as_bytes());
-            if good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+            match good {
+                _ if text.contains(VOID) => ExitCode::from(3),
+                true => ExitCode::SUCCESS,
+                false => ExitCode::FAILURE,
+            }
         }
         Err(why) => {
             eprintln!("nettlemux-lab: {why}");
@@ -122,6 +163,9 @@
     }
 }
 
+/// How the last line of a run begins that is no result.
+const VOID: &str = "VOID: ";
+
 /// What to print, and whether all was as expected; an error is a fault in what was asked.
 fn run(command: Command) -> Result<(String, bool), String> {
     match command {
@@ -134,7 +178,9 @@
             let mut writer = record.as_ref().map(|file| Writer::create(file)).transpose().map_err(at)?;
             let outcome = simulate(&scenario, seed, Who::Brain(policy), writer.as_mut()).map_err(at)?;
             writer.map_or(Ok(()), Writer::finish).map_err(at)?;
-            Ok(told(&scenario, seed, policy.name(), &outcome, json))
+            let (figures, verdict) = (outcome.figures, outcome.verdict);
+            let run = Told { seed, policy: policy.name(), figures, verdict, simulated: true };
+            Ok(run.told(&scenario, json))
         }
         Command::Compare { a, b, seeds, threads, json, scenario } => {
             let (scenario, _) = file::load(&scenario).map_err(|e| e.to_string())?;
@@ -210,36 +256,78 @@
                 read.cut.map_or(String::new(), |line| format!("the record is cut off at line {line}\n"));
             Ok((format!("{cut}{}{}\n", breaks(&verdict), rules(&verdict)), verdict.kept()))
         }
-        Command::SelfCheck => {
-            let (text, good) = check::self_check()?;
+        Command::Run { program, seed, record, logs, json, scenario } => {
+            let (scenario, _) = file::load(&scenario).map_err(|e| e.to_string())?;
+            let seed = seed.unwrap_or(scenario.seed);
+            let at = |e: std::io::Error| {
+                format!("{}: {e}", record.as_deref().unwrap_or(&PathBuf::new()).display())
+            };
+            let writer = record.as_ref().map(|file| Writer::create(file)).transpose().map_err(at)?;
+            let balancer = Program { path: program, args: vec!["serve".into()] };
+            let outcome = sockets::run(&scenario, seed, &balancer, writer, logs.as_deref())?;
+            let version = sockets::version(&balancer);
+            let died: String = outcome.died.iter().map(|why| format!("{why}\n")).collect();
+            let (figures, verdict) = (outcome.figures, outcome.verdict);
+            let run = Told { seed, policy: &version, figures, verdict, simulated: false };
+            let (mut text, good) = run.told(&scenario, json);
+            if let Some(void) = outcome.void {
+                text += &format!("{VOID}{}: {void}\n", scenario.name);
+            }
+            Ok((died.clone() + &text, good && died.is_empty()))
+        }
+        Command::SelfCheck { sockets, program } => {
+            let (mut text, mut good) = check::self_check()?;
+            if sockets {
+                let lab = std::env::current_exe().map_err(|e| e.to_string())?;
+                let (more, also) = check::on_sockets(&lab, Some(&program))?;
+                (text, good) = (text + &more, good && also);
+            }
             Ok((text, good))
         }
+        Command::FaultyBalancer { name } => {
+            let mischief = Mischief::ALL.into_iter().find(|mischief| mischief.name() == name);
+            if mischief.is_none() && name != "sound" {
+                return Err(format!("'{name}' is no mischief"));
+            }
+            sockets::faulty::run(mischief).map(|()| (String::new(), true))
+        }
     }
 }
 
-fn told(scenario: &Scenario, seed: u64, policy: &str, outcome: &Outcome, json: bool) -> (String, bool) {
-    let unmet = outcome.figures.unmet(scenario);
-    let good = unmet.is_empty() && outcome.verdict.kept();
-    if json {
-        let all = json!({"scenario": scenario.name, "seed": seed, "policy": policy, "simulated": true, "good": good,
-            "version": env!("CARGO_PKG_VERSION"), "figures": outcome.figures.json(), "unmet": unmet,
-            "rules": outcome.verdict});
-        return (format!("{all}\n"), good);
+/// One run, to be told.
+struct Told<'a> {
+    seed: u64,
+    policy: &'a str,
+    figures: Figures,
+    verdict: Verdict,
+    simulated: bool,
+}
+
+impl Told<'_> {
+    fn told(&self, scenario: &Scenario, json: bool) -> (String, bool) {
+        let unmet = self.figures.unmet(scenario);
+        let good = unmet.is_empty() && self.verdict.kept();
+        if json {
+            let all = json!({"scenario": scenario.name, "seed": self.seed, "policy": self.policy,
+                "simulated": self.simulated, "good": good, "version": env!("CARGO_PKG_VERSION"),
+                "figures": self.figures.json(), "unmet": unmet, "rules": self.verdict});
+            return (format!("{all}\n"), good);
+        }
+        let mut out = self.figures.table();
+        out += &breaks(&self.verdict);
+        unmet.iter().for_each(|what| writeln!(out, "unmet: {what}").expect("a string takes all"));
+        let word = if good { "good" } else { "NOT GOOD" };
+        let how = if self.simulated { "simulated" } else { "on sockets" };
+        let (worth, rules) = (show(self.figures.get("worth")), rules(&self.verdict));
+        let (count, met) = (scenario.expect.len(), scenario.expect.len() - unmet.len());
+        let (name, policy, seed) = (&scenario.name, self.policy, self.seed);
+        writeln!(
+            out,
+            "{word}: {name} ({how}, {policy}, seed {seed}): worth {worth}, {rules}, {met} of {count} expectations met"
+        )
+        .expect("a string takes all");
+        (out, good)
     }
-    let mut out = outcome.figures.table();
-    out += &breaks(&outcome.verdict);
-    unmet.iter().for_each(|what| writeln!(out, "unmet: {what}").expect("a string takes all"));
-    let word = if good { "good" } else { "NOT GOOD" };
-    let (worth, rules) = (show(outcome.figures.get("worth")), rules(&outcome.verdict));
-    let met = scenario.expect.len() - unmet.len();
-    let count = scenario.expect.len();
-    writeln!(
-        out,
-        "{word}: {} (simulated, {policy}, seed {seed}): worth {worth}, {rules}, {met} of {count} expectations met",
-        scenario.name
-    )
-    .expect("a string takes all");
-    (out, good)
 }
 
 fn rules(verdict: &Verdict) -> String {
--- /dev/null
+++ b/crates/lab/src/sockets/client.rs
@@ -0,0 +1,340 @@
+//! Stand-in clients: each asks a balancer that the front deals it, waits for its answer, sends a line now and then, and comes again
+//! when it is moved, turned away or cut off. It owns its socket, notes what reaches it, and believes no balancer's word
+//! that it can check.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use nettlemux_policy::{MS, SEC, Time};
+use nettlemux_world::crowd::Client;
+use nettlemux_world::scenario::seconds;
+use nettlemux_world::seen::{Ender, Final, Kind, Seen};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+use super::span;
+use super::stage::{Known, Stage};
+
+/// A balancer's machine takes a connection by then or never.
+const DIAL: Duration = Duration::from_secs(1);
+/// How long past its connect timeout a client goes on listening: what comes then is late, or a second answer.
+const PATIENCE: Time = 300 * MS;
+/// One that was open before the run is waited for so long.
+const STANDING: Time = 40 * SEC;
+/// A balancer's process that has died is noticed by then: until it is, an end without a word isn't judged.
+const NOTICED: Duration = Duration::from_millis(400);
+/// Lines that wait for their answers at most.
+const LINES: usize = 64;
+
+type Lines = tokio::io::Lines<BufReader<OwnedReadHalf>>;
+
+/// New clients come for as long as the run lasts.
+pub async fn arrive(stage: Arc<Stage>) {
+    let mut next = stage.now();
+    loop {
+        let wait = {
+            let inner = &mut *stage.lock();
+            inner.crowd.next_arrival(&inner.world)
+        };
+        next += wait;
+        tokio::time::sleep(span(next.saturating_sub(stage.now()))).await;
+        let id = {
+            let inner = &mut *stage.lock();
+            inner.crowd.arrive(stage.now(), &inner.world)
+        };
+        tokio::spawn(live(stage.clone(), id, None));
+    }
+}
+
+/// A client whose connection stood before the run: at a server with less load of two.
+pub fn stand(stage: &Arc<Stage>) {
+    let (id, server) = {
+        let inner = &mut *stage.lock();
+        let id = inner.crowd.arrive(0, &inner.world);
+        let hall = inner.crowd.get(id).map_or(0, |client| client.hall);
+        let of_hall: Vec<usize> =
+            (0..inner.world.servers.len()).filter(|s| inner.world.servers[*s].hall == hall).collect();
+        let all: Vec<usize> = (0..inner.world.servers.len()).collect();
+        let among = if of_hall.is_empty() { all } else { of_hall };
+        let two = [among[inner.dice.below(among.len())], among[inner.dice.below(among.len())]];
+        let beta = |s: usize| inner.world.servers[s].beta(&stage.scenario.fleet, 0);
+        (id, if beta(two[0]) <= beta(two[1]) { two[0] } else { two[1] })
+    };
+    tokio::spawn(live(stage.clone(), id, Some(server)));
+}
+
+/// What a try came to.
+enum Came {
+    /// When to try again; none: never.
+    Again(Option<Time>),
+    /// The client has had what it wanted.
+    Over,
+}
+
+/// One client, from its coming to the end of what it wants.
+async fn live(stage: Arc<Stage>, id: u64, mut standing: Option<usize>) {
+    loop {
+        let client = stage.lock().crowd.get(id).cloned();
+        let Some(client) = client.filter(|client| !client.gone) else { break };
+        match once(&stage, id, &client, standing.take()).await {
+            Came::Over => break,
+            Came::Again(Some(wait)) => {
+                let left = client.ends.saturating_sub(stage.now());
+                tokio::time::sleep(span(wait.min(left))).await;
+                if wait >= left {
+                    break;
+                }
+            }
+            Came::Again(None) => {
+                // What it still wanted is lost, and counts until its end.
+                stage.lock().gather.clients_lost += 1;
+                tokio::time::sleep(span(client.ends.saturating_sub(stage.now()))).await;
+                break;
+            }
+        }
+    }
+    stage.lock().crowd.over(id);
+}
+
+async fn once(stage: &Arc<Stage>, id: u64, client: &Client, standing: Option<usize>) -> Came {
+    let dealt = {
+        let inner = &mut *stage.lock();
+        inner.front.deal(stage.now(), client.hall)
+    };
+    let refused = || Came::Again(Some(stage.lock().crowd.refused()));
+    let Some(balancer) = dealt else { return refused() };
+    let dial = TcpStream::connect(stage.balancer(balancer));
+    let Ok(Ok(stream)) = tokio::time::timeout(DIAL, dial).await else { return refused() };
+    let _ = stream.set_nodelay(true);
+    let (read, mut out) = stream.into_split();
+    let mut lines = BufReader::with_capacity(512, read).lines();
+    let wait = match standing {
+        Some(_) => STANDING,
+        None => seconds(stage.scenario.types[client.service_type].wait),
+    };
+    let taken = stage.now();
+    let (flow, kind) = {
+        let inner = &mut *stage.lock();
+        let flow = inner.number();
+        let known = Known { client: id, balancer, server: standing, by_server: None, tell: None };
+        inner.flows.insert(flow, known);
+        let kind = inner.crowd.kind(id, &stage.scenario);
+        if standing.is_none() {
+            inner.gather.flows += 1;
+            if client.returning {
+                inner.gather.returned(taken);
+            }
+            let give_up = taken + wait;
+            inner.see(Seen::Taken { at: taken, balancer, flow, kind, give_up });
+        }
+        (flow, kind)
+    };
+    let line = first_line(stage, client, flow, wait, standing);
+    let came = match out.write_all(line.as_bytes()).await {
+        Ok(()) => {
+            let asked = Asked { stage, id, flow, kind, taken, wait, balancer };
+            asked.wait(&mut lines, &mut out, client, standing.is_some()).await
+        }
+        Err(_) => refused(),
+    };
+    drop((lines, out));
+    stage.lock().flows.remove(&flow);
+    came
+}
+
+fn first_line(stage: &Stage, client: &Client, flow: u64, wait: Time, standing: Option<usize>) -> String {
+    let of = &stage.scenario.types[client.service_type];
+    let mut line = format!("OPEN {flow:016x} {:016x} c={},d={}", flow ^ 0x5bd1, of.name, wait / MS);
+    if let Some(group) = client.group {
+        line += &format!(",g=g{group}");
+    }
+    if !stage.scenario.clients.customers.is_empty() {
+        line += &format!(",t=c{}", client.customer);
+    }
+    if client.returning {
+        line += ",again=1";
+    }
+    if let Some(server) = standing {
+        line += &format!(",at=s{server}");
+    }
+    line + "\r\n"
+}
+
+/// A flow that its client has asked for.
+struct Asked<'a> {
+    stage: &'a Arc<Stage>,
+    id: u64,
+    flow: u64,
+    kind: Kind,
+    taken: Time,
+    wait: Time,
+    balancer: usize,
+}
+
+impl Asked<'_> {
+    /// Waits for the one final answer, and goes on from there.
+    async fn wait(
+        &self,
+        lines: &mut Lines,
+        out: &mut OwnedWriteHalf,
+        client: &Client,
+        standing: bool,
+    ) -> Came {
+        let stage = self.stage;
+        let patience = span(self.wait + PATIENCE);
+        let ends = match standing {
+            true => patience,
+            false => span(client.ends.saturating_sub(stage.now())),
+        };
+        let answer = tokio::select! {
+            answer = tokio::time::timeout(patience, lines.next_line()) => answer,
+            () = tokio::time::sleep(ends) => {
+                stage.see(Seen::Left { at: stage.now(), flow: self.flow });
+                return Came::Over;
+            }
+        };
+        let Ok(Ok(Some(answer))) = answer else {
+            // Nothing, or an end without a word: lost, unless the balancer has died, which its end will tell.
+            stage.lock().gather.unanswered += u64::from(!self.balancer_gone().await);
+            let inner = &mut *stage.lock();
+            return Came::Again(inner.crowd.aborted(self.id, &stage.scenario));
+        };
+        let now = stage.now();
+        let (word, rest) = answer.split_once(' ').unwrap_or((&answer, ""));
+        let with = match word {
+            "UP" => Final::Established,
+            "BUSY" => Final::Rejected,
+            _ => Final::Aborted,
+        };
+        if !standing {
+            let target = seconds(stage.scenario.types[client.service_type].target);
+            let mut inner = stage.lock();
+            inner.gather.answered(now, with, now - self.taken, target);
+            inner.see(Seen::Answered { at: now, flow: self.flow, with });
+        }
+        match with {
+            Final::Established => {
+                {
+                    let mut inner = stage.lock();
+                    inner.crowd.established(self.id);
+                    inner.standing += usize::from(standing);
+                }
+                self.open(lines, out, client).await
+            }
+            Final::Rejected => {
+                self.second_answer(lines).await;
+                let come_back = rest.trim().parse::<u64>().ok().map(|ms| ms * MS);
+                let inner = &mut *stage.lock();
+                Came::Again(inner.crowd.rejected(self.id, come_back, &stage.scenario))
+            }
+            Final::Aborted => {
+                self.second_answer(lines).await;
+                let inner = &mut *stage.lock();
+                Came::Again(match self.kind {
+                    Kind::OnceOnly if standing => None,
+                    _ => inner.crowd.aborted(self.id, &stage.scenario),
+                })
+            }
+        }
+    }
+
+    /// Listens a little longer: nothing may come after the one answer.
+    async fn second_answer(&self, lines: &mut Lines) {
+        let more = tokio::time::timeout(Duration::from_millis(50), lines.next_line()).await;
+        if let Ok(Ok(Some(line))) = more {
+            let with = if line.starts_with("BUSY") { Final::Rejected } else { Final::Aborted };
+            self.stage.see(Seen::Answered { at: self.stage.now(), flow: self.flow, with });
+        }
+    }
+
+    async fn balancer_gone(&self) -> bool {
+        tokio::time::sleep(NOTICED).await;
+        !self.stage.lock().alive[self.balancer]
+    }
+
+    /// Sends a line now and then and looks at what comes back, until one side ends.
+    async fn open(&self, lines: &mut Lines, out: &mut OwnedWriteHalf, client: &Client) -> Came {
+        let stage = self.stage;
+        let every = seconds(stage.scenario.clients.lines);
+        let target = seconds(stage.scenario.types[client.service_type].message_target);
+        let mut next = stage.now() + (every as f64 * stage.lock().dice.unit()) as Time;
+        let mut waiting = std::collections::VecDeque::new();
+        let mut count = 0u64;
+        loop {
+            let now = stage.now();
+            if stage.begun() && now >= client.ends {
+                stage.see(Seen::Ended {
+                    at: now,
+                    flow: self.flow,
+                    by: Ender::Client,
+                    told: false,
+                    sound: true,
+                });
+                return Came::Over;
+            }
+            let wake = if stage.begun() { next.min(client.ends) } else { next };
+            tokio::select! {
+                line = lines.next_line() => match line {
+                    Ok(Some(line)) if line == "MOVE" => {
+                        // Closed by the other side, soon; nothing more may be lost to us.
+                        let _ = tokio::time::timeout(Duration::from_millis(200), lines.next_line()).await;
+                        return self.ended(true).await;
+                    }
+                    Ok(Some(line)) if line.starts_with("ok ") => {
+                        let now = stage.now();
+                        if let Some(sent) = waiting.pop_front() {
+                            let took: Time = now - sent;
+                            let mut inner = stage.lock();
+                            inner.gather.message(now, took as f64 / 1e9, 1);
+                            if took <= target {
+                                inner.served += client.value * every as f64 / 1e9;
+                            }
+                        }
+                    }
+                    Ok(Some(line)) if line.starts_with("LOAD ") => {}
+                    Ok(Some(line)) => {
+                        // No server of ours made it.
+                        let with = if line.starts_with("UP") { Final::Established } else { Final::Aborted };
+                        stage.see(Seen::Answered { at: stage.now(), flow: self.flow, with });
+                    }
+                    Ok(None) | Err(_) => return self.ended(false).await,
+                },
+                () = tokio::time::sleep(span(wake.saturating_sub(now))) => {
+                    let now = stage.now();
+                    if now < next {
+                        continue;
+                    }
+                    next = now + every;
+                    count += 1;
+                    stage.lock().gather.steps += 1;
+                    if waiting.len() < LINES {
+                        waiting.push_back(now);
+                        let line = format!("m{count}\r\n");
+                        if out.write_all(line.as_bytes()).await.is_err() {
+                            return self.ended(false).await;
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// The connection has ended without the client's doing.
+    async fn ended(&self, told: bool) -> Came {
+        let stage = self.stage;
+        if told || !self.balancer_gone().await {
+            let mut inner = stage.lock();
+            let at = stage.now();
+            inner.broken(at, self.flow, told);
+        }
+        let inner = &mut *stage.lock();
+        let by_server = inner.flows.get(&self.flow).is_some_and(|known| known.by_server.is_some());
+        match (told, by_server) {
+            (true, false) => inner.gather.moves += 1,
+            (false, _) => inner.gather.lost += 1,
+            _ => {}
+        }
+        Came::Again(inner.crowd.comes_again(self.id, told))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sockets/discovery.rs
@@ -0,0 +1,59 @@
+//! The stand-in discovery agent, one for each balancer: HTTP/1.1 with held calls, as the platform has it. It owns its listener,
+//! tells what the balancer may see by now, and notes it as told when it writes it. While discovery is down it says nothing.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::stage::Stage;
+
+/// Holds no call for longer.
+const LONGEST: u64 = 60_000;
+
+/// Starts one balancer's agent.
+///
+/// # Errors
+/// Its address can't be had.
+pub async fn start(stage: &Arc<Stage>, balancer: usize) -> Result<(), String> {
+    let at = stage.discovery(balancer);
+    let listener = TcpListener::bind(at).await.map_err(|e| format!("can't listen at {at}: {e}"))?;
+    let stage = stage.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(talk(stage.clone(), balancer, stream));
+        }
+    });
+    Ok(())
+}
+
+async fn talk(stage: Arc<Stage>, balancer: usize, stream: TcpStream) -> Option<()> {
+    let (read, mut out) = stream.into_split();
+    let mut lines = BufReader::new(read).lines();
+    loop {
+        let request = lines.next_line().await.ok()??;
+        while !lines.next_line().await.ok()??.is_empty() {}
+        let value = |name: &str| {
+            let mut pairs = request.split(['?', '&', ' ']).filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).and_then(|(_, value)| value.parse::<u64>().ok())
+        };
+        let (from, hold) = (value("from"), value("hold_ms").unwrap_or(0).min(LONGEST));
+        let mut news = stage.news.subscribe();
+        let newer = async {
+            while from.is_some_and(|from| stage.lock().visible[balancer] <= from) {
+                if news.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(Duration::from_millis(hold), newer).await;
+        if stage.lock().world.discovery().is_none() {
+            // Silent: the call is held for good.
+            std::future::pending::<()>().await;
+        }
+        let body = stage.list(balancer, from).to_string();
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        out.write_all((head + &body).as_bytes()).await.ok()?;
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sockets/processes.rs
@@ -0,0 +1,292 @@
+//! The balancers' processes: their configurations, logs, planned ends and returns. It owns each child and its files, ends only what
+//! it has started, and reports one that dies by itself with the end of its log.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use nettlemux_policy::{MS, SEC, Time};
+use nettlemux_world::fleet::Happening;
+use nettlemux_world::scenario::seconds;
+use nettlemux_world::seen::Seen;
+use rustix::process::{Pid, Resource, Rlimit, Signal};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use super::Program;
+use super::stage::Stage;
+use crate::file;
+
+/// All balancers must be ready by then.
+const READY: Duration = Duration::from_secs(10);
+/// From SIGTERM to SIGKILL, and how long the front goes on dealing after the first.
+const ENDS: Time = 4200 * MS;
+const DEALT: Time = 300 * MS;
+/// Between one balancer's return and the next one's end when they are restarted in turn.
+const IN_TURN: Time = SEC;
+/// Lines of a dead balancer's log that are told.
+const TOLD: usize = 20;
+/// Descriptors of a balancer beside two for each connection that it may come to hold.
+const DESCRIPTORS: usize = 512;
+/// Memory of one: more than it needs, so that descriptors bind first.
+const MEMORY_MB: usize = 1024;
+
+enum State {
+    Runs,
+    /// Asked to end at that time, to be back after so long.
+    Ending(Time, Time),
+    Away(Time),
+}
+
+struct One {
+    child: Child,
+    state: State,
+    log: PathBuf,
+    config: PathBuf,
+    /// Processor time of its ended runs, and its largest memory.
+    cpu: f64,
+    memory: f64,
+}
+
+pub struct Processes {
+    stage: Arc<Stage>,
+    program: Program,
+    folder: PathBuf,
+    /// The folder is ours, to be removed.
+    ours: bool,
+    all: Vec<One>,
+    /// Planned ends to come: when, who, and how long away.
+    planned: Vec<(Time, usize, Time)>,
+    died: Vec<String>,
+    clock: f64,
+}
+
+/// What the program says of itself.
+pub fn version(program: &Program) -> String {
+    let said = Command::new(&program.path).arg("version").stdin(Stdio::null()).output();
+    let said = said.ok().filter(|out| out.status.success());
+    said.map_or("unknown".into(), |out| String::from_utf8_lossy(&out.stdout).trim().to_string())
+}
+
+impl Processes {
+    pub fn new(stage: &Arc<Stage>, program: &Program, logs: Option<&Path>) -> Result<Self, String> {
+        if !program.path.is_file() {
+            return Err(format!("{}: there is no such program", program.path.display()));
+        }
+        let (folder, ours) = match logs {
+            Some(folder) => (folder.to_path_buf(), false),
+            None => {
+                let name = format!("nettlemux-lab-{}-{}", std::process::id(), stage.balancer(0).ip());
+                (std::env::temp_dir().join(name), true)
+            }
+        };
+        std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+        // As many descriptors as this process may have: each connection takes two of them.
+        let limit = rustix::process::getrlimit(Resource::Nofile);
+        let all = Rlimit { current: limit.maximum, maximum: limit.maximum };
+        let _ = rustix::process::setrlimit(Resource::Nofile, all);
+        Ok(Processes {
+            stage: stage.clone(),
+            program: program.clone(),
+            folder,
+            ours,
+            all: Vec::new(),
+            planned: Vec::new(),
+            died: Vec::new(),
+            clock: rustix::param::clock_ticks_per_second() as f64,
+        })
+    }
+
+    fn spawn(&self, b: usize, again: u64) -> Result<(Child, PathBuf, PathBuf), String> {
+        let stage = &self.stage;
+        let scenario = &stage.scenario;
+        let expected =
+            scenario.clients.standing.max((scenario.clients.rate * scenario.clients.life) as usize);
+        let sockets =
+            DESCRIPTORS + 6 * expected / scenario.balancers.number + 8 * stage.scenario.fleet.servers;
+        let config = json!({
+            "name": format!("b{b}"),
+            "listen": stage.balancer(b).to_string(),
+            "discovery": stage.discovery(b).to_string(),
+            "seed": format!("{:016x}", (b as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ scenario.seed ^ again),
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": sockets},
+            "known": stage.list(b, None),
+            "settings": file::settings(scenario, stage.hall(b)),
+        });
+        let at = |name: String| self.folder.join(name);
+        let (path, log) = (at(format!("b{b}.json")), at(format!("b{b}.log")));
+        std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
+        let file = File::options().create(true).append(true).open(&log);
+        let file = file.map_err(|e| format!("{}: {e}", log.display()))?;
+        let other = file.try_clone().map_err(|e| format!("{}: {e}", log.display()))?;
+        let mut command = Command::new(&self.program.path);
+        command.args(&self.program.args).env("LB_CONFIG", &path).env("LB_NAME", format!("b{b}"));
+        command.stdin(Stdio::null()).stdout(other).stderr(file);
+        let child = command.spawn().map_err(|e| format!("{}: {e}", self.program.path.display()))?;
+        Ok((child, log, path))
+    }
+
+    pub async fn start_all(&mut self) -> Result<(), String> {
+        for b in 0..self.stage.scenario.balancers.number {
+            let (child, log, config) = self.spawn(b, 0)?;
+            self.all.push(One { child, state: State::Runs, log, config, cpu: 0.0, memory: 0.0 });
+        }
+        for b in 0..self.all.len() {
+            let ready = async {
+                while !pings(&self.stage, b).await {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            };
+            if tokio::time::timeout(READY, ready).await.is_err() {
+                return Err(format!("balancer {b} isn't ready in time:\n{}", end_of(&self.all[b].log)));
+            }
+            self.stage.lock().alive[b] = true;
+        }
+        Ok(())
+    }
+
+    /// What a fault asks of the processes.
+    pub fn asked(&mut self, happened: Happening, now: Time) {
+        match happened {
+            Happening::Restart { balancer, away } => {
+                let mine = |planned: &&(Time, usize, Time)| planned.0 >= now;
+                let last = self.planned.iter().filter(mine).map(|p| p.0 + ENDS + p.2 + IN_TURN).max();
+                self.planned.push((last.unwrap_or(now), balancer, away));
+            }
+            Happening::Kill { balancer, away } => {
+                let _ = self.all[balancer].child.kill();
+                let _ = self.all[balancer].child.wait();
+                self.ended(balancer, now, false, away);
+            }
+            _ => {}
+        }
+    }
+
+    /// Carries planned ends out and notices what has ended by itself.
+    pub fn watch(&mut self, now: Time) {
+        let due = |planned: &(Time, usize, Time)| planned.0 <= now;
+        let (soon, later): (Vec<_>, Vec<_>) = self.planned.drain(..).partition(due);
+        self.planned = later;
+        for (_, b, away) in soon {
+            if let (State::Runs, Some(pid)) =
+                (&self.all[b].state, Pid::from_raw(self.all[b].child.id() as i32))
+            {
+                self.usage_of(b);
+                let _ = rustix::process::kill_process(pid, Signal::TERM);
+                self.all[b].state = State::Ending(now, away);
+                self.stage.lock().front.dies(b, now + DEALT);
+            }
+        }
+        for b in 0..self.all.len() {
+            match self.all[b].state {
+                State::Runs | State::Ending(..) => {
+                    let ended = matches!(self.all[b].child.try_wait(), Ok(Some(_)));
+                    match self.all[b].state {
+                        State::Ending(_, away) if ended => self.ended(b, now, true, away),
+                        State::Ending(since, away) if now >= since + ENDS => {
+                            let _ = self.all[b].child.kill();
+                            let _ = self.all[b].child.wait();
+                            self.ended(b, now, true, away);
+                        }
+                        _ if ended => {
+                            self.died.push(format!("balancer {b} died:\n{}", end_of(&self.all[b].log)));
+                            self.ended(b, now, false, SEC);
+                        }
+                        _ => {}
+                    }
+                }
+                State::Away(until) if until <= now => match self.spawn(b, now) {
+                    Ok((child, ..)) => {
+                        (self.all[b].child, self.all[b].state) = (child, State::Runs);
+                        tokio::spawn(back(self.stage.clone(), b));
+                    }
+                    Err(why) => {
+                        self.died.push(why);
+                        self.all[b].state = State::Away(Time::MAX);
+                    }
+                },
+                State::Away(_) => {}
+            }
+        }
+    }
+
+    fn ended(&mut self, b: usize, now: Time, planned: bool, away: Time) {
+        self.all[b].state = State::Away(now + away);
+        let mut inner = self.stage.lock();
+        inner.alive[b] = false;
+        if !planned {
+            inner.front.dies(b, now + seconds(self.stage.scenario.balancers.notice));
+        }
+        inner.see(Seen::BalancerEnded { at: now, balancer: b, planned });
+    }
+
+    fn usage_of(&mut self, b: usize) {
+        let id = self.all[b].child.id();
+        let read = |name: &str| std::fs::read_to_string(format!("/proc/{id}/{name}")).unwrap_or_default();
+        // After the program's name in brackets: user and system time are the 12th and 13th word.
+        let stat = read("stat");
+        let words: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+        let ticks = |i: usize| words.get(i).and_then(|word| word.parse::<f64>().ok()).unwrap_or(0.0);
+        self.all[b].cpu += (ticks(11) + ticks(12)) / self.clock;
+        let status = read("status");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kb = peak.and_then(|rest| rest.split_whitespace().next()?.parse::<f64>().ok()).unwrap_or(0.0);
+        self.all[b].memory = self.all[b].memory.max(kb / 1024.0);
+    }
+
+    /// Processor time of a balancer for each second of the run, on average, and the largest memory of one in MB.
+    pub fn usage(&mut self) -> (f64, f64) {
+        (0..self.all.len()).for_each(|b| self.usage_of(b));
+        let cpu = self.all.iter().map(|one| one.cpu).sum::<f64>() / self.all.len().max(1) as f64;
+        (cpu / self.stage.scenario.seconds, self.all.iter().map(|one| one.memory).fold(0.0, f64::max))
+    }
+
+    /// Ends what was started; what died by itself is told.
+    pub fn end(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.died)
+    }
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        for one in &mut self.all {
+            let _ = one.child.kill();
+            let _ = one.child.wait();
+            let _ = std::fs::remove_file(&one.config);
+        }
+        if self.ours {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+async fn back(stage: Arc<Stage>, b: usize) {
+    while !pings(&stage, b).await {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let mut inner = stage.lock();
+    inner.alive[b] = true;
+    inner.front.back(b);
+}
+
+/// Whether a balancer answers PING, as the front asks before it deals to one.
+async fn pings(stage: &Stage, b: usize) -> bool {
+    let ask = async {
+        let mut stream = TcpStream::connect(stage.balancer(b)).await.ok()?;
+        stream.write_all(b"PING\r\n").await.ok()?;
+        let mut answer = [0; 6];
+        stream.read_exact(&mut answer).await.ok()?;
+        (&answer == b"PONG\r\n").then_some(())
+    };
+    matches!(tokio::time::timeout(Duration::from_millis(500), ask).await, Ok(Some(())))
+}
+
+fn end_of(log: &Path) -> String {
+    let text = std::fs::read(log).unwrap_or_default();
+    let text = String::from_utf8_lossy(&text);
+    let lines: Vec<&str> = text.lines().collect();
+    lines[lines.len().saturating_sub(TOLD)..].join("\n")
+}
--- /dev/null
+++ b/crates/lab/src/sockets/server.rs
@@ -0,0 +1,355 @@
+//! A stand-in server: listens at one address for each hall, answers probes, takes connects as the model says and answers lines in
+//! the time that the model takes. It owns each connection's end at the server and gives its place in the model back when
+//! that ends, in [`Seat`]. It never says more than the model does.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nettlemux_policy::Time;
+use nettlemux_world::scenario::seconds;
+use nettlemux_world::seen::Seen;
+use nettlemux_world::server::{Guest, Life, Offer};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{mpsc, watch};
+
+use super::span;
+use super::stage::{Stage, Tell};
+
+/// Connections that may wait to be accepted.
+const WAITING: u32 = 1024;
+/// An address may not be free at once when a server comes back.
+const AGAIN: Duration = Duration::from_millis(20);
+/// A first line is no longer than the platform's.
+const LONGEST: usize = 4096 + 2;
+
+/// Listens for as long as the run lasts, but for while the server's process is down.
+pub async fn listen(stage: Arc<Stage>, server: usize, hall: usize, mut life: watch::Receiver<Life>) {
+    loop {
+        while *life.borrow_and_update() == Life::Down {
+            if life.changed().await.is_err() {
+                return;
+            }
+        }
+        let Ok(listener) = bind(stage.server(server, hall)) else {
+            tokio::time::sleep(AGAIN).await;
+            continue;
+        };
+        loop {
+            tokio::select! {
+                changed = life.changed() => match changed {
+                    Ok(()) if *life.borrow() == Life::Down => break,
+                    Ok(()) => {}
+                    Err(_) => return,
+                },
+                accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                    tokio::spawn(talk(stage.clone(), server, hall, stream));
+                },
+            }
+        }
+    }
+}
+
+fn bind(at: std::net::SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(WAITING)
+}
+
+/// Both halves of a connection.
+struct Wire {
+    lines: BufReader<OwnedReadHalf>,
+    out: OwnedWriteHalf,
+    line: Vec<u8>,
+}
+
+impl Wire {
+    fn new(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true);
+        let (read, out) = stream.into_split();
+        Wire { lines: BufReader::with_capacity(512, read), out, line: Vec::new() }
+    }
+
+    /// The next line without its end; none once the connection is over.
+    async fn line(&mut self) -> Option<&str> {
+        // What has been read of a line is kept where the wait for the rest is given up.
+        loop {
+            let bytes = self.lines.fill_buf().await.ok().filter(|bytes| !bytes.is_empty())?;
+            let end = bytes.iter().position(|byte| *byte == b'\n');
+            let count = end.map_or(bytes.len(), |end| end + 1);
+            if self.line.last() == Some(&b'\n') {
+                self.line.clear();
+            }
+            self.line.extend_from_slice(&bytes[..count]);
+            self.lines.consume(count);
+            if end.is_some() {
+                return std::str::from_utf8(&self.line).ok().map(str::trim_end);
+            }
+            if self.line.len() > LONGEST {
+                return None;
+            }
+        }
+    }
+
+    async fn say(&mut self, text: &str) -> bool {
+        self.out.write_all(text.as_bytes()).await.is_ok()
+    }
+
+    /// Ends with a reset.
+    fn reset(self) {
+        let _ = self.out.as_ref().set_zero_linger();
+    }
+
+    /// Says nothing any more until the server's machine is back or the other side goes.
+    async fn mute(mut self, stage: &Stage, server: usize) {
+        loop {
+            let up = stage.lock().world.servers[server].life == Life::Up;
+            let gone = tokio::time::timeout(Duration::from_millis(500), self.line()).await;
+            if matches!(gone, Ok(None)) {
+                return;
+            }
+            if up && gone.is_err() {
+                return self.reset();
+            }
+        }
+    }
+}
+
+/// A connection's place in the model, and a connect that is out: given back when dropped.
+struct Seat<'a> {
+    stage: &'a Stage,
+    server: usize,
+    flow: u64,
+    seated: bool,
+    out: Option<usize>,
+}
+
+impl Seat<'_> {
+    /// The connect is out no more.
+    fn ended(&mut self, never_ran: bool) {
+        if let Some(number) = self.out.take() {
+            let at = self.stage.now();
+            self.stage.see(Seen::ConnectEnded { at, flow: self.flow, number, never_ran });
+        }
+    }
+}
+
+impl Drop for Seat<'_> {
+    fn drop(&mut self) {
+        self.ended(false);
+        let mut inner = self.stage.lock();
+        if self.seated {
+            inner.world.servers[self.server].rise(self.flow);
+        }
+        if let Some(known) = inner.flows.get_mut(&self.flow) {
+            known.tell = None;
+        }
+    }
+}
+
+async fn talk(stage: Arc<Stage>, server: usize, hall: usize, stream: TcpStream) {
+    let mut wire = Wire::new(stream);
+    let way = {
+        let inner = stage.lock();
+        let to = inner.world.servers[server].hall;
+        inner.world.way(hall, to)
+    };
+    loop {
+        let Some(line) = wire.line().await else { return };
+        let line = line.to_string();
+        // There and back.
+        tokio::time::sleep(span(2 * way)).await;
+        let reaches = {
+            let inner = stage.lock();
+            let one = &inner.world.servers[server];
+            one.life != Life::Silent && inner.world.reaches(hall, one.hall)
+        };
+        if !reaches {
+            return wire.mute(&stage, server).await;
+        }
+        if line.starts_with("OPEN ") {
+            return open(&stage, (server, hall), wire, &line, way).await;
+        }
+        let answer = match line.as_str() {
+            "PING" => Some("PONG\r\n".to_string()),
+            "STATS" => stats(&stage, server),
+            _ => Some("SYNTAX\r\n".to_string()),
+        };
+        match answer {
+            Some(answer) => {
+                if !wire.say(&answer).await {
+                    return;
+                }
+            }
+            None => return,
+        }
+    }
+}
+
+fn stats(stage: &Stage, server: usize) -> Option<String> {
+    let now = stage.now();
+    let mut inner = stage.lock();
+    inner.gather.probes += 1;
+    let inner = &mut *inner;
+    let report = inner.world.servers[server].report(&stage.scenario.fleet, now, &mut inner.dice)?;
+    let (beta, held) = (report.beta.unwrap_or(0.0), report.connections.unwrap_or(0.0));
+    Some(format!("PONG x0={beta:.4},inflight={held}\r\n"))
+}
+
+/// Serves one connection from its first line on.
+async fn open(stage: &Arc<Stage>, (server, hall): (usize, usize), mut wire: Wire, line: &str, way: Time) {
+    let flow = line.split(' ').nth(1).and_then(|id| u64::from_str_radix(id, 16).ok());
+    let Some(flow) = flow.filter(|flow| stage.lock().flows.contains_key(flow)) else {
+        // No client of ours sent it.
+        let _ = wire.say("SYNTAX\r\n").await;
+        return;
+    };
+    let inherited = line.contains(",at=");
+    let (sender, mut told) = mpsc::unbounded_channel();
+    let mut seat = Seat { stage, server, flow, seated: false, out: None };
+    let offer = {
+        let now = stage.now();
+        let mut inner = stage.lock();
+        let balancer = inner.flows.get(&flow).map_or(0, |known| known.balancer);
+        let mut happened = Vec::new();
+        let offer = match inherited {
+            true => Offer::Up(0.0),
+            false => {
+                inner.gather.connects += 1;
+                let number = inner.gather.connects as usize;
+                inner.see(Seen::Connect { at: now, balancer, flow, number, server });
+                seat.out = Some(number);
+                let (offer, more) = inner.world.offer(now, hall, server);
+                happened = more;
+                offer
+            }
+        };
+        if let Offer::Up(_) = offer {
+            if let Some(known) = inner.flows.get_mut(&flow) {
+                (known.server, known.tell, known.by_server) = (Some(server), Some(sender), None);
+            }
+            seat.seated = sit(&mut inner, flow, server);
+        }
+        drop(inner);
+        // What concerns processes can't come of a connect.
+        stage.happen(happened);
+        offer
+    };
+    match offer {
+        Offer::Busy => {
+            seat.ended(true);
+            let _ = wire.say("BUSY\r\n").await;
+            return;
+        }
+        Offer::Error => {
+            seat.ended(false);
+            let _ = wire.say("ERR\r\n").await;
+            return;
+        }
+        Offer::Refused => return wire.reset(),
+        Offer::Silence => return wire.mute(stage, server).await,
+        Offer::Up(took) => {
+            tokio::select! {
+                () = tokio::time::sleep(span(seconds(took))) => {}
+                // Given up by the balancer, by its end or a word too soon.
+                _ = wire.line() => return,
+                tell = told.recv() => return match tell {
+                    Some(Tell::Silence) => wire.mute(stage, server).await,
+                    Some(Tell::SendAway) => drop(wire.say("MOVE\r\n").await),
+                    _ => wire.reset(),
+                },
+            }
+        }
+    }
+    seat.ended(false);
+    let load = stage.lock().world.servers[server].guests.get(&flow).map_or(1.0, |guest| guest.load);
+    if !wire.say(&format!("UP {flow:x}\r\nLOAD {load:.4}\r\n")).await {
+        return;
+    }
+    serve(stage, (server, hall), wire, &mut told, flow, way).await;
+}
+
+fn sit(inner: &mut super::stage::Inner, flow: u64, server: usize) -> bool {
+    let client = inner.flows.get(&flow).and_then(|known| inner.crowd.get(known.client));
+    let Some(client) = client else { return false };
+    let guest = Guest {
+        load: client.load,
+        group: client.group,
+        service_type: client.service_type,
+        value: client.value,
+    };
+    inner.world.servers[server].seat(flow, guest);
+    true
+}
+
+/// Answers an open connection's lines, each in the time that the server takes now, until one side ends.
+async fn serve(
+    stage: &Stage,
+    (server, hall): (usize, usize),
+    mut wire: Wire,
+    told: &mut mpsc::UnboundedReceiver<Tell>,
+    flow: u64,
+    way: Time,
+) {
+    let mut change = next_change(stage);
+    loop {
+        tokio::select! {
+            line = wire.line() => {
+                let Some(line) = line else { return };
+                let answer = format!("ok {line}\r\n");
+                let now = stage.now();
+                let (takes, reaches) = {
+                    let mut inner = stage.lock();
+                    let one = &inner.world.servers[server];
+                    let mean = one.message(&stage.scenario.fleet, now);
+                    let reaches = inner.world.reaches(hall, one.hall) && one.life == Life::Up;
+                    (inner.dice.exponential(mean).min(10.0 * mean), reaches)
+                };
+                if !reaches {
+                    return wire.mute(stage, server).await;
+                }
+                tokio::select! {
+                    () = tokio::time::sleep(span(2 * way + seconds(takes))) => {}
+                    tell = told.recv() => return leave(wire, tell, stage, server).await,
+                }
+                if !wire.say(&answer).await {
+                    return;
+                }
+            }
+            tell = told.recv() => return leave(wire, tell, stage, server).await,
+            () = tokio::time::sleep(span(change)) => {
+                let load = {
+                    let mut inner = stage.lock();
+                    let client = inner.flows.get(&flow).map_or(0, |known| known.client);
+                    let changed = inner.crowd.change_load(client, &stage.scenario);
+                    if let Some((load, _)) = changed {
+                        inner.world.servers[server].set_load(flow, load);
+                    }
+                    changed
+                };
+                let Some((load, wait)) = load else { return };
+                change = wait;
+                if !wire.say(&format!("LOAD {load:.4}\r\n")).await {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn next_change(stage: &Stage) -> Time {
+    stage.lock().crowd.first_change(&stage.scenario).unwrap_or(super::FOREVER)
+}
+
+async fn leave(mut wire: Wire, tell: Option<Tell>, stage: &Stage, server: usize) {
+    match tell {
+        Some(Tell::Reset) | None => wire.reset(),
+        Some(Tell::Silence) => wire.mute(stage, server).await,
+        Some(Tell::SendAway) => {
+            let _ = wire.say("MOVE\r\n").await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sockets/stage.rs
@@ -0,0 +1,371 @@
+//! What the stand-ins share: the model, the clients, the judge and the figures behind one lock that is never held while anybody
+//! waits, and how each server's life is told to its listeners. It owns the run's time and its block of loopback addresses.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Instant, SystemTime};
+
+use nettlemux_policy::{MS, State, Time};
+use nettlemux_world::crowd::{Crowd, Front};
+use nettlemux_world::dice::Dice;
+use nettlemux_world::fleet::{Happening, World};
+use nettlemux_world::scenario::{Scenario, seconds};
+use nettlemux_world::seen::{Ender, Seen};
+use nettlemux_world::server::Life;
+use serde_json::{Value, json};
+use tokio::sync::{mpsc, watch};
+
+use super::{FOREVER, SLACK, server};
+use crate::figures::{Figures, Gather};
+use crate::record::Writer;
+use crate::rules::{Rules, Verdict};
+
+/// Ports of the run's addresses; above them one for each further 250 of a kind.
+const CLAIM: u16 = 17_999;
+const BALANCERS: u16 = 17_000;
+const DISCOVERY: u16 = 17_200;
+const SERVERS: u16 = 17_400;
+/// Addresses of one port.
+const MANY: usize = 250;
+/// How often the figures that walk all servers are taken.
+const SAMPLE: Time = 500 * MS;
+
+/// What a connection's stand-in at its server is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tell {
+    Reset,
+    /// Say and read nothing any more.
+    Silence,
+    SendAway,
+}
+
+/// What the stand-ins know of a flow.
+pub struct Known {
+    pub client: u64,
+    pub balancer: usize,
+    /// Where it is open, or a connect is out.
+    pub server: Option<usize>,
+    /// Its server has ended it, and whether it had sent the client away.
+    pub by_server: Option<bool>,
+    pub tell: Option<mpsc::UnboundedSender<Tell>>,
+}
+
+pub struct Inner {
+    pub world: World,
+    pub crowd: Crowd,
+    pub front: Front,
+    pub gather: Gather,
+    pub dice: Dice,
+    pub flows: HashMap<u64, Known>,
+    /// By balancer: the version of the list that it may see, and whether it runs.
+    pub visible: Vec<u64>,
+    pub alive: Vec<bool>,
+    pub standing: usize,
+    /// Worth of messages answered in time since the last tick.
+    pub served: f64,
+    next_flow: u64,
+    rules: Option<Rules>,
+    record: Option<Writer>,
+    failed: Option<io::Error>,
+    lives: Vec<watch::Sender<Life>>,
+    sampled: Time,
+}
+
+impl Inner {
+    pub fn see(&mut self, seen: Seen) {
+        if let Some(rules) = &mut self.rules {
+            rules.see(&seen);
+        }
+        if let Some(record) = &mut self.record
+            && let Err(e) = record.write(&seen)
+        {
+            self.failed.get_or_insert(e);
+        }
+    }
+
+    pub fn number(&mut self) -> u64 {
+        self.next_flow += 1;
+        self.next_flow
+    }
+
+    /// A client sees its connection end without having been told to move.
+    pub fn broken(&mut self, at: Time, flow: u64, told: bool) {
+        let Some(known) = self.flows.get(&flow) else { return };
+        let hall = known.balancer % self.world.scenario.halls.number;
+        let sound = known.server.is_some_and(|server| {
+            let one = &self.world.servers[server];
+            one.life == Life::Up && self.world.reaches(hall, one.hall)
+        });
+        let (by, told) = match known.by_server {
+            Some(told) => (Ender::Server, told),
+            None => (Ender::Balancer, told),
+        };
+        self.see(Seen::Ended { at, flow, by, told, sound });
+    }
+}
+
+/// The run, shared by all its tasks.
+pub struct Stage {
+    pub scenario: Scenario,
+    inner: Mutex<Inner>,
+    origin: OnceLock<Instant>,
+    /// The wall clock at the run's start, in milliseconds.
+    unix: u64,
+    block: u8,
+    /// Rung when a balancer may see more of the list.
+    pub news: watch::Sender<u64>,
+    _claim: TcpListener,
+}
+
+impl Stage {
+    pub fn new(scenario: Scenario, seed: u64, record: Option<Writer>) -> Result<Arc<Self>, String> {
+        let (block, claim) = claim()?;
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        // Word takes its way: what is judged at its arrival may be so late.
+        let slack = SLACK + seconds(scenario.halls.between.max(scenario.halls.inside));
+        let inner = Inner {
+            crowd: Crowd::new(seed),
+            front: Front::new(scenario.balancers.number, scenario.halls.number),
+            gather: Gather::new(seconds(scenario.settle)),
+            dice: Dice::new(seed, 3),
+            flows: HashMap::new(),
+            visible: vec![1; scenario.balancers.number],
+            alive: vec![false; scenario.balancers.number],
+            standing: 0,
+            served: 0.0,
+            next_flow: 0,
+            rules: Some(Rules::new(&scenario, slack)),
+            record,
+            failed: None,
+            lives: Vec::new(),
+            sampled: 0,
+            world: World::new(scenario.clone(), seed),
+        };
+        Ok(Arc::new(Stage {
+            inner: Mutex::new(inner),
+            origin: OnceLock::new(),
+            unix: unix.as_millis() as u64,
+            block,
+            news: watch::Sender::new(0),
+            _claim: claim,
+            scenario,
+        }))
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Time since the run began; 0 before.
+    pub fn now(&self) -> Time {
+        self.origin.get().map_or(0, |origin| origin.elapsed().as_nanos() as Time)
+    }
+
+    pub fn begins(&self) {
+        let _ = self.origin.set(Instant::now());
+    }
+
+    pub fn begun(&self) -> bool {
+        self.origin.get().is_some()
+    }
+
+    pub fn see(&self, seen: Seen) {
+        self.lock().see(seen);
+    }
+
+    pub fn standing(&self) -> usize {
+        self.lock().standing
+    }
+
+    fn address(&self, third: usize, number: usize, port: u16) -> SocketAddr {
+        let ip = Ipv4Addr::new(127, self.block, third as u8, (1 + number % MANY) as u8);
+        SocketAddr::from((ip, port + (number / MANY) as u16))
+    }
+
+    pub fn balancer(&self, balancer: usize) -> SocketAddr {
+        self.address(250, balancer, BALANCERS)
+    }
+
+    pub fn discovery(&self, balancer: usize) -> SocketAddr {
+        self.address(251, balancer, DISCOVERY)
+    }
+
+    /// A server as balancers of that hall reach it: what comes over it is delayed by the way between the halls.
+    pub fn server(&self, server: usize, hall: usize) -> SocketAddr {
+        self.address(1 + hall, server, SERVERS)
+    }
+
+    pub fn hall(&self, balancer: usize) -> usize {
+        balancer % self.scenario.halls.number
+    }
+
+    /// A server's stand-in begins to listen, at one address for each hall.
+    pub fn joins(self: &Arc<Self>, server: usize) {
+        let mut inner = self.lock();
+        let one = &inner.world.servers[server];
+        let (hall, cell, machine) = (one.hall, one.cell, one.machine);
+        let at = self.now();
+        inner.see(Seen::Server { at, server, hall, cell, machine });
+        if inner.lives.len() <= server {
+            let life = watch::Sender::new(Life::Up);
+            for hall in 0..self.scenario.halls.number {
+                tokio::spawn(server::listen(self.clone(), server, hall, life.subscribe()));
+            }
+            inner.lives.push(life);
+        }
+    }
+
+    /// The model goes on; what concerns balancers' processes is returned.
+    pub fn tick(self: &Arc<Self>, now: Time) -> Vec<Happening> {
+        let mut inner = self.lock();
+        let happened = inner.world.tick(now);
+        let wanted = inner.crowd.wanted * super::TICK as f64 / 1e9;
+        let served = std::mem::take(&mut inner.served);
+        inner.gather.worth(now, wanted, served);
+        if inner.sampled + SAMPLE <= now {
+            inner.sampled = now;
+            let betas: Vec<f64> = inner.world.betas(now).collect();
+            inner.gather.load(now, &betas);
+        }
+        drop(inner);
+        self.happen(happened)
+    }
+
+    /// Carries out what happened in the model; what concerns balancers' processes is returned.
+    pub fn happen(self: &Arc<Self>, happened: Vec<Happening>) -> Vec<Happening> {
+        let mut rest = Vec::new();
+        for one in happened {
+            match one {
+                Happening::Reset { ids, .. } => self.tell(&ids, Tell::Reset),
+                Happening::Silenced { ids, .. } => self.tell(&ids, Tell::Silence),
+                Happening::SentAway { ids, .. } => self.tell(&ids, Tell::SendAway),
+                Happening::Started { server } => {
+                    self.joins(server);
+                    self.see(Seen::Started { at: self.now(), server });
+                }
+                Happening::Fell { server } => {
+                    let mut inner = self.lock();
+                    inner.gather.fell += 1;
+                    inner.see(Seen::Fell { at: self.now(), server });
+                }
+                Happening::Listed | Happening::Heard => self.spread_list(),
+                // Whoever talks across the cut finds out for itself.
+                Happening::Hall { .. } => {}
+                Happening::Restart { .. } | Happening::Kill { .. } => rest.push(one),
+            }
+        }
+        self.tell_lives();
+        rest
+    }
+
+    fn tell(&self, ids: &[u64], what: Tell) {
+        let mut inner = self.lock();
+        for id in ids {
+            if let Some(known) = inner.flows.get_mut(id) {
+                if what != Tell::Silence {
+                    known.by_server = Some(what == Tell::SendAway);
+                }
+                if let Some(tell) = &known.tell {
+                    let _ = tell.send(what);
+                }
+            }
+        }
+    }
+
+    fn tell_lives(&self) {
+        let inner = self.lock();
+        for (life, server) in inner.lives.iter().zip(&inner.world.servers) {
+            life.send_if_modified(|old| std::mem::replace(old, server.life) != server.life);
+        }
+    }
+
+    /// Each balancer may see the list as it is now, after its own delay.
+    fn spread_list(self: &Arc<Self>) {
+        let mut inner = self.lock();
+        for balancer in 0..inner.visible.len() {
+            let Some(delay) = inner.world.discovery() else { continue };
+            let stage = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(super::span(delay)).await;
+                let mut inner = stage.lock();
+                if inner.world.discovery().is_some() {
+                    inner.visible[balancer] = inner.world.version();
+                }
+                drop(inner);
+                stage.news.send_modify(|count| *count += 1);
+            });
+        }
+    }
+
+    /// The list as one balancer gets it, in discovery's form; what it tells is noted as told.
+    pub fn list(&self, balancer: usize, from: Option<u64>) -> Value {
+        let mut inner = self.lock();
+        let hall = self.hall(balancer);
+        let (version, entries) = match from {
+            Some(from) => (inner.visible[balancer], inner.world.between(from, inner.visible[balancer])),
+            None => (inner.world.version(), inner.world.since(0)),
+        };
+        let at = self.now();
+        let mut instances = Vec::new();
+        for entry in entries {
+            let server = entry.rs as usize;
+            inner.see(Seen::Told { at, balancer, server, ready: entry.state == State::Ready });
+            instances.push(json!({
+                "instanceId": format!("s{server}"),
+                "hostPort": self.server(server, hall).to_string(),
+                "zone": format!("h{}", entry.hall),
+                "machineType": "m0",
+                "cell": entry.cell,
+                "lifecycle": match entry.state {
+                    State::Ready => "Ready",
+                    State::Draining => "Terminating",
+                    State::Gone => "Gone",
+                },
+                "weight": entry.weight,
+                "startedAtMs": if entry.started == 0 { 0 } else { self.unix() + entry.started / MS },
+            }));
+        }
+        json!({"generation": version, "reset": from.is_none(), "instances": instances})
+    }
+
+    /// The wall clock when the run began, in milliseconds.
+    fn unix(&self) -> u64 {
+        match self.origin.get() {
+            Some(origin) => {
+                let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+                (now.as_millis() as u64).saturating_sub(origin.elapsed().as_millis() as u64)
+            }
+            None => self.unix,
+        }
+    }
+
+    /// The run is over: figures and verdict.
+    pub fn finish(&self, end: Time, cpu: f64, memory: f64) -> io::Result<(Figures, Verdict)> {
+        let mut inner = self.lock();
+        let standing = inner.world.servers.iter().map(|server| server.guests.len()).sum();
+        let verdict = inner.rules.take().expect("finished once").finish(end);
+        let gather = std::mem::replace(&mut inner.gather, Gather::new(FOREVER));
+        let mut figures = gather.finish(standing, &verdict);
+        figures.0.insert("balancer_cpu", cpu);
+        figures.0.insert("balancer_mb", memory);
+        match (inner.failed.take(), inner.record.take()) {
+            (Some(e), _) => Err(e),
+            (None, Some(record)) => record.finish().map(|()| (figures, verdict)),
+            (None, None) => Ok((figures, verdict)),
+        }
+    }
+}
+
+/// A block of loopback addresses (127.BLOCK.0.0/16) that no other run holds: held by a listener for as long as the run lasts.
+fn claim() -> Result<(u8, TcpListener), String> {
+    let first = std::process::id() % 250;
+    for k in 0..250 {
+        let block = (2 + (first + k) % 250) as u8;
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::new(127, block, 255, 1), CLAIM)) {
+            return Ok((block, listener));
+        }
+    }
+    Err("no block of loopback addresses is free".into())
+}
--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -475,6 +475,13 @@
         entries.filter(|entry| version > 0 || entry.state != State::Gone).collect()
     }
 
+    /// What changed after one version and up to another, as it is now.
+    pub fn between(&self, version: u64, upto: u64) -> Vec<Listed> {
+        let changed =
+            self.listed.iter().enumerate().filter(|(_, listed)| listed.1 > version && listed.1 <= upto);
+        changed.map(|(i, _)| self.entry(i)).collect()
+    }
+
     fn entry(&self, i: usize) -> Listed {
         let server = &self.servers[i];
         let state = if self.wrong[i] > 0 { State::Gone } else { self.listed[i].0 };
