--- /dev/null
+++ b/crates/balancer/tests/lab.rs
@@ -0,0 +1,69 @@
+//! The balancer as it is run, between the laboratory's stand-ins: the rules are judged by what crosses them alone.
+
+use std::path::{Path, PathBuf};
+
+use nettlemux_lab::file;
+use nettlemux_lab::sockets::{Outcome, Program, run};
+use nettlemux_world::scenario::Scenario;
+
+fn scenario(change: &str) -> Scenario {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab/scenarios/self-check-sockets.toml");
+    let text = std::fs::read_to_string(&path).unwrap();
+    let head = text.split("[[faults]]").next().unwrap();
+    let table: toml::Table = (head.to_string() + change).parse().unwrap();
+    file::read(&table, &path).unwrap()
+}
+
+fn play(scenario: &Scenario, program: PathBuf, args: &[&str]) -> Result<Outcome, String> {
+    let program = Program { path: program, args: args.iter().map(|arg| arg.to_string()).collect() };
+    run(scenario, scenario.seed, &program, None, None)
+}
+
+/// Plays a day with the balancer. A machine too busy for a result is tried again, since what it shows is the machine.
+fn sound(faults: &str) -> Outcome {
+    let scenario = scenario(faults);
+    for _ in 0..3 {
+        let outcome = play(&scenario, env!("CARGO_BIN_EXE_nettlemux").into(), &["serve"]).unwrap();
+        assert_eq!(outcome.died, Vec::<String>::new());
+        if outcome.void.is_none() {
+            assert!(outcome.verdict.kept(), "{:?}", outcome.verdict);
+            assert_eq!(outcome.figures.get("unanswered"), 0.0);
+            assert!(outcome.verdict.flows > 100, "{:?}", outcome.verdict);
+            return outcome;
+        }
+    }
+    panic!("void three times");
+}
+
+/// Guards against first lines that come in two pieces and a balancer that dies between them, and against servers that
+/// end connections as clients do.
+#[test]
+fn balancers_die_while_first_lines_are_half_sent() {
+    let outcome = sound(
+        "[[faults]]\nwhat = \"balancers-die\"\nat = 2\nfor = 1\nwho = [0]\n\
+         [[faults]]\nwhat = \"crash\"\nat = 4\nfor = 1\nshare = 0.5\n",
+    );
+    assert!(outcome.figures.get("lost_per_established") > 0.0, "{:?}", outcome.figures);
+}
+
+/// Guards against work sent to servers that drain, and clients cut off by balancers that are asked to end.
+#[test]
+fn servers_drain_and_balancers_are_restarted_in_turn() {
+    let outcome = sound(
+        "[[faults]]\nwhat = \"shrink\"\nat = 1\nfor = 2\nshare = 0.3\namount = 2\nleaving = \"bit-by-bit\"\n\
+         [[faults]]\nwhat = \"restart-in-turn\"\nat = 2\nfor = 5\nwho = [1]\namount = 0.5\n",
+    );
+    assert!(outcome.figures.get("moves_per_established") > 0.0, "{:?}", outcome.figures);
+}
+
+#[test]
+fn a_balancer_that_dies_is_told_with_its_log() {
+    let mut scenario = scenario("");
+    scenario.seconds = 3.0;
+    // One that reads its configuration and ends: told by the log's last lines, before the run begins.
+    let program: PathBuf = env!("CARGO_BIN_EXE_nettlemux").into();
+    let told = play(&scenario, program, &["frobnicate"]).map(|_| ()).unwrap_err();
+    assert!(told.contains("balancer 0 isn't ready") && told.contains("frobnicate"), "{told}");
+    let nowhere = play(&scenario, "/nowhere/nettlemux".into(), &[]).map(|_| ()).unwrap_err();
+    assert!(nowhere.contains("no such program"), "{nowhere}");
+}
--- a/crates/lab/src/sockets/faulty.rs
+++ b/crates/lab/src/sockets/faulty.rs
@@ -154,7 +154,7 @@
     fn picked(&self) -> bool {
         let mut held = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
         held.2 += 1;
-        held.2 % 4 == 0
+        held.2.is_multiple_of(4)
     }
 }
 
