--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -44,10 +44,10 @@
     #[bpaf(command)]
     Compare {
         /// A policy's name, or a program's path
-        #[bpaf(argument("NAME|PATH"), fallback(Side::Policy(Kind::Module)))]
+        #[bpaf(long("a"), argument("NAME|PATH"), fallback(Side::Policy(Kind::Module)))]
         a: Side,
         /// All baselines where it is not given
-        #[bpaf(argument("NAME|PATH"))]
+        #[bpaf(long("b"), argument("NAME|PATH"))]
         b: Option<Side>,
         #[bpaf(argument("N"), fallback(5))]
         seeds: u64,
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -244,6 +244,12 @@
         output.status.success() && text.lines().count() == 2 && text.contains("clients.rate = 20"),
         "{text}"
     );
+    let path = crash.to_str().unwrap();
+    let output = lab(&["compare", "--a", "module", "--b", "random", "--seeds", "2", "--json", path]);
+    let told: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert!(told["a"] == "module" && told["b"] == "random" && told["rows"][0]["figure"] == "worth", "{told}");
+    let unlike = lab(&["compare", "--a", "module", "--b", "./nettlemux", path]);
+    assert!(unlike.status.code() == Some(2));
     let found = experiment::hunt(&scenario, 1, 6, 4);
     assert!(!found.scenario.faults.is_empty() && found.tried >= 6);
     found.scenario.check().unwrap();
