Add a door with fair queues and return times before the module, off by default

Need: during a jump one noisy customer crowds out the others' set-ups, and what comes back is told a random time.

Change: crates/door, without I/O: deficit round robin over keys that have someone waiting, bounded in all and by key, limits of rate and of open connections by key in tables of fixed size, a budget for clients' retries, return times from the paces at which turns come and flows are established, spread over a calendar, and remembered. crates/hand puts it before the module: while the module holds a few flows nobody else is let in, so the module's window stays the one adaptive limit. The operator's file has a table [door]; SIGHUP takes new weights and limits. Off where the table is missing, as on the platform.

--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
-use nettlemux_hand::{Act, Hand};
+use nettlemux_hand::{Act, Hand, Who};
 use nettlemux_policy::{Flow, FlowId, Listed, Rs, Time};
 use nettlemux_settings::{Reports, Settings};
 
@@ -52,7 +52,7 @@
         parts.flag("resent")?;
         parts.flag("rerouted")?;
         flow.returning = parts.flag("came-back")?;
-        self.acts(out, |hand, acts| hand.take(now, flow, acts));
+        self.acts(out, |hand, acts| hand.take(now, flow, Who::default(), acts));
         Ok(())
     }
 
--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -8,6 +8,7 @@
 use std::path::{Path, PathBuf};
 
 use nettlemux_core::discovery::{self, News};
+use nettlemux_door::Config as DoorConfig;
 use nettlemux_policy::Time;
 use nettlemux_settings::Settings;
 use nettlemux_settings::operator::{self, Operator};
@@ -89,6 +90,11 @@
     operator::parse(&text).map_err(|e| e.to_string())
 }
 
+/// The door as the operator's file has it, its customers' names turned into keys of this run.
+pub fn door(keys: &operator::Door, seed: u64, longest: Time) -> DoorConfig {
+    keys.config(longest, |name| Some(nettlemux_door::key(seed, name.as_bytes())))
+}
+
 fn text(file: &Path) -> Result<String, Faulty> {
     fs::read_to_string(file).map_err(|e| Faulty::new("LB_CONFIG", format!("{}: {e}", file.display())))
 }
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -5,6 +5,7 @@
 mod log;
 mod signals;
 
+use std::hash::{BuildHasher, RandomState};
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -19,10 +20,12 @@
 use nettlemux_core::pool::{Buffers, Shares};
 use nettlemux_core::probe::{self, Prober};
 use nettlemux_core::shared::Core;
+use nettlemux_door::Door;
 use nettlemux_front_lines::first::Known;
 use nettlemux_front_lines::take_in::{self, Front};
+use nettlemux_hand::Hand;
 use nettlemux_policy::{MS, State, Time};
-use nettlemux_settings::operator::{self, Format};
+use nettlemux_settings::operator::{self, Format, Operator};
 use signal_hook::iterator::Signals;
 use tracing::{Level, error, info};
 
@@ -75,13 +78,13 @@
     // Before all else: a SIGHUP that nobody handles ends the process.
     let signals = signals::catch();
     let done = match command().run() {
-        Command::Serve { config: file, operator, log, format } => {
+        Command::Serve { config: file, operator: operator_file, log, format } => {
             config::load(file.clone()).map_err(|e| e.to_string()).and_then(|config| {
-                let operator = config::operator(operator.as_deref())?;
+                let operator = config::operator(operator_file.as_deref())?;
                 let level = log.unwrap_or(level(operator.log.level));
                 let _guard = log::start(level, format.unwrap_or(operator.log.format));
                 let signals = signals.map_err(|e| format!("can't listen for signals: {e}"))?;
-                serve(config, file, signals)
+                serve(config, file, operator, operator_file, signals)
             })
         }
         Command::Check { config, operator } => {
@@ -110,6 +113,12 @@
     }
 }
 
+/// Whether clients may be told when to come back, and the longest that they may be told.
+fn come_back(settings: &nettlemux_settings::Settings) -> (bool, Time) {
+    let longest = settings.time("limits/max-retry-after").unwrap_or(nettlemux_policy::SEC);
+    (settings.flag("limits/retry-after").unwrap_or(false), longest.max(100 * MS))
+}
+
 fn level(level: operator::Level) -> Level {
     match level {
         operator::Level::Error => Level::ERROR,
@@ -120,7 +129,13 @@
     }
 }
 
-fn serve(mut config: Config, file: Option<PathBuf>, signals: Signals) -> Result<(), String> {
+fn serve(
+    mut config: Config,
+    file: Option<PathBuf>,
+    operator: Operator,
+    operator_file: Option<PathBuf>,
+    signals: Signals,
+) -> Result<(), String> {
     // One core is all there is: one worker, free to run where the system puts it.
     may::config().set_workers(1).set_stack_size(STACK).set_worker_pin(false);
     let settings = &config.settings;
@@ -140,7 +155,18 @@
         reports,
         stats,
     });
-    let known = Known::new(settings).map_err(faulty)?;
+    let mut known = Known::new(settings).map_err(faulty)?;
+    let mut hand = Hand::new(policy);
+    if let Some(keys) = &operator.door {
+        // New with each start: nobody can aim at another's place.
+        let seed = config.seed ^ RandomState::new().hash_one(config.seed);
+        let (tells, longest) = come_back(settings);
+        let door = Door::new(config::door(keys, seed, longest), seed);
+        known.by = Some((keys.by, seed));
+        hand = hand.with_door(door, tells);
+        info!(by = ?keys.by, waiting = keys.waiting, "a door with fair queues");
+    }
+    let door_seed = known.by.map(|(_, seed)| seed);
     let core = Arc::new(Core {
         desk: desk.clone(),
         buffers: buffers.clone(),
@@ -165,9 +191,10 @@
     info!(name = config.name, listen = %config.listen, sockets = config.sockets, flows, waiting, "serving");
     let (halls, machines) = (settings.names("areas"), settings.names("models"));
     let last_answer = settings.longest_wait().min(LAST_ANSWER);
-    let running = may::go!(move || Desk::new(policy, asks, halls, machines, prober, last_answer).run());
+    let running = may::go!(move || Desk::new(hand, asks, halls, machines, prober, last_answer).run());
     let agent = Agent::new(config.discovery);
-    signals::listen(signals, file, config, desk.clone(), agent.clone())
+    let reload = signals::Reload { file, operator: operator_file, door_seed, config };
+    signals::listen(signals, reload, desk.clone(), agent.clone())
         .map_err(|e| format!("can't listen for signals: {e}"))?;
     let means = discovery::Means { agent, descriptors, buffers };
     may::go!(move || discovery::watch(version, &means, &desk));
--- a/crates/balancer/src/signals.rs
+++ b/crates/balancer/src/signals.rs
@@ -25,17 +25,25 @@
     Signals::new([SIGTERM, SIGINT, SIGHUP])
 }
 
+/// What SIGHUP reads again, and what it says now.
+pub struct Reload {
+    pub file: Option<PathBuf>,
+    pub operator: Option<PathBuf>,
+    /// The seed of the door's keys, where there is a door.
+    pub door_seed: Option<u64>,
+    pub config: Config,
+}
+
 pub fn listen(
     mut signals: Signals,
-    file: Option<PathBuf>,
-    mut config: Config,
+    mut reload: Reload,
     desk: Sender<Ask>,
     agent: Arc<Agent>,
 ) -> io::Result<()> {
     thread::Builder::new().name("signals".into()).stack_size(STACK).spawn(move || {
         for signal in signals.forever() {
             match signal {
-                SIGHUP => reload(file.clone(), &mut config, &agent),
+                SIGHUP => reload.again(&agent, &desk),
                 _ => desk.send(Ask::Terminate),
             }
         }
@@ -43,17 +51,27 @@
     Ok(())
 }
 
-fn reload(file: Option<PathBuf>, config: &mut Config, agent: &Agent) {
-    let new = match config::load(file) {
-        Ok(new) => new,
-        Err(why) => return error!(%why, "not reloaded: nothing changes"),
-    };
-    for key in config.needing_a_restart(&new) {
-        warn!(key, "a change of this key needs a restart");
-    }
-    info!(discovery = %new.discovery, changed = new.discovery != config.discovery, "reloaded");
-    if new.discovery != config.discovery {
-        config.discovery = new.discovery;
-        agent.moves_to(new.discovery);
+impl Reload {
+    fn again(&mut self, agent: &Agent, desk: &Sender<Ask>) {
+        // Both are read before either acts: a faulty one changes nothing.
+        let read = config::load(self.file.clone()).map_err(|e| e.to_string());
+        let read = read.and_then(|new| Ok((new, config::operator(self.operator.as_deref())?)));
+        let (new, operator) = match read {
+            Ok(read) => read,
+            Err(why) => return error!(%why, "not reloaded: nothing changes"),
+        };
+        for key in self.config.needing_a_restart(&new) {
+            warn!(key, "a change of this key needs a restart");
+        }
+        match (&operator.door, self.door_seed) {
+            (Some(keys), Some(seed)) => desk.send(Ask::Door(config::door(keys, seed, 0))),
+            (None, None) => {}
+            _ => warn!(key = "door", "a change of this key needs a restart"),
+        }
+        info!(discovery = %new.discovery, changed = new.discovery != self.config.discovery, "reloaded");
+        if new.discovery != self.config.discovery {
+            self.config.discovery = new.discovery;
+            agent.moves_to(new.discovery);
+        }
     }
 }
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use nettlemux_hand::{Act, Hand};
-use nettlemux_policy::{Flow, FlowId, Listed, MS, Policy, Rs, SEC, State, Time};
+use nettlemux_policy::{Flow, FlowId, Listed, MS, Rs, SEC, State, Time};
 use tracing::{error, info, warn};
 
 use crate::clock;
@@ -71,7 +71,7 @@
 
 impl Desk {
     pub fn new(
-        policy: Policy,
+        hand: Hand,
         asks: Mailbox<Ask>,
         halls: Vec<String>,
         machines: Vec<String>,
@@ -79,7 +79,7 @@
         last_answer: Time,
     ) -> Self {
         Desk {
-            hand: Hand::new(policy),
+            hand,
             asks,
             clients: BTreeMap::new(),
             servers: BTreeMap::new(),
@@ -142,9 +142,9 @@
 
     fn handle(&mut self, now: Time, ask: Ask) {
         match ask {
-            Ask::Place { flow, mail } => {
+            Ask::Place { flow, who, mail } => {
                 self.clients.insert(flow.id, Client { mail, inherited: None });
-                self.acts(now, |hand, acts| hand.take(now, flow, acts));
+                self.acts(now, |hand, acts| hand.take(now, flow, who, acts));
             }
             Ask::Inherit { flow, at, mail } => {
                 let rs = self.ids.number(&at);
@@ -179,6 +179,7 @@
             }
             Ask::List { entries, whole } => self.list(now, entries, whole),
             Ask::ListFailed => self.hand.list_failed(now),
+            Ask::Door(config) => self.hand.change_door(config),
             Ask::Terminate => {
                 info!(flows = self.clients.len(), "asked to end");
                 self.terminated.get_or_insert(now);
@@ -312,7 +313,9 @@
         }
         if passed >= self.last_answer && !self.given_up {
             self.given_up = true;
-            for id in self.hand.cut_short(now) {
+            let mut owed = Vec::new();
+            self.acts(now, |hand, acts| owed = hand.cut_short(now, acts));
+            for id in owed {
                 self.order(id, Order::TimeUp);
             }
         }
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use nettlemux_door::Config;
+use nettlemux_hand::Who;
 use nettlemux_policy::{End, Flow, FlowId, Report, Rs, State, Time};
 
 use crate::mail::Sender;
@@ -35,6 +37,7 @@
 pub enum Ask {
     Place {
         flow: Flow,
+        who: Who,
         mail: Sender<Event>,
     },
     /// A connection that was open at that server before the run.
@@ -77,6 +80,8 @@
         whole: bool,
     },
     ListFailed,
+    /// New limits and weights for the door.
+    Door(Config),
     /// The balancer is to end.
     Terminate,
 }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use nettlemux_hand::Who;
 use nettlemux_policy::{Flow, MS, Time};
 use tracing::error;
 
@@ -24,17 +25,18 @@
 /// A flow as it was asked about.
 pub struct Asked {
     flow: Flow,
+    who: Who,
     at: Option<String>,
 }
 
-pub fn ask(core: &Core, book: &mut Book, flow: Flow, at: Option<&str>) -> Asked {
+pub fn ask(core: &Core, book: &mut Book, flow: Flow, who: Who, at: Option<&str>) -> Asked {
     let mail = book.caller.mailbox.sender();
     let ask = match at {
         Some(at) => Ask::Inherit { flow: flow.clone(), at: at.to_string(), mail },
-        None => Ask::Place { flow: flow.clone(), mail },
+        None => Ask::Place { flow: flow.clone(), who, mail },
     };
     core.desk.send(ask);
-    Asked { flow, at: at.map(String::from) }
+    Asked { flow, who, at: at.map(String::from) }
 }
 
 impl Asked {
@@ -44,7 +46,7 @@
             return false;
         }
         may::coroutine::sleep(PAUSE);
-        ask(core, book, self.flow.clone(), self.at.as_deref());
+        ask(core, book, self.flow.clone(), self.who, self.at.as_deref());
         true
     }
 }
--- a/crates/core/src/shared.rs
+++ b/crates/core/src/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use nettlemux_hand::Who;
 use nettlemux_policy::{Flow, Time};
 use nettlemux_settings::Reports;
 
@@ -37,6 +38,7 @@
 /// A flow that a front has taken, with all that the stages need of it.
 pub struct Admitted {
     pub flow: Flow,
+    pub who: Who,
     /// The server that held it before the run.
     pub at: Option<String>,
     pub caller: Caller,
--- a/crates/front-lines/src/admit.rs
+++ b/crates/front-lines/src/admit.rs
@@ -62,7 +62,8 @@
                 taken.caller.socket.hold(slot);
                 debug!(id = flow.id, line = %String::from_utf8_lossy(&taken.bytes[..length]), "taken");
                 let line = taken.bytes[..length].to_vec();
-                return Some(Admitted { flow, at, caller: taken.caller, line, id });
+                let who = known.who(&open, flow.service_type, flow.taken);
+                return Some(Admitted { flow, who, at, caller: taken.caller, line, id });
             }
             // We are asked only once the listener stands, and then can serve.
             Ok(First::Ping) => PONG,
--- a/crates/front-lines/src/first.rs
+++ b/crates/front-lines/src/first.rs
@@ -2,7 +2,9 @@
 //! touch a socket, a clock or a flow. Names of the wire end here.
 
 use arrayvec::ArrayVec;
+use nettlemux_hand::Who;
 use nettlemux_policy::{MS, Time};
+use nettlemux_settings::operator::By;
 use nettlemux_settings::{Read, Settings, figure};
 
 /// A connection's first line.
@@ -22,6 +24,10 @@
     pub wait: Option<u64>,
     pub group: Option<&'a str>,
     pub customer: Option<&'a str>,
+    /// The flow's key.
+    pub key: &'a str,
+    /// The client says that it tries again.
+    pub retry: bool,
     /// The server that held it before.
     pub at: Option<&'a str>,
     /// Its connection broke or was moved.
@@ -47,7 +53,7 @@
     }
     let mut next = |why| parts.next().filter(|part| !part.is_empty()).ok_or(why);
     let mut open = Open { id: next("no id")?, ..Open::default() };
-    next("no key")?;
+    open.key = next("no key")?;
     let values = next("no values")?;
     if parts.next().is_some() {
         return Err("more than an id, a key and values");
@@ -74,6 +80,7 @@
             "at" => open.at = Some(value),
             "r" | "again" if value != "1" => return Err("a mark is not 1"),
             "again" => open.returning = true,
+            "r" => open.retry = true,
             _ if figure(value).is_none() => return Err("a figure is no number"),
             _ => {}
         }
@@ -85,6 +92,7 @@
 pub struct Class {
     pub name: String,
     pub longest: Time,
+    pub target: Time,
 }
 
 /// Where the settings have no limit: an hour is no client's.
@@ -92,6 +100,8 @@
 
 /// Reads what the settings say of first lines.
 pub struct Known {
+    /// How the door tells clients apart, where there is one, and the seed of its keys.
+    pub by: Option<(By, u64)>,
     pub classes: Vec<Class>,
     pub customers: Vec<String>,
     pub groups: bool,
@@ -100,14 +110,39 @@
 impl Known {
     pub fn new(settings: &Settings) -> Read<Self> {
         Ok(Known {
+            by: None,
             classes: (settings.names("service-types").into_iter().zip(settings.longest_waits()))
-                .map(|(name, longest)| Class { name, longest: longest.unwrap_or(LONGEST) })
+                .zip(settings.service_types()?)
+                .map(|((name, longest), known)| Class {
+                    name,
+                    longest: longest.unwrap_or(LONGEST),
+                    target: known.setup_target,
+                })
                 .collect(),
             customers: settings.names("accounts"),
             groups: settings.maybe("specifics/groups").and_then(|v| v.as_bool()).unwrap_or(false),
         })
     }
 
+    /// Who asks, as the door tells clients apart; nobody in particular where there is none.
+    pub fn who(&self, open: &Open, service_type: usize, taken: Time) -> Who {
+        let Some((by, seed)) = self.by else { return Who::default() };
+        // A client is its group where it tells one, else the flow's key.
+        let client = nettlemux_door::key(seed, open.group.unwrap_or(open.key).as_bytes());
+        let key = match by {
+            By::Client => client,
+            By::Customer => self.key_of(open.customer.unwrap_or_default(), seed),
+        };
+        let target = taken + self.classes[service_type].target;
+        Who { key, client, retry: open.retry, target }
+    }
+
+    /// A customer's key, the same for its name and its number.
+    fn key_of(&self, name: &str, seed: u64) -> u64 {
+        let number = self.customer(name).unwrap_or(usize::MAX);
+        nettlemux_door::key(seed, self.customers.get(number).map_or(name, String::as_str).as_bytes())
+    }
+
     /// A customer's place among the settings', told by name or number; none for one that is unknown. Where there
     /// are no customers all are alike.
     pub fn customer(&self, name: &str) -> Option<usize> {
@@ -125,10 +160,16 @@
     fn first_lines() {
         let line = b"OPEN 9b1f 7f3a c=chat,d=2000,g=5c0f,h=3,x";
         assert_eq!(first(line), Err("a value has no name"));
-        let open =
-            Open { id: "9b1f", class: "chat", wait: Some(2000), group: Some("5c0f"), ..Open::default() };
+        let open = Open {
+            id: "9b1f",
+            key: "7f3a",
+            class: "chat",
+            wait: Some(2000),
+            group: Some("5c0f"),
+            ..Open::default()
+        };
         assert_eq!(first(&line[..line.len() - 2]), Ok(First::Open(open)));
-        let at = Open { id: "1", class: "c", at: Some("s-2"), ..Open::default() };
+        let at = Open { id: "1", key: "k", class: "c", at: Some("s-2"), ..Open::default() };
         assert_eq!(first(b"OPEN 1 k c=c,at=s-2"), Ok(First::Open(at)));
         assert_eq!(first(b"PING"), Ok(First::Ping));
         for bad in [
--- a/crates/hand/src/lib.rs
+++ b/crates/hand/src/lib.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 
+use nettlemux_door::{Config, Door, LOOK_AGAIN, Ticket, Turn};
 use nettlemux_policy::{Connect, End, Flow, FlowId, Listed, Outcome, Place, Policy, Report, Rs, Time, Todo};
 
 /// What is asked of a decision module; times are nanoseconds of the caller's clock. [`Policy`] is the one that serves;
@@ -101,6 +102,19 @@
     AskList,
 }
 
+/// Who asks, for the door: whose turn a flow takes, and when it is too late for one. Nobody's where there is no door.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Who {
+    /// The customer, client or tenant whose turn it takes.
+    pub key: u64,
+    /// The client, to be known again.
+    pub client: u64,
+    /// It says that it has tried before.
+    pub retry: bool,
+    /// When its setup target runs out.
+    pub target: Time,
+}
+
 struct InHand {
     flow: Flow,
     /// Still owed an answer.
@@ -113,24 +127,85 @@
     flows: BTreeMap<FlowId, InHand>,
     /// Flows to ask about again.
     held: Vec<FlowId>,
+    /// Before the module, where there is one.
+    door: Option<Door>,
+    /// Clients may be told when to come back.
+    tells: bool,
 }
 
 impl<B: Brain> Hand<B> {
     pub fn new(brain: B) -> Self {
-        Hand { brain, flows: BTreeMap::new(), held: Vec::new() }
+        Hand { brain, flows: BTreeMap::new(), held: Vec::new(), door: None, tells: true }
+    }
+
+    /// Puts a door before the module. `tells`: clients may be told when to come back.
+    pub fn with_door(mut self, door: Door, tells: bool) -> Self {
+        (self.door, self.tells) = (Some(door), tells);
+        self
+    }
+
+    /// New limits and weights for the door, where there is one; nobody who waits is dropped.
+    pub fn change_door(&mut self, config: Config) {
+        if let Some(door) = &mut self.door {
+            door.change(config);
+        }
+    }
+
+    pub fn door(&self) -> Option<&Door> {
+        self.door.as_ref()
     }
 
     /// How long until [`Hand::elapsed`] is to be called at the latest; none where nothing is due.
     pub fn wait(&self, now: Time) -> Option<Time> {
-        self.brain.wait(now)
+        let door = self.door.as_ref().filter(|door| door.waiting() > 0);
+        let door = door.and_then(Door::due).map(|at| at.saturating_sub(now).min(LOOK_AGAIN));
+        self.brain.wait(now).into_iter().chain(door).min()
     }
 
     /// A flow that has just been taken: it is owed an answer from now on.
-    pub fn take(&mut self, now: Time, flow: Flow, acts: &mut Vec<Act>) {
-        let place = self.brain.place(now, &flow);
+    pub fn take(&mut self, now: Time, flow: Flow, who: Who, acts: &mut Vec<Act>) {
         let id = flow.id;
+        let Some(door) = &mut self.door else {
+            let place = self.brain.place(now, &flow);
+            self.flows.insert(id, InHand { flow, owed: true });
+            return self.answer(now, id, place, acts);
+        };
         self.flows.insert(id, InHand { flow, owed: true });
-        self.answer(now, id, place, acts);
+        let mut turns = Vec::new();
+        let Who { key, client, retry, target } = who;
+        door.arrives(now, Ticket { flow: id, key, client, retry, target }, &mut turns);
+        self.turned(now, turns, acts);
+        self.let_in(now, acts);
+    }
+
+    /// Lets in whose turn it is, until the module holds as many as it may or nobody waits.
+    fn let_in(&mut self, now: Time, acts: &mut Vec<Act>) {
+        while let Some(door) = &mut self.door {
+            door.holds(&self.held);
+            let mut turns = Vec::new();
+            door.turns(now, &mut turns);
+            if turns.is_empty() {
+                return;
+            }
+            self.turned(now, turns, acts);
+        }
+    }
+
+    fn turned(&mut self, now: Time, turns: Vec<Turn>, acts: &mut Vec<Act>) {
+        for turn in turns {
+            match turn {
+                Turn::Enters(id) => {
+                    let Some(in_hand) = self.flows.get(&id).filter(|f| f.owed) else { continue };
+                    let place = self.brain.place(now, &in_hand.flow);
+                    self.answer(now, id, place, acts);
+                }
+                // No connect was made, so coming again is safe whatever the service type.
+                Turn::SentAway(flow, _, wait) => {
+                    self.settle(flow);
+                    acts.push(Act::Reject { flow, come_back: self.tells.then_some(wait) });
+                }
+            }
+        }
     }
 
     /// A connection that was open at that server before the balancer started.
@@ -144,8 +219,12 @@
         if let Some(in_hand) = self.flows.get_mut(&flow) {
             in_hand.owed = false;
         }
+        if let Some(door) = &mut self.door {
+            door.established(now);
+        }
         let todo = self.brain.after(now, Outcome::Established { flow, took });
         self.carry_out(todo, acts);
+        self.let_in(now, acts);
     }
 
     /// A connect, or the connection that it became, has ended. `never_ran`: the connect is known not to have run.
@@ -175,11 +254,18 @@
             self.answer(now, flow, place, acts);
         }
         self.carry_out(todo, acts);
+        self.let_in(now, acts);
     }
 
     /// The client went away: it is owed nothing any more.
     pub fn left(&mut self, now: Time, flow: FlowId, acts: &mut Vec<Act>) {
         self.settle(flow);
+        if let Some(door) = &mut self.door
+            && door.waits(flow)
+        {
+            // The module was never asked about it.
+            return door.over(flow);
+        }
         let todo = self.brain.after(now, Outcome::Left { flow });
         self.carry_out(todo, acts);
     }
@@ -199,6 +285,10 @@
             }
         }
         self.carry_out(todo, acts);
+        if let Some(door) = &mut self.door {
+            door.look(now);
+        }
+        self.let_in(now, acts);
     }
 
     pub fn told_load(&mut self, flow: FlowId, load: f64) {
@@ -225,8 +315,13 @@
         self.answer(now, flow, Place::Abort, acts);
     }
 
-    /// From now on no flow that is owed an answer has longer than till then; returns these.
-    pub fn cut_short(&mut self, at: Time) -> Vec<FlowId> {
+    /// From now on no flow that is owed an answer has longer than till then; returns these. Nobody waits at the door any
+    /// more.
+    pub fn cut_short(&mut self, at: Time, acts: &mut Vec<Act>) -> Vec<FlowId> {
+        if let Some(door) = &mut self.door {
+            door.close();
+            self.let_in(at, acts);
+        }
         let owed = self.flows.iter_mut().filter(|(_, f)| f.owed);
         owed.map(|(id, in_hand)| {
             in_hand.flow.give_up = in_hand.flow.give_up.min(at);
@@ -238,6 +333,9 @@
     /// Nothing more comes of this flow: the one place where it is given back.
     pub fn over(&mut self, flow: FlowId) {
         self.flows.remove(&flow);
+        if let Some(door) = &mut self.door {
+            door.over(flow);
+        }
     }
 
     /// Whether the flow is still owed an answer.
@@ -273,7 +371,10 @@
             Place::NotYet => return self.held.push(id),
             Place::Reject(come_back) => {
                 in_hand.owed = false;
-                Act::Reject { flow: id, come_back }
+                // What the queue really needs, where there is one.
+                let door = self.door.as_mut().filter(|_| come_back.is_some());
+                let told = door.and_then(|door| door.come_back_of(now, id));
+                Act::Reject { flow: id, come_back: told.or(come_back) }
             }
             Place::Abort => {
                 in_hand.owed = false;
@@ -336,7 +437,7 @@
     fn a_flow_is_connected_again_and_answered_once() {
         let mut hand = hand(&[Place::To(4, 70), Place::To(5, 60), Place::Reject(Some(8))]);
         let mut acts = Vec::new();
-        hand.take(1, Flow { id: 7, ..Flow::default() }, &mut acts);
+        hand.take(1, Flow { id: 7, ..Flow::default() }, Who::default(), &mut acts);
         let report = Report { beta: Some(0.4), connections: None };
         hand.ended(2, (7, 0), 4, (End::Full, true), report, &mut acts);
         assert!(hand.out(7) && hand.flow(7).is_some_and(|f| f.connects[0].never_ran));
@@ -362,15 +463,53 @@
     fn what_is_held_is_asked_about_again_unless_its_client_has_left() {
         let mut hand = hand(&[Place::NotYet, Place::NotYet, Place::To(4, 9)]);
         let mut acts = Vec::new();
-        hand.take(1, Flow { id: 1, ..Flow::default() }, &mut acts);
-        hand.take(1, Flow { id: 2, ..Flow::default() }, &mut acts);
+        hand.take(1, Flow { id: 1, ..Flow::default() }, Who::default(), &mut acts);
+        hand.take(1, Flow { id: 2, ..Flow::default() }, Who::default(), &mut acts);
         hand.left(2, 1, &mut acts);
         hand.elapsed(3, &mut acts);
         assert_eq!(
             acts,
             [Act::CallOff { flow: 1, number: 0 }, Act::Connect { flow: 2, rs: 4, number: 0, limit: 9 }]
         );
-        assert_eq!(hand.cut_short(5), [2]);
+        assert_eq!(hand.cut_short(5, &mut acts), [2]);
         assert_eq!(hand.flow(2).map(|f| f.give_up), Some(0));
     }
+
+    /// Guards against a door that holds a flow past its client's leaving or the balancer's end, and one that lets in more
+    /// than the module can place.
+    #[test]
+    fn the_door_lets_in_while_the_module_places_and_answers_all_at_the_end() {
+        let places = [
+            Place::NotYet,
+            Place::NotYet,
+            Place::To(4, 9),
+            Place::NotYet,
+            Place::Reject(Some(3)),
+            Place::NotYet,
+        ];
+        let config = Config { held: 2, ..Config::default() };
+        let mut hand = hand(&places).with_door(Door::new(config, 1), true);
+        let mut acts = Vec::new();
+        for id in 1..=5 {
+            let who = Who { key: id, client: id, retry: false, target: 1_000_000_000 };
+            hand.take(0, Flow { id, ..Flow::default() }, who, &mut acts);
+        }
+        assert_eq!((acts.as_slice(), hand.door().unwrap().waiting()), (&[][..], 3), "the module holds two");
+        hand.left(1, 5, &mut acts);
+        assert_eq!(hand.door().unwrap().waiting(), 2);
+        // One is placed, one held again; so one more is let in, and refused by the module with the door's time.
+        hand.elapsed(2, &mut acts);
+        assert!(
+            matches!(
+                acts[..],
+                [Act::Connect { flow: 1, .. }, Act::Reject { flow: 3, come_back: Some(told) }] if told > 3
+            ),
+            "{acts:?}"
+        );
+        acts.clear();
+        let owed = hand.cut_short(4, &mut acts);
+        assert!(owed.contains(&1) && owed.contains(&2) && !owed.contains(&5), "{owed:?}");
+        (1..=5).for_each(|id| hand.over(id));
+        assert_eq!(hand.door().unwrap().waiting(), 0);
+    }
 }
--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -6,6 +6,7 @@
 
 use hdrhistogram::Histogram;
 use nettlemux_policy::{SEC, Time};
+use nettlemux_world::crowd::Client;
 use nettlemux_world::scenario::{Expect, Scenario};
 use nettlemux_world::seen::Final;
 use serde_json::{Value, json};
@@ -13,7 +14,7 @@
 use crate::rules::Verdict;
 
 /// All figures, each with what it means.
-pub const NAMES: [(&str, &str); 26] = [
+pub const NAMES: [(&str, &str); 31] = [
     ("worth", "part of the worth wanted that was served in time, from the settling on"),
     ("worth_worst", "the same in the worst 5 s"),
     ("setup_p50", "seconds from a flow's taking to its connection, median"),
@@ -40,6 +41,17 @@
     ("standing", "connections at the end"),
     ("rules_broken", "breaks of the four rules"),
     ("probes", "probes made"),
+    (
+        "quiet_p50",
+        "seconds from when a client of any customer but the first wants service until it has it, tries and all, median",
+    ),
+    ("quiet_p99", "the same, 99th percentile"),
+    ("quiet_lost", "part of such clients' answers that were rejections or failures"),
+    ("told_served", "part of those that came back when they were told to and were then established"),
+    (
+        "told_slice",
+        "most that came back when told to in one tenth of a second, over the mean of those that have any",
+    ),
     ("balancer_cpu", "processor seconds a second of each balancer's process, on average; 0 in virtual time"),
     ("balancer_mb", "largest resident memory of a balancer's process, in MB; 0 in virtual time"),
     ("steps", "events of virtual time, or lines on sockets"),
@@ -62,6 +74,13 @@
     pub moves: u64,
     pub lost: u64,
     returning: (Time, u64, u64),
+    quiet: Histogram<u64>,
+    quiet_lost: u64,
+    quiet_answers: u64,
+    told_served: u64,
+    told_answers: u64,
+    /// By tenth of a second.
+    told: BTreeMap<u64, u64>,
     spread: (f64, f64),
     hot: (f64, f64),
     pub fell: u64,
@@ -98,6 +117,12 @@
             moves: 0,
             lost: 0,
             returning: (0, 0, 0),
+            quiet: histogram(),
+            quiet_lost: 0,
+            quiet_answers: 0,
+            told_served: 0,
+            told_answers: 0,
+            told: BTreeMap::new(),
             spread: (0.0, 0.0),
             hot: (0.0, 0.0),
             fell: 0,
@@ -161,6 +186,37 @@
         }
     }
 
+    /// A client's flow was answered.
+    pub fn of_client(&mut self, now: Time, client: &Client, with: Final) {
+        if now < self.settle {
+            return;
+        }
+        let established = with == Final::Established;
+        if client.told {
+            self.told_answers += 1;
+            self.told_served += u64::from(established);
+        }
+        if client.customer > 0 {
+            self.quiet_answers += 1;
+            self.quiet_lost += u64::from(!established);
+            if established {
+                self.quiet.saturating_record(now.saturating_sub(client.since) / 1000);
+            }
+        }
+    }
+
+    /// A client comes back when it was told to.
+    pub fn came_when_told(&mut self, now: Time) {
+        if now >= self.settle {
+            *self.told.entry(now / (SEC / 10)).or_default() += 1;
+        }
+    }
+
+    fn told_slice(&self) -> f64 {
+        let most = self.told.values().max().copied().unwrap_or(0) as f64;
+        part(most * self.told.len() as f64, self.told.values().sum::<u64>() as f64)
+    }
+
     pub fn finish(self, standing: usize, verdict: &Verdict) -> Figures {
         let answer = |with| self.answers.get(&with).copied().unwrap_or(0) as f64;
         let answered: f64 = self.answers.values().sum::<u64>() as f64;
@@ -190,6 +246,11 @@
             standing as f64,
             verdict.broken.values().sum::<usize>() as f64,
             self.probes as f64,
+            seconds(&self.quiet, 0.5),
+            seconds(&self.quiet, 0.99),
+            part(self.quiet_lost as f64, self.quiet_answers as f64),
+            part(self.told_served as f64, self.told_answers as f64),
+            self.told_slice(),
             0.0,
             0.0,
             self.steps as f64,
--- a/crates/lab/src/file.rs
+++ b/crates/lab/src/file.rs
@@ -4,7 +4,9 @@
 use std::fmt;
 use std::path::{Path, PathBuf};
 
-use nettlemux_settings::{Settings, nearest};
+use nettlemux_door::Config;
+use nettlemux_policy::Time;
+use nettlemux_settings::{Settings, nearest, operator};
 use nettlemux_world::scenario::{Repeat, Scenario, Weights};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -144,6 +146,11 @@
     })
 }
 
+/// The door as a scenario has it: customers are told apart by number, and weights name them c0, c1 and so on.
+pub fn door(keys: &operator::Door, longest: Time) -> Config {
+    keys.config(longest, |name| name.strip_prefix('c').and_then(|number| number.parse().ok()))
+}
+
 /// Seconds after which a connection that isn't made can't be made.
 pub const DIAL: f64 = 0.25;
 
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -6,10 +6,12 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::io;
 
+use nettlemux_door::Door;
 use nettlemux_hand::{Act, Brain, Hand};
 use nettlemux_policy::{End, Flow, FlowId, MS, Report, SEC, State, Time};
 use nettlemux_settings::Settings;
-use nettlemux_world::crowd::{Crowd, Front};
+use nettlemux_settings::operator::By;
+use nettlemux_world::crowd::{Client, Crowd, Front};
 use nettlemux_world::dice::Dice;
 use nettlemux_world::fleet::{Happening, World};
 use nettlemux_world::scenario::{Scenario, seconds};
@@ -297,8 +299,13 @@
             Who::Brain(kind) => kind.brain(&Settings::within(settings).expect("an object"), seed),
             Who::Mischief(mischief) => mischief.brain(settings, seed),
         };
+        let mut hand = Hand::new(brain);
+        if let Some(keys) = &self.world.scenario.door {
+            let longest = seconds(self.world.scenario.limits.come_back);
+            hand = hand.with_door(Door::new(file::door(keys, longest), seed), longest > 0);
+        }
         let one = &mut self.balancers[b];
-        (one.hand, one.version, one.due, one.ending) = (Some(Hand::new(brain)), 0, None, false);
+        (one.hand, one.version, one.due, one.ending) = (Some(hand), 0, None, false);
         self.tell(b);
     }
 
@@ -561,7 +568,21 @@
         self.gather.flows += 1;
         self.see(Seen::Taken { at: self.now, balancer: b, flow: id, kind, give_up });
         self.plan(give_up + PATIENCE, What::GivesUp(id));
-        self.ask(b, |hand, now, acts| hand.take(now, flow, acts));
+        if known.told {
+            self.gather.came_when_told(self.now);
+        }
+        let target = self.now + seconds(self.world.scenario.types[known.service_type].target);
+        let key = self.key(client, &known);
+        let who = nettlemux_hand::Who { key, client, retry: known.tries > 0, target };
+        self.ask(b, |hand, now, acts| hand.take(now, flow, who, acts));
+    }
+
+    /// Whose turn a client's flow takes at the door.
+    fn key(&self, id: u64, client: &Client) -> u64 {
+        match self.world.scenario.door.as_ref().map(|door| door.by) {
+            Some(By::Customer) => client.customer as u64,
+            _ => id,
+        }
     }
 
     fn gives_up(&mut self, flow: FlowId) {
@@ -844,6 +865,9 @@
     fn answered(&mut self, flow: FlowId, with: Final, taken: Time) {
         let client = self.flows.get(&flow).map_or(0, |live| live.client);
         let target = self.crowd.get(client).map(|c| self.world.scenario.types[c.service_type].target);
+        if let Some(client) = self.crowd.get(client) {
+            self.gather.of_client(self.now, client, with);
+        }
         self.gather.answered(self.now, with, self.now - taken, seconds(target.unwrap_or(0.0)));
         self.see(Seen::Answered { at: self.now, flow, with });
     }
@@ -873,7 +897,7 @@
         });
         self.close(flow);
         self.gather.lost += u64::from(!moved);
-        let wait = self.crowd.comes_again(client, moved);
+        let wait = self.crowd.comes_again(self.now, client, moved);
         self.come_again(client, wait);
     }
 
@@ -910,7 +934,7 @@
             hand.ended(now, (flow, number), server as u64, (end, false), Report::default(), acts);
         });
         self.close(flow);
-        let wait = self.crowd.comes_again(client, true);
+        let wait = self.crowd.comes_again(self.now, client, true);
         self.come_again(client, wait);
     }
 
@@ -966,10 +990,12 @@
             self.send_away(*flow);
         }
         if passed >= LAST_ANSWER {
+            let mut acts = Vec::new();
             let owed: BTreeSet<FlowId> = match &mut self.balancers[b].hand {
-                Some(hand) => hand.cut_short(self.now).into_iter().collect(),
+                Some(hand) => hand.cut_short(self.now, &mut acts).into_iter().collect(),
                 None => BTreeSet::new(),
             };
+            acts.into_iter().for_each(|act| self.act(b, act));
             for flow in owed {
                 match self.flows.get(&flow).and_then(|live| live.at) {
                     Some((number, _)) => self.time_up(flow, number),
@@ -1002,7 +1028,7 @@
                 Phase::Settled => {}
                 Phase::Open => {
                     self.gather.lost += 1;
-                    let wait = self.crowd.comes_again(client, false);
+                    let wait = self.crowd.comes_again(self.now, client, false);
                     self.come_again(client, wait);
                 }
                 Phase::Owed => {
--- a/crates/lab/src/sockets/client.rs
+++ b/crates/lab/src/sockets/client.rs
@@ -116,7 +116,7 @@
         None => seconds(stage.scenario.types[client.service_type].wait),
     };
     let flow = stage.lock().number();
-    let line = first_line(stage, client, flow, wait, standing);
+    let line = first_line(stage, (id, client), flow, wait, standing);
     let stutters = standing.is_none() && stage.lock().dice.unit() < stage.scenario.clients.stutter;
     let (first, rest) = line.split_at(if stutters { line.len() / 2 } else { 0 });
     if stutters {
@@ -142,6 +142,9 @@
             if client.returning {
                 inner.gather.returned(taken);
             }
+            if client.told {
+                inner.gather.came_when_told(taken);
+            }
             let give_up = taken + wait;
             inner.see(Seen::Taken { at: taken, balancer, flow, kind, give_up });
         }
@@ -163,9 +166,15 @@
     came
 }
 
-fn first_line(stage: &Stage, client: &Client, flow: u64, wait: Time, standing: Option<usize>) -> String {
+fn first_line(
+    stage: &Stage,
+    (id, client): (u64, &Client),
+    flow: u64,
+    wait: Time,
+    standing: Option<usize>,
+) -> String {
     let of = &stage.scenario.types[client.service_type];
-    let mut line = format!("OPEN {flow:016x} {:016x} c={},d={}", flow ^ 0x5bd1, of.name, wait / MS);
+    let mut line = format!("OPEN {flow:016x} {id:016x} c={},d={}", of.name, wait / MS);
     if let Some(group) = client.group {
         line += &format!(",g=g{group}");
     }
@@ -175,6 +184,9 @@
     if client.returning {
         line += ",again=1";
     }
+    if client.tries > 0 {
+        line += ",r=1";
+    }
     if let Some(server) = standing {
         line += &format!(",at=s{server}");
     }
@@ -231,6 +243,7 @@
             let target = seconds(stage.scenario.types[client.service_type].target);
             let mut inner = stage.lock();
             inner.gather.answered(now, with, now - self.taken, target);
+            inner.gather.of_client(now, client, with);
             inner.see(Seen::Answered { at: now, flow: self.flow, with });
         }
         match with {
@@ -355,6 +368,6 @@
             (false, _) => inner.gather.lost += 1,
             _ => {}
         }
-        Came::Again(inner.crowd.comes_again(self.id, told))
+        Came::Again(inner.crowd.comes_again(stage.now(), self.id, told))
     }
 }
--- a/crates/lab/src/sockets/processes.rs
+++ b/crates/lab/src/sockets/processes.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use nettlemux_policy::{MS, SEC, Time};
+use nettlemux_settings::operator::Operator;
 use nettlemux_world::fleet::Happening;
 use nettlemux_world::scenario::seconds;
 use nettlemux_world::seen::Seen;
@@ -123,7 +124,15 @@
         let file = file.map_err(|e| format!("{}: {e}", log.display()))?;
         let other = file.try_clone().map_err(|e| format!("{}: {e}", log.display()))?;
         let mut command = Command::new(&self.program.path);
-        command.args(&self.program.args).env("LB_CONFIG", &path).env("LB_NAME", format!("b{b}"));
+        command.args(&self.program.args);
+        if let Some(door) = &scenario.door {
+            let operator = Operator { door: Some(door.clone()), ..Operator::default() };
+            let text = toml::to_string(&operator).map_err(|e| e.to_string())?;
+            let path = at(format!("b{b}.toml"));
+            std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+            command.arg("--operator").arg(&path);
+        }
+        command.env("LB_CONFIG", &path).env("LB_NAME", format!("b{b}"));
         command.stdin(Stdio::null()).stdout(other).stderr(file);
         let child = command.spawn().map_err(|e| format!("{}: {e}", self.program.path.display()))?;
         Ok((child, log, path))
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -4,6 +4,8 @@
 
 use std::fmt;
 
+use nettlemux_door::Config;
+use nettlemux_policy::Time;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -11,10 +13,123 @@
 use crate::keys;
 
 /// The whole file; without one, the defaults.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Operator {
     pub log: Log,
+    /// Fair queues at the door; none where this table is missing.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub door: Option<Door>,
+}
+
+/// Fair queues before the decision module, limits of each key, and return times that tell what the queue needs.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Door {
+    /// Whose turns are taken in order.
+    pub by: By,
+    /// Flows that may wait in all, and of one key.
+    #[schemars(range(min = 1, max = 1000000))]
+    pub waiting: usize,
+    #[schemars(range(min = 1, max = 10000))]
+    pub waiting_each: usize,
+    /// Flows that the decision module may hold before nobody else is let in.
+    #[schemars(range(min = 1, max = 10000))]
+    pub held: usize,
+    /// New flows a second of one key, and how many may come at once; 0: no limit.
+    pub rate: f64,
+    pub burst: f64,
+    /// Connections that one key may hold; 0: no limit.
+    pub open: usize,
+    /// Clients' retries that each established flow pays for, and how many may be saved up; 0: no limit.
+    pub retries: f64,
+    pub saved: f64,
+    /// Places in the tables of rates and promises, 24 bytes each.
+    #[schemars(range(min = 16, max = 1000000))]
+    pub table: usize,
+    /// Weights of customers by name, where they aren't 1; only where turns are by customer.
+    pub weights: std::collections::BTreeMap<String, f64>,
+}
+
+/// What a key is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum By {
+    /// The customer that a first line names.
+    #[default]
+    Customer,
+    /// The client: the group that a first line names, else the flow's key.
+    Client,
+}
+
+impl Default for Door {
+    fn default() -> Self {
+        Door {
+            by: By::Customer,
+            waiting: 1024,
+            waiting_each: 64,
+            held: 4,
+            rate: 0.0,
+            burst: 20.0,
+            open: 0,
+            retries: 0.0,
+            saved: 100.0,
+            table: 4096,
+            weights: Default::default(),
+        }
+    }
+}
+
+impl Door {
+    /// The door's own configuration; `key` turns a customer's name into its key, or leaves its weight out.
+    pub fn config(&self, longest: Time, key: impl Fn(&str) -> Option<u64>) -> Config {
+        let weights = self.weights.iter().filter_map(|(name, weight)| Some((key(name)?, *weight)));
+        Config {
+            waiting: self.waiting,
+            waiting_each: self.waiting_each,
+            held: self.held,
+            rate: self.rate,
+            burst: self.burst,
+            open: self.open,
+            retries: self.retries,
+            saved: self.saved,
+            table: self.table,
+            longest,
+            weights: weights.collect(),
+        }
+    }
+
+    /// What the form alone can't check: the key at fault and why.
+    fn check(&self) -> Result<(), Faulty> {
+        let faulty = |key: &str, why: String| Err(Faulty { key: format!("door.{key}"), why });
+        let counts = [
+            ("waiting", self.waiting, 1, 1_000_000),
+            ("waiting_each", self.waiting_each, 1, 10_000),
+            ("held", self.held, 1, 10_000),
+            ("table", self.table, 16, 1_000_000),
+        ];
+        for (key, count, least, most) in counts {
+            if !(least..=most).contains(&count) {
+                return faulty(key, format!("{count} is not from {least} to {most}"));
+            }
+        }
+        for (key, value) in
+            [("rate", self.rate), ("burst", self.burst), ("retries", self.retries), ("saved", self.saved)]
+        {
+            if !value.is_finite() || value < 0.0 {
+                return faulty(key, format!("{value} is not from 0 up"));
+            }
+        }
+        match self.weights.iter().find(|(_, weight)| !(0.001..=1000.0).contains(*weight)) {
+            Some((name, weight)) => {
+                faulty(&format!("weights.{name}"), format!("{weight} is not from 0.001 to 1000"))
+            }
+            None if !self.weights.is_empty() && self.by == By::Client => {
+                faulty("weights", "there are none where turns are by client".into())
+            }
+            None => Ok(()),
+        }
+    }
 }
 
 /// What the log looks like.
@@ -78,7 +193,9 @@
     let table: toml::Table = text.parse().map_err(|e| place(&e))?;
     let schema = schema();
     unknown(&toml::Value::Table(table), &schema, &schema, "")?;
-    toml::from_str(text).map_err(|e| place(&e))
+    let operator: Operator = toml::from_str(text).map_err(|e| place(&e))?;
+    operator.door.iter().try_for_each(Door::check)?;
+    Ok(operator)
 }
 
 /// Walks what the file says beside the schema, so that every table to come is checked alike.
@@ -87,6 +204,11 @@
         Some(at) => whole.pointer(at).unwrap_or(schema),
         None => schema,
     };
+    // A table that may be missing stands beside `null`.
+    let either = schema.get("anyOf").and_then(Value::as_array).into_iter().flatten();
+    if let Some(one) = either.clone().find(|one| one.get("$ref").is_some()) {
+        return unknown(value, one, whole, path);
+    }
     let (Some(table), Some(properties)) = (value.as_table(), schema.get("properties")) else { return Ok(()) };
     let names: Vec<&str> =
         properties.as_object().into_iter().flatten().map(|(name, _)| name.as_str()).collect();
@@ -112,6 +234,11 @@
             ("\n\n[log", "(line 3)", ""),
             ("[log]\nlevel = 3", "(line 2)", ""),
             ("log = 3", "(line 1)", ""),
+            ("[door]\nwaitng = 3", "door.waitng", "is 'waiting' meant?"),
+            ("[door]\nwaiting = 0", "door.waiting", "is not from 1 to"),
+            ("[door]\nrate = -1.0", "door.rate", "from 0 up"),
+            ("[door.weights]\ngold = 0.0", "door.weights.gold", "0.001"),
+            ("[door]\nby = \"client\"\nweights = { gold = 2.0 }", "door.weights", "by client"),
         ] {
             let faulty = parse(text).unwrap_err();
             assert_eq!(faulty.key, key, "{text}: {faulty}");
--- a/crates/world/src/crowd.rs
+++ b/crates/world/src/crowd.rs
@@ -32,6 +32,10 @@
     pub tries: usize,
     /// Its connection broke or was moved.
     pub returning: bool,
+    /// It was told when to come back, and comes then.
+    pub told: bool,
+    /// It has wanted to be served since.
+    pub since: Time,
     /// It has given up for good, or has had what it wanted.
     pub gone: bool,
 }
@@ -99,6 +103,8 @@
             ends: now + seconds(self.dice.exponential(scenario.clients.life)).max(50 * MS),
             tries: 0,
             returning: false,
+            told: false,
+            since: now,
             gone: false,
         };
         self.wanted += client.value;
@@ -135,7 +141,7 @@
     /// It is served.
     pub fn established(&mut self, id: u64) {
         if let Some(client) = self.clients.get_mut(&id) {
-            client.tries = 0;
+            (client.tries, client.told) = (0, false);
         }
     }
 
@@ -150,6 +156,7 @@
         let client = self.clients.get_mut(&id).filter(|client| !client.gone)?;
         client.tries += 1;
         client.gone = client.tries >= scenario.clients.tries;
+        client.told = come_back.is_some();
         (!client.gone).then(|| come_back.unwrap_or(own << client.tries.min(4)))
     }
 
@@ -163,10 +170,10 @@
     }
 
     /// It was told to move, or its connection broke; when it comes again.
-    pub fn comes_again(&mut self, id: u64, moved: bool) -> Option<Time> {
+    pub fn comes_again(&mut self, now: Time, id: u64, moved: bool) -> Option<Time> {
         let wait = self.spread(if moved { MOVED } else { BROKEN });
         let client = self.clients.get_mut(&id).filter(|client| !client.gone)?;
-        client.returning = true;
+        (client.returning, client.told, client.since) = (true, false, now);
         Some(wait)
     }
 
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -2,6 +2,7 @@
 //! and defaults of its keys and checks what they say. It must never read a file: whoever does names the place.
 
 use nettlemux_policy::{MS, SEC, Time};
+use nettlemux_settings::operator::Door;
 use serde::Deserialize;
 
 use crate::fault::Fault;
@@ -37,6 +38,9 @@
     pub types: Vec<Type>,
     #[serde(default)]
     pub limits: Limits,
+    /// The balancers' door, as the operator's file has it; none where it is missing.
+    #[serde(default)]
+    pub door: Option<Door>,
     #[serde(default)]
     pub faults: Vec<Fault>,
     /// By figure: what it must be at least and at most.
