Test the door on sockets and after SIGHUP; tell full keys and rates truthful times

Need: one over its rate was told the queue's need, which is nothing to it; new limits must reach a running door.

Change: a key over its rate is told when its next token comes, one that holds all it may the later half of what may be told.

--- a/crates/balancer/tests/sockets.rs
+++ b/crates/balancer/tests/sockets.rs
@@ -591,3 +591,39 @@
     assert!(schema["properties"]["log"].is_object());
     let _ = (std::fs::remove_file(config), std::fs::remove_file(operator));
 }
+
+/// Guards against a door whose limits hold for the wrong client, that forgets who has gone, or that a faulty file changes.
+#[test]
+fn the_door_limits_by_client_and_takes_new_limits_on_sighup() {
+    let mut stand = Stand::new(1);
+    // The same balancer again, with an operator's file.
+    let _ = (stand.child.kill(), stand.child.wait());
+    let operator = stand.file.with_extension("toml");
+    let door =
+        |open: &str| std::fs::write(&operator, format!("[door]\nby = \"client\"\nopen = {open}\n")).unwrap();
+    door("1");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
+    command.args(["serve", "--config"]).arg(&stand.file).arg("--operator").arg(&operator);
+    stand.child = command.stderr(Stdio::null()).spawn().unwrap();
+    let own = |stand: &Stand| stand.client("c=chat,d=900,g=mine");
+    soon("PONG", || TcpStream::connect(stand.at).is_ok());
+    soon("a list", || stand.client("c=chat,d=900,g=warm").says("UP 1"));
+    let mut first = own(&stand);
+    assert_eq!(first.line(), "UP 1");
+    let told = own(&stand).line();
+    let ms: u64 = told.strip_prefix("BUSY ").and_then(|ms| ms.parse().ok()).expect("a time to come back");
+    assert!((500..=2000).contains(&ms), "{told}");
+    assert_eq!(stand.client("c=chat,d=900,g=other").line(), "UP 1");
+    // A faulty file changes nothing; a good one counts from now on.
+    door("-1");
+    stand.signal("-HUP");
+    thread::sleep(Duration::from_millis(200));
+    assert!(own(&stand).line().starts_with("BUSY "));
+    door("2");
+    stand.signal("-HUP");
+    soon("the new limit", || own(&stand).says("UP 1"));
+    drop(first);
+    stand.terminate();
+    assert!(stand.child.wait().unwrap().success());
+    let _ = std::fs::remove_file(operator);
+}
--- a/crates/door/src/book.rs
+++ b/crates/door/src/book.rs
@@ -48,6 +48,19 @@
     }
 }
 
+impl Buckets {
+    /// How long until a key has its next one; it must have been asked for a moment ago.
+    pub fn wait(&self, now: Time, key: u64, rate: f64) -> Time {
+        let each = |row: usize| {
+            let (tokens, at) =
+                self.rows[row][(hash(self.seeds[row], key) % self.rows[row].len() as u64) as usize];
+            let missing = (1.0 - tokens).max(0.0) / rate.max(1e-9);
+            ((missing * SEC as f64) as Time).saturating_sub(now.saturating_sub(at))
+        };
+        each(0).min(each(1))
+    }
+}
+
 /// How early and how late one that was told to come back may come to be known again: its clock's steps, and its way.
 const EARLY: Time = 20 * MS;
 const LATE: Time = SEC;
--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -254,16 +254,23 @@
 
     fn send_away(&mut self, now: Time, ticket: Ticket, why: Why, out: &mut Vec<Turn>) {
         *self.sent_away.entry(why).or_default() += 1;
-        let wait = self.come_back(now, ticket.key, ticket.client);
+        // Besides the queue's need: a key over its rate waits for its next token, one that holds all it may for an end,
+        // of which nothing is known.
+        let least = match why {
+            Why::Rate => self.buckets.wait(now, ticket.key, self.config.rate),
+            Why::Open => self.config.longest,
+            _ => 0,
+        };
+        let wait = self.come_back(now, ticket.key, ticket.client, least);
         out.push(Turn::SentAway(ticket.flow, why, wait));
     }
 
     /// A time to come back for one that is sent away: never shorter than the queue needs, in a slice that few others were
     /// told, and remembered.
-    pub fn come_back(&mut self, now: Time, key: u64, client: u64) -> Time {
+    fn come_back(&mut self, now: Time, key: u64, client: u64, least: Time) -> Time {
         // A turn that finds no room is none: the lower pace of the two is told.
         let need = self.need(key, self.pace.slowest().min(self.turns.slowest()));
-        let wait = self.returns.book(now, need, &mut self.rng);
+        let wait = self.returns.book(now, need.max(least), &mut self.rng);
         self.promises.give(now + wait, client);
         wait
     }
@@ -271,7 +278,7 @@
     /// The same for a flow that went in and was refused by the module; none if it isn't known.
     pub fn come_back_of(&mut self, now: Time, flow: FlowId) -> Option<Time> {
         let (key, client) = *self.inside.get(&flow)?;
-        Some(self.come_back(now, key, client))
+        Some(self.come_back(now, key, client, 0))
     }
 
     /// The module holds these flows now.
@@ -430,6 +437,8 @@
         let rate = Some(Why::Rate);
         assert_eq!(whys(&mut door, 0, 0), [None, None, None, rate, rate]);
         assert_eq!(whys(&mut door, SEC, 10), [None, None, rate, rate, rate]);
+        // The next token comes after half a second, and not sooner than told.
+        assert!(arrive(&mut door, SEC, ticket(98, 9)).is_some_and(|(_, wait)| wait >= 490 * MS));
         assert_eq!(arrive(&mut door, SEC, ticket(99, 8)), None, "another key");
         // Five are in: the key holds all it may, until one is over.
         while !next(&mut door, SEC).is_empty() {}
