Tell processor time and memory of each balancer of a run on sockets

Cause: the mean and the largest were told, not each one's, and a client's load at a server was put together in two places.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -181,7 +181,14 @@
             let outcome = simulate(&scenario, seed, Who::Brain(policy), writer.as_mut()).map_err(at)?;
             writer.map_or(Ok(()), Writer::finish).map_err(at)?;
             let (figures, verdict) = (outcome.figures, outcome.verdict);
-            let run = Told { seed, policy: policy.name(), figures, verdict, simulated: true };
+            let run = Told {
+                seed,
+                policy: policy.name(),
+                figures,
+                verdict,
+                balancers: Vec::new(),
+                simulated: true,
+            };
             Ok(run.told(&scenario, json))
         }
         Command::Compare { a, b, seeds, threads, json, scenario } => {
@@ -289,7 +296,14 @@
             let version = sockets::version(&balancer);
             let died: String = outcome.died.iter().map(|why| format!("{why}\n")).collect();
             let (figures, verdict) = (outcome.figures, outcome.verdict);
-            let run = Told { seed, policy: &version, figures, verdict, simulated: false };
+            let run = Told {
+                seed,
+                policy: &version,
+                figures,
+                verdict,
+                balancers: outcome.balancers,
+                simulated: false,
+            };
             let (mut text, good) = run.told(&scenario, json);
             if let Some(void) = outcome.void {
                 text += &format!("{VOID}{}: {void}\n", scenario.name);
@@ -321,6 +335,8 @@
     policy: &'a str,
     figures: Figures,
     verdict: Verdict,
+    /// On sockets, of each balancer: processor seconds a second, and largest resident memory in MB.
+    balancers: Vec<(f64, f64)>,
     simulated: bool,
 }
 
@@ -331,10 +347,14 @@
         if json {
             let all = json!({"scenario": scenario.name, "seed": self.seed, "policy": self.policy,
                 "simulated": self.simulated, "good": good, "version": env!("CARGO_PKG_VERSION"),
-                "figures": self.figures.json(), "unmet": unmet, "rules": self.verdict});
+                "figures": self.figures.json(), "balancers": self.balancers, "unmet": unmet, "rules": self.verdict});
             return (format!("{all}\n"), good);
         }
         let mut out = self.figures.table();
+        for (b, (cpu, memory)) in self.balancers.iter().enumerate() {
+            writeln!(out, "balancer {b}: {cpu:.4} processor seconds a second, {memory:.1} MB at most")
+                .expect("a string takes all");
+        }
         out += &breaks(&self.verdict);
         unmet.iter().for_each(|what| writeln!(out, "unmet: {what}").expect("a string takes all"));
         let word = if good { "good" } else { "NOT GOOD" };
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -16,7 +16,7 @@
 use nettlemux_world::fleet::{Happening, World};
 use nettlemux_world::scenario::{Scenario, seconds};
 use nettlemux_world::seen::{Ender, Final, Kind, Seen, VERSION};
-use nettlemux_world::server::{Guest, Life, Offer};
+use nettlemux_world::server::{Life, Offer};
 use serde_json::Value;
 
 use crate::brains;
@@ -355,13 +355,7 @@
 
     fn seat(&mut self, flow: FlowId, client: u64, server: usize) {
         let Some(known) = self.crowd.get(client) else { return };
-        let guest = Guest {
-            load: known.load,
-            group: known.group,
-            service_type: known.service_type,
-            value: known.value,
-        };
-        self.world.servers[server].seat(flow, guest);
+        self.world.servers[server].seat(flow, known.guest());
     }
 
     /// A connection is up: it lasts until its client has had what it wanted, and its load changes.
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -55,6 +55,8 @@
 pub struct Outcome {
     pub figures: Figures,
     pub verdict: Verdict,
+    /// Of each balancer: processor seconds for each second of the run, and its largest resident memory in MB.
+    pub balancers: Vec<(f64, f64)>,
     /// Why it is no result: the machine was too slow, or not all that was to stand did.
     pub void: Option<String>,
     /// Balancers that died by themselves, each with the end of its log.
@@ -116,12 +118,12 @@
         next = next.max(now - now % TICK) + TICK;
     }
     arrivals.abort();
-    let (cpu, memory) = processes.usage();
-    let outcome = stage.finish(end, cpu, memory);
+    let balancers = processes.usage();
+    let outcome = stage.finish(end, &balancers);
     let died = processes.end();
     let void = void.or_else(|| too_slow(&late));
     let (figures, verdict) = outcome.map_err(|e| format!("the record can't be written: {e}"))?;
-    Ok(Outcome { figures, verdict, void, died })
+    Ok(Outcome { figures, verdict, balancers, void, died })
 }
 
 /// Whether the machine kept up, by how late each tick came: a run on one that didn't is no result.
--- a/crates/lab/src/sockets/processes.rs
+++ b/crates/lab/src/sockets/processes.rs
@@ -247,11 +247,11 @@
         self.all[b].memory = self.all[b].memory.max(kb / 1024.0);
     }
 
-    /// Processor time of a balancer for each second of the run, on average, and the largest memory of one in MB.
-    pub fn usage(&mut self) -> (f64, f64) {
+    /// Of each balancer: processor seconds for each second of the run, and its largest resident memory in MB.
+    pub fn usage(&mut self) -> Vec<(f64, f64)> {
         (0..self.all.len()).for_each(|b| self.usage_of(b));
-        let cpu = self.all.iter().map(|one| one.cpu).sum::<f64>() / self.all.len().max(1) as f64;
-        (cpu / self.stage.scenario.seconds, self.all.iter().map(|one| one.memory).fold(0.0, f64::max))
+        let seconds = self.stage.scenario.seconds;
+        self.all.iter().map(|one| (one.cpu / seconds, one.memory)).collect()
     }
 
     /// Ends what was started; what died by itself is told.
--- a/crates/lab/src/sockets/server.rs
+++ b/crates/lab/src/sockets/server.rs
@@ -9,7 +9,7 @@
 use nettlemux_policy::Time;
 use nettlemux_world::scenario::seconds;
 use nettlemux_world::seen::Seen;
-use nettlemux_world::server::{Guest, Life, Offer};
+use nettlemux_world::server::{Life, Offer};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -275,13 +275,7 @@
 fn sit(inner: &mut super::stage::Inner, flow: u64, server: usize) -> bool {
     let client = inner.flows.get(&flow).and_then(|known| inner.crowd.get(known.client));
     let Some(client) = client else { return false };
-    let guest = Guest {
-        load: client.load,
-        group: client.group,
-        service_type: client.service_type,
-        value: client.value,
-    };
-    inner.world.servers[server].seat(flow, guest);
+    inner.world.servers[server].seat(flow, client.guest());
     true
 }
 
--- a/crates/lab/src/sockets/stage.rs
+++ b/crates/lab/src/sockets/stage.rs
@@ -342,14 +342,15 @@
     }
 
     /// The run is over: figures and verdict.
-    pub fn finish(&self, end: Time, cpu: f64, memory: f64) -> io::Result<(Figures, Verdict)> {
+    pub fn finish(&self, end: Time, balancers: &[(f64, f64)]) -> io::Result<(Figures, Verdict)> {
         let mut inner = self.lock();
         let standing = inner.world.servers.iter().map(|server| server.guests.len()).sum();
         let verdict = inner.rules.take().expect("finished once").finish(end);
         let gather = std::mem::replace(&mut inner.gather, Gather::new(FOREVER));
         let mut figures = gather.finish(standing, &verdict);
+        let cpu = balancers.iter().map(|one| one.0).sum::<f64>() / balancers.len().max(1) as f64;
         figures.0.insert("balancer_cpu", cpu);
-        figures.0.insert("balancer_mb", memory);
+        figures.0.insert("balancer_mb", balancers.iter().map(|one| one.1).fold(0.0, f64::max));
         match (inner.failed.take(), inner.record.take()) {
             (Some(e), _) => Err(e),
             (None, Some(record)) => record.finish().map(|()| (figures, verdict)),
--- a/crates/world/src/crowd.rs
+++ b/crates/world/src/crowd.rs
@@ -9,6 +9,7 @@
 use crate::fleet::World;
 use crate::scenario::{Scenario, seconds};
 use crate::seen::Kind;
+use crate::server::Guest;
 
 /// How soon a client that was told to move comes again, from and to.
 const MOVED: [Time; 2] = [50 * MS, 500 * MS];
@@ -40,6 +41,13 @@
     pub gone: bool,
 }
 
+impl Client {
+    /// What it is to a server that it connects to.
+    pub fn guest(&self) -> Guest {
+        Guest { load: self.load, group: self.group, service_type: self.service_type, value: self.value }
+    }
+}
+
 pub struct Crowd {
     clients: BTreeMap<u64, Client>,
     next: u64,
