--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -14,9 +14,10 @@
 use crate::rules::Verdict;
 
 /// All figures, each with what it means.
-pub const NAMES: [(&str, &str); 31] = [
+pub const NAMES: [(&str, &str); 32] = [
     ("worth", "part of the worth wanted that was served in time, from the settling on"),
     ("worth_worst", "the same in the worst 5 s"),
+    ("goodput", "worth served in time a second, from the settling on"),
     ("setup_p50", "seconds from a flow's taking to its connection, median"),
     ("setup_p99", "the same, 99th percentile"),
     ("setup_in_target", "part of established flows that were so within their target"),
@@ -62,6 +63,7 @@
     settle: Time,
     wanted: f64,
     served: f64,
+    seconds: f64,
     recent: (Time, f64, f64),
     worst: f64,
     setup: Histogram<u64>,
@@ -105,6 +107,7 @@
             settle,
             wanted: 0.0,
             served: 0.0,
+            seconds: 0.0,
             recent: (settle, 0.0, 0.0),
             worst: 1.0,
             setup: histogram(),
@@ -133,10 +136,11 @@
     }
 
     /// Worth wanted and served over the last stretch, both times its length in seconds.
-    pub fn worth(&mut self, now: Time, wanted: f64, served: f64) {
+    pub fn worth(&mut self, now: Time, (wanted, served): (f64, f64), seconds: f64) {
         if now < self.settle {
             return;
         }
+        self.seconds += seconds;
         self.wanted += wanted;
         self.served += served;
         let (since, w, s) = self.recent;
@@ -225,6 +229,7 @@
         let values = [
             part(self.served, self.wanted),
             self.worst,
+            part(self.served, self.seconds),
             seconds(&self.setup, 0.5),
             seconds(&self.setup, 0.99),
             part(self.in_target as f64, established),
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -429,9 +429,9 @@
 
     fn tick(&mut self) {
         let happened = self.world.tick(self.now);
-        let wanted = self.crowd.wanted * TICK as f64 / SEC as f64;
-        let served = self.world.served(self.now) * TICK as f64 / SEC as f64;
-        self.gather.worth(self.now, wanted, served);
+        let seconds = TICK as f64 / SEC as f64;
+        let (wanted, served) = (self.crowd.wanted * seconds, self.world.served(self.now) * seconds);
+        self.gather.worth(self.now, (wanted, served), seconds);
         self.happen(happened);
         self.plan(self.now + TICK, What::Tick);
     }
--- a/crates/lab/src/sockets/stage.rs
+++ b/crates/lab/src/sockets/stage.rs
@@ -221,9 +221,9 @@
     pub fn tick(self: &Arc<Self>, now: Time) -> Vec<Happening> {
         let mut inner = self.lock();
         let happened = inner.world.tick(now);
-        let wanted = inner.crowd.wanted * super::TICK as f64 / 1e9;
-        let served = std::mem::take(&mut inner.served);
-        inner.gather.worth(now, wanted, served);
+        let seconds = super::TICK as f64 / 1e9;
+        let (wanted, served) = (inner.crowd.wanted * seconds, std::mem::take(&mut inner.served));
+        inner.gather.worth(now, (wanted, served), seconds);
         if inner.sampled + SAMPLE <= now {
             inner.sampled = now;
             let betas: Vec<f64> = inner.world.betas(now).collect();
