--- a/crates/balancer/tests/lab.rs
+++ b/crates/balancer/tests/lab.rs
@@ -67,3 +67,21 @@
     let nowhere = play(&scenario, "/nowhere/nettlemux".into(), &[]).map(|_| ()).unwrap_err();
     assert!(nowhere.contains("no such program"), "{nowhere}");
 }
+
+/// Guards against a death in the middle of a run that goes unseen, or is taken for a planned end.
+#[test]
+fn a_balancer_that_dies_in_the_middle_is_told_with_the_end_of_its_log() {
+    let mut scenario = scenario("");
+    scenario.seconds = 4.0;
+    // `timeout` ends the balancer also where the shell is ended before it.
+    let balancer = format!("timeout -s KILL 2 {} serve", env!("CARGO_BIN_EXE_nettlemux"));
+    let script = format!("{balancer}; echo last words >&2; exit 3");
+    let outcome = play(&scenario, "/bin/sh".into(), &["-c", &script]).unwrap();
+    assert!(!outcome.died.is_empty(), "{:?}", outcome.verdict);
+    assert!(
+        outcome.died.iter().all(|told| told.contains("died") && told.contains("last words")),
+        "{:?}",
+        outcome.died
+    );
+    assert!(outcome.verdict.kept(), "what it held is not its to answer any more: {:?}", outcome.verdict);
+}
