Read the change once more: one place for standing connections, dead state out

Cause: both drivers chose standing connections' servers by the same lines; experiments looked for a run's place by walking all of them; the fleet's keys were copied at each simulated probe; a flag, a counter and four functions were never read.

Change: World::stood_at serves both drivers; the place comes from the counter that dealt the run out; the rest is gone.

--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -107,11 +107,9 @@
         return Err(Faulty::new("(whole file)", "no object"));
     }
     // Guards against a slip of the pen that silently costs a limit. What stands in `settings` is the platform's.
-    let keys =
-        |value: &Value| value.as_object().into_iter().flatten().map(|(k, _)| k.clone()).collect::<Vec<_>>();
     let check = |value: &Value, known: &[&str], path: &str| {
-        let names = keys(value);
-        nettlemux_settings::known(names.iter().map(String::as_str), known)
+        let names = value.as_object().into_iter().flatten().map(|(name, _)| name.as_str());
+        nettlemux_settings::known(names, known)
             .map_err(|(key, why)| Faulty::new(&format!("{path}{key}"), why))
     };
     check(&value, &KEYS, "")?;
--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -123,8 +123,6 @@
     budget: f64,
     closing: bool,
     rng: WyRand,
-    /// How many were sent away, by why.
-    pub sent_away: BTreeMap<Why, u64>,
 }
 
 impl Door {
@@ -146,7 +144,6 @@
             budget: config.saved,
             closing: false,
             rng,
-            sent_away: BTreeMap::new(),
             config,
         }
     }
@@ -253,7 +250,6 @@
     }
 
     fn send_away(&mut self, now: Time, ticket: Ticket, why: Why, out: &mut Vec<Turn>) {
-        *self.sent_away.entry(why).or_default() += 1;
         // Besides the queue's need: a key over its rate waits for its next token, one that holds all it may for an end,
         // of which nothing is known.
         let least = match why {
--- a/crates/hand/src/lib.rs
+++ b/crates/hand/src/lib.rs
@@ -216,9 +216,7 @@
 
     /// A connect was answered with a connection: the client has its answer.
     pub fn established(&mut self, now: Time, flow: FlowId, took: Time, acts: &mut Vec<Act>) {
-        if let Some(in_hand) = self.flows.get_mut(&flow) {
-            in_hand.owed = false;
-        }
+        self.settle(flow);
         if let Some(door) = &mut self.door {
             door.established(now);
         }
@@ -353,14 +351,6 @@
         self.flows.get(&flow).map(|in_hand| &in_hand.flow)
     }
 
-    pub fn len(&self) -> usize {
-        self.flows.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.flows.is_empty()
-    }
-
     fn answer(&mut self, now: Time, id: FlowId, place: Place, acts: &mut Vec<Act>) {
         let Some(in_hand) = self.flows.get_mut(&id) else { return };
         acts.push(match place {
@@ -456,7 +446,7 @@
         hand.ended(4, (7, 1), 5, (End::Cut, false), Report::default(), &mut acts);
         assert_eq!((acts.len(), hand.brain.owed.as_slice()), (5, &[true, true, false][..]));
         hand.over(7);
-        assert!(hand.is_empty());
+        assert!(hand.flows.is_empty());
     }
 
     #[test]
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -21,9 +21,9 @@
     std::thread::scope(|scope| {
         for _ in 0..threads.clamp(1, 64).min(runs.len().max(1)) {
             scope.spawn(|| {
-                while let Some((scenario, seed, who)) = runs.get(next.fetch_add(1, Ordering::Relaxed)) {
-                    let index =
-                        runs.iter().position(|run| std::ptr::eq(&run.0, scenario)).expect("one of them");
+                loop {
+                    let index = next.fetch_add(1, Ordering::Relaxed);
+                    let Some((scenario, seed, who)) = runs.get(index) else { break };
                     let outcome = simulate(scenario, *seed, *who, None).expect("nothing is written");
                     done.lock().unwrap_or_else(PoisonError::into_inner)[index] = Some(outcome);
                 }
--- a/crates/lab/src/file.rs
+++ b/crates/lab/src/file.rs
@@ -6,7 +6,7 @@
 
 use nettlemux_door::Config;
 use nettlemux_policy::Time;
-use nettlemux_settings::{Settings, nearest, operator};
+use nettlemux_settings::{nearest, operator};
 use nettlemux_world::scenario::{Repeat, Scenario, Weights};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -153,8 +153,3 @@
 
 /// Seconds after which a connection that isn't made can't be made.
 pub const DIAL: f64 = 0.25;
-
-/// The same, read as a balancer reads it.
-pub fn read_settings(scenario: &Scenario, hall: usize) -> Settings {
-    Settings::within(&settings(scenario, hall)).expect("an object")
-}
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -134,8 +134,6 @@
     /// The version of the list that it has.
     version: u64,
     due: Option<Time>,
-    /// It has been asked to end.
-    ending: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -216,14 +214,7 @@
 impl<'a> Run<'a> {
     fn new(scenario: Scenario, seed: u64, who: Who, record: Option<&'a mut Writer>) -> Self {
         let halls = scenario.halls.number;
-        let balancer = |b: usize| Balancer {
-            hand: None,
-            epoch: 0,
-            hall: b % halls,
-            version: 0,
-            due: None,
-            ending: false,
-        };
+        let balancer = |b: usize| Balancer { hand: None, epoch: 0, hall: b % halls, version: 0, due: None };
         // Word takes its way: what is judged at its arrival may be so late.
         let slack = seconds(scenario.halls.between.max(scenario.halls.inside)) + MS;
         Run {
@@ -305,7 +296,7 @@
             hand = hand.with_door(Door::new(file::door(keys, longest), seed), longest > 0);
         }
         let one = &mut self.balancers[b];
-        (one.hand, one.version, one.due, one.ending) = (Some(hand), 0, None, false);
+        (one.hand, one.version, one.due) = (Some(hand), 0, None);
         self.tell(b);
     }
 
@@ -314,14 +305,7 @@
         let client = self.crowd.arrive(0, &self.world);
         let hall = self.crowd.get(client).expect("it has just come").hall;
         let Some(b) = self.front.deal(0, hall) else { return };
-        let of_hall: Vec<usize> = (0..self.world.servers.len())
-            .filter(|s| self.world.servers[*s].hall == self.balancers[b].hall)
-            .collect();
-        let among = if of_hall.is_empty() { (0..self.world.servers.len()).collect() } else { of_hall };
-        let two = [among[self.dice.below(among.len())], among[self.dice.below(among.len())]];
-        let fleet = &self.world.scenario.fleet;
-        let beta = |s: usize| self.world.servers[s].beta(fleet, 0);
-        let server = if beta(two[0]) <= beta(two[1]) { two[0] } else { two[1] };
+        let server = self.world.stood_at(self.balancers[b].hall, &mut self.dice);
         let flow = self.flow(client, Time::MAX);
         let id = flow.id;
         let load = self.crowd.get(client).expect("it has just come").load;
@@ -951,11 +935,11 @@
     }
 
     fn report(&mut self, server: usize) -> Option<Report> {
-        let fleet = self.world.scenario.fleet.clone();
+        let fleet = &self.world.scenario.fleet;
         let one = &mut self.world.servers[server];
         // One that takes longer than a probe waits doesn't pass it.
-        let slow = one.life == Life::Up && seconds(one.message(&fleet, self.now)) > 3 * PROBE;
-        if slow { None } else { one.report(&fleet, self.now, &mut self.dice) }
+        let slow = one.life == Life::Up && seconds(one.message(fleet, self.now)) > 3 * PROBE;
+        if slow { None } else { one.report(fleet, self.now, &mut self.dice) }
     }
 
     // Balancers end and come back.
@@ -964,7 +948,6 @@
         if self.balancers[b].hand.is_none() {
             return;
         }
-        self.balancers[b].ending = true;
         self.front.dies(b, self.now + DEALT);
         let epoch = self.balancers[b].epoch;
         self.plan(self.now + MOVES_FROM, What::MoveSome(b, epoch, self.now));
--- a/crates/lab/src/sockets/client.rs
+++ b/crates/lab/src/sockets/client.rs
@@ -55,13 +55,7 @@
         let inner = &mut *stage.lock();
         let id = inner.crowd.arrive(0, &inner.world);
         let hall = inner.crowd.get(id).map_or(0, |client| client.hall);
-        let of_hall: Vec<usize> =
-            (0..inner.world.servers.len()).filter(|s| inner.world.servers[*s].hall == hall).collect();
-        let all: Vec<usize> = (0..inner.world.servers.len()).collect();
-        let among = if of_hall.is_empty() { all } else { of_hall };
-        let two = [among[inner.dice.below(among.len())], among[inner.dice.below(among.len())]];
-        let beta = |s: usize| inner.world.servers[s].beta(&stage.scenario.fleet, 0);
-        (id, if beta(two[0]) <= beta(two[1]) { two[0] } else { two[1] })
+        (id, inner.world.stood_at(hall, &mut inner.dice))
     };
     tokio::spawn(live(stage.clone(), id, Some(server)));
 }
--- a/crates/world/src/crowd.rs
+++ b/crates/world/src/crowd.rs
@@ -65,14 +65,6 @@
         self.clients.get(&id)
     }
 
-    pub fn len(&self) -> usize {
-        self.clients.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.clients.is_empty()
-    }
-
     /// How long until the next client comes.
     pub fn next_arrival(&mut self, world: &World) -> Time {
         let clients = &world.scenario.clients;
--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -457,6 +457,16 @@
         }
     }
 
+    /// A server for a connection that stood before the run: of two of that hall, or of all where it has none, the one with
+    /// less load.
+    pub fn stood_at(&self, hall: usize, dice: &mut Dice) -> usize {
+        let of_hall: Vec<usize> = (0..self.servers.len()).filter(|s| self.servers[*s].hall == hall).collect();
+        let among = if of_hall.is_empty() { (0..self.servers.len()).collect() } else { of_hall };
+        let two = [among[dice.below(among.len())], among[dice.below(among.len())]];
+        let beta = |s: usize| self.servers[s].beta(&self.scenario.fleet, 0);
+        if beta(two[0]) <= beta(two[1]) { two[0] } else { two[1] }
+    }
+
     /// Whether discovery tells anything now, and how late it does.
     pub fn discovery(&mut self) -> Option<Time> {
         if self.silent > 0 {
