--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -34,6 +34,15 @@
 const PROBE_BOUND: Time = 10 * SEC;
 /// The most that probes may cost, of the value of our flows: many balancers have few flows to each probe.
 const PROBES_WORTH: f64 = 0.02;
+/// Where probes of all servers within their worth are further apart than this, only servers that hold
+/// connections of ours are probed at intervals, and others when a flow may go there.
+const SPARSE: Time = 3 * SEC;
+/// A flow goes to a server on a figure this old at most where they are probed as flows come.
+const FRESH: Time = SEC;
+/// How many servers are asked at once.
+const ASK: usize = 2;
+/// A probe that has brought nothing for so long is lost.
+const LOST: Time = 150 * MS;
 /// A figure is kept so long past the next probe that is due.
 const KEEP_FIGURE: Time = 5 * SEC;
 /// Reports lag by their refresh and delay, so a figure that comes sooner can't show the last moves.
@@ -83,6 +92,8 @@
     turn: f64,
     last_established: Time,
     next_probe: Time,
+    /// A flow waits for its figure since.
+    asked: Time,
     shed: Option<Time>,
     /// Connects that the cold budget allows now, as of the time beside it.
     credit: (f64, Time),
@@ -210,6 +221,10 @@
     probe_price: f64,
     /// The probe interval now.
     every: Time,
+    /// Few of our flows come to each server: those that hold none of ours are probed when a flow may go there.
+    sparse: bool,
+    /// When to look at held flows again, where a figure that they wait for has come.
+    look: Option<Time>,
     /// List weights fall with what servers hold.
     live_weights: bool,
     next_ask: Option<Time>,
@@ -360,6 +375,7 @@
                 last_established: 0,
                 // Guards against all balancers probing a server in step.
                 next_probe: now + self.rng.0.generate_range(0..PROBE_EVERY),
+                asked: 0,
                 shed: None,
                 // Balancers don't agree on who goes first: each draws its first credit.
                 credit: (self.rng.0.generate::<f64>(), now),
@@ -481,10 +497,16 @@
         if flow.group.is_some() && !kin.iter().any(|(server, _)| holds(server)) {
             kin = kin.into_iter().min_by_key(|(server, _)| rank(server)).into_iter().collect();
         }
+        let (fresh, stale): (Vec<Seen>, Vec<Seen>) = kin.iter().partition(|seen| !self.stale(now, seen.0));
+        let ask: Vec<Rs> = if fresh.is_empty() { stale.iter().map(|seen| seen.0.listed.rs).take(ASK).collect() } else { vec![] };
+        let kin = if fresh.is_empty() { kin } else { fresh };
         let among: Vec<Rs> = kin.iter().map(|(server, _)| server.listed.rs).collect();
         if flow.connects.is_empty() && !returns {
             self.least = (now, least);
         }
+        if !ask.is_empty() && now < flow.taken + target && left > 2 * LOOK_AGAIN {
+            return self.ask(now, &ask);
+        }
         let Some(rs) = self.turn(&among) else {
             return self.hold(now, flow);
         };
@@ -543,6 +565,7 @@
                 }
             }
             Outcome::Probed { rs, passed, report } => {
+                self.look = self.look.or((self.sparse && self.held > 0).then_some(now));
                 if let Some(server) = self.servers.get_mut(&rs) {
                     if passed {
                         server.unprobed.clear();
@@ -567,10 +590,14 @@
                     }
                 }
             }
-            Outcome::Elapsed => self.held = 0,
+            Outcome::Elapsed => (self.held, self.look) = (0, None),
         }
         if self.next_probe.is_some_and(|at| at <= now) {
-            let paid = self.probe_every(now);
+            let mut paid = self.probe_every(now, self.servers.len());
+            self.sparse = self.probes && paid > SPARSE;
+            if self.sparse {
+                paid = self.probe_every(now, self.book.by_rs.len());
+            }
             self.every = paid.clamp(PROBE_EVERY, PROBE_BOUND);
             for server in self.servers.values_mut() {
                 if server.next_probe <= now && server.listed.state == State::Ready {
@@ -580,7 +607,10 @@
                     let spared = cool && 2 * paid > PROBE_EVERY;
                     server.next_probe =
                         now + PROBE_BOUND.min(if spared { 2 * self.every } else { self.every });
-                    todo.probe.push(server.listed.rs);
+                    let ours = self.book.by_rs.contains_key(&server.listed.rs);
+                    if !self.sparse || ours || server.asked == now || server.asked + LOST > now {
+                        todo.probe.push(server.listed.rs);
+                    }
                 }
             }
             self.next_probe = self.due(now);
@@ -599,7 +629,7 @@
     /// How long to wait for the next outcome at most.
     pub fn wait(&self, now: Time) -> Option<Time> {
         let held = (self.held > 0).then_some(now + LOOK_AGAIN);
-        let next = [self.next_probe, self.next_ask, held, self.leaving].into_iter().flatten().min();
+        let next = [self.next_probe, self.next_ask, held, self.leaving, self.look].into_iter().flatten().min();
         next.map(|at| at.saturating_sub(now))
     }
 
@@ -610,7 +640,7 @@
     }
 
     /// The probe interval: as long as keeps probes within their worth, by how many of our flows come to them.
-    fn probe_every(&self, now: Time) -> Time {
+    fn probe_every(&self, now: Time, servers: usize) -> Time {
         let settled = self.settled.iter().filter(|(at, _)| at + RATE_SPAN >= now).count();
         // Until a span has passed, what was inherited tells: connections are taken to live for three of them.
         // Where nothing was, guards against a restart whose first figures stand for 10 s while it fills.
@@ -618,7 +648,7 @@
         let expected = if self.afresh(now) { FEWEST as usize } else { self.book.own.len() / 3 };
         let flows = settled.max(if young { expected } else { 1 }).max(1);
         let probes = PROBES_WORTH * flows as f64 / self.probe_price.max(f64::MIN_POSITIVE);
-        (RATE_SPAN as f64 * self.servers.len() as f64 / probes) as Time
+        (RATE_SPAN as f64 * servers as f64 / probes) as Time
     }
 
     /// When the next probe is due, kept so that not every outcome walks all servers.
@@ -648,6 +678,24 @@
         Place::NotYet
     }
 
+    /// Holds a flow until these have told their load.
+    fn ask(&mut self, now: Time, ask: &[Rs]) -> Place {
+        for rs in ask {
+            let server = self.servers.get_mut(rs).expect("a listed server");
+            if server.asked + LOST < now {
+                (server.asked, server.next_probe, self.next_probe) = (now, now, Some(now));
+            }
+        }
+        self.held += 1;
+        Place::NotYet
+    }
+
+    /// Whether a server's figure is too old to send anything there, and it hasn't failed to tell a newer one.
+    fn stale(&self, now: Time, server: &Server) -> bool {
+        let told = server.reports.first().is_some_and(|(at, _)| now < at + FRESH);
+        self.sparse && !told && server.unprobed.back().is_none_or(|at| at + FRESH < now)
+    }
+
     /// Whether the flow's value for its load is that of our connections on the whole, or more. A customer
     /// well over its share brings only the surplus value.
     fn worthy(&self, flow: &Flow) -> bool {
