--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 
 use nettlemux_hand::{Act, Hand, Who};
-use nettlemux_policy::{Flow, FlowId, Listed, Rs, Time};
+use nettlemux_policy::{Flow, FlowId, Holds, Listed, Rs, Time};
 use nettlemux_settings::{Reports, Settings};
 
 use crate::wire::{self, Malformed, Parts, Read};
@@ -126,6 +126,16 @@
         Ok(())
     }
 
+    pub fn memo(&mut self, now: Time, parts: &mut Parts) -> Read<()> {
+        parts.get::<u64>("from")?;
+        let bytes = wire::bytes(parts.word("content")?)?;
+        // What another version tells is none of ours to judge.
+        if let Some(word) = Holds::from_bytes(&bytes) {
+            self.hand.heard(now, word);
+        }
+        Ok(())
+    }
+
     pub fn reminder(&mut self, now: Time, parts: &mut Parts, out: &mut String) -> Read<()> {
         if parts.get::<u64>("ref")? == self.timers {
             self.armed = None;
@@ -169,6 +179,7 @@
                     writeln!(out, "RECALL {flow} {number}")
                 }
                 Act::CallOff { .. } => Ok(()),
+                Act::Tell(word) => writeln!(out, "NOTIFY -1 {}", wire::hex(&word.to_bytes())),
                 Act::AskList => writeln!(out, "TRACK 1"),
             };
             write.expect("a string takes all");
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -106,10 +106,7 @@
             "LAPSED" => instance.lapsed(now, parts, out)?,
             "REMINDER" => instance.reminder(now, parts, out)?,
             "PONG" => instance.pong(now, parts, out)?,
-            "MEMO" => {
-                parts.get::<u64>("from")?;
-                parts.word("content")?;
-            }
+            "MEMO" => instance.memo(now, parts)?,
             other => return Err(Malformed::new("event", format!("unknown event '{other}'"))),
         }
         Ok(())
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -67,6 +67,21 @@
     }
 }
 
+pub fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Bytes as hex digits; `-` is none.
+pub fn bytes(text: &str) -> Read<Vec<u8>> {
+    let malformed = || Malformed::new("content", format!("'{text}' is no hex"));
+    if text == "-" {
+        return Ok(Vec::new());
+    }
+    let whole = text.is_ascii() && text.len() % 2 == 0;
+    let pairs = (0..text.len() / 2).map(|i| u8::from_str_radix(&text[2 * i..2 * i + 2], 16).ok());
+    if whole { pairs.collect::<Option<_>>().ok_or_else(malformed) } else { Err(malformed()) }
+}
+
 pub fn micros(time: Time) -> Time {
     time / US
 }
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -275,7 +275,7 @@
                 }
             }
             // The watch always runs, so there is nothing to ask for.
-            Act::AskList => {}
+            Act::AskList | Act::Tell(_) => {}
         }
     }
 
--- a/crates/hand/src/lib.rs
+++ b/crates/hand/src/lib.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 use nettlemux_door::{Config, Door, LOOK_AGAIN, Ticket, Turn};
-use nettlemux_policy::{Connect, End, Flow, FlowId, Listed, Outcome, Place, Policy, Report, Rs, Time, Todo};
+use nettlemux_policy::{Connect, End, Flow, FlowId, Holds, Listed, Outcome, Place, Policy, Report, Rs, Time, Todo};
 
 /// What is asked of a decision module; times are nanoseconds of the caller's clock. [`Policy`] is the one that serves;
 /// the laboratory has others to compare it with.
@@ -19,6 +19,8 @@
     fn list_failed(&mut self, now: Time);
     fn inherit(&mut self, flow: &Flow, rs: Rs);
     fn told_load(&mut self, flow: FlowId, load: f64);
+    /// Another balancer's word; those that don't listen need do nothing.
+    fn heard(&mut self, _now: Time, _word: Holds) {}
 }
 
 impl Brain for Policy {
@@ -43,6 +45,9 @@
     fn told_load(&mut self, flow: FlowId, load: f64) {
         Policy::told_load(self, flow, load);
     }
+    fn heard(&mut self, now: Time, word: Holds) {
+        Policy::heard(self, now, word);
+    }
 }
 
 impl Brain for Box<dyn Brain> {
@@ -67,6 +72,9 @@
     fn told_load(&mut self, flow: FlowId, load: f64) {
         (**self).told_load(flow, load);
     }
+    fn heard(&mut self, now: Time, word: Holds) {
+        (**self).heard(now, word);
+    }
 }
 
 /// What is to be carried out.
@@ -100,6 +108,8 @@
     },
     /// Ask for the list.
     AskList,
+    /// Tell the other balancers.
+    Tell(Holds),
 }
 
 /// Who asks, for the door: whose turn a flow takes, and when it is too late for one. Nobody's where there is no door.
@@ -297,6 +307,11 @@
         self.brain.list(now, entries, whole);
     }
 
+    /// Another balancer's word.
+    pub fn heard(&mut self, now: Time, word: Holds) {
+        self.brain.heard(now, word);
+    }
+
     pub fn list_failed(&mut self, now: Time) {
         self.brain.list_failed(now);
     }
@@ -379,6 +394,7 @@
         let number = |flow| self.flow(flow).map_or(0, |f: &Flow| f.connects.len().saturating_sub(1));
         acts.extend(todo.call_off.into_iter().map(|flow| Act::CallOff { flow, number: number(flow) }));
         acts.extend(todo.ask_list.then_some(Act::AskList));
+        acts.extend(todo.tell.map(Act::Tell));
     }
 }
 
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -660,7 +660,7 @@
                 self.plan(self.now + way, What::Probe(b, epoch, server));
             }
             // The list is told whenever it changes.
-            Act::AskList => {}
+            Act::AskList | Act::Tell(_) => {}
         }
     }
 
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -29,6 +29,9 @@
 const RESERVE: f64 = 0.16;
 /// A customer is well over its share from this many times it.
 const OVER: f64 = 1.25;
+/// Others are told again that a server holds a group when they last heard of it so long ago; what was not
+/// told again for three times that is forgotten.
+const RETELL: Time = 10 * SEC;
 /// The design's start for the probe interval, and its bound.
 const PROBE_EVERY: Time = 2 * SEC;
 const PROBE_BOUND: Time = 10 * SEC;
@@ -121,6 +124,8 @@
     by_rs: BTreeMap<Rs, BTreeSet<FlowId>>,
     by_group: BTreeMap<String, BTreeMap<Rs, usize>>,
     by_customer: BTreeMap<usize, usize>,
+    /// Which servers hold a group's connections, others' too, and when that was last told.
+    told_holders: BTreeMap<u16, BTreeMap<Rs, Time>>,
     /// For each service type how many loads were told and their sum.
     told: BTreeMap<usize, (f64, f64)>,
     /// Connects in flight: where, and since when.
@@ -217,6 +222,8 @@
     second_copies: bool,
     may_call_off: bool,
     probes: bool,
+    /// Balancers tell one another which servers hold a group.
+    tells: bool,
     /// What a probe costs, in flows of ours.
     probe_price: f64,
     /// The probe interval now.
@@ -305,6 +312,12 @@
         self
     }
 
+    /// Whether balancers may tell one another where groups are held.
+    pub fn telling(mut self, may_tell: bool) -> Self {
+        self.tells = may_tell;
+        self
+    }
+
     /// How many balancers place on these servers, this one among them.
     pub fn among(mut self, balancers: f64) -> Self {
         self.balancers = balancers.max(1.0);
@@ -416,6 +429,13 @@
         }
     }
 
+    /// Another balancer has placed a connection of this group there.
+    pub fn heard(&mut self, now: Time, word: Holds) {
+        if self.tells && self.servers.contains_key(&word.rs) {
+            self.book.told_holders.entry(word.group).or_default().insert(word.rs, now);
+        }
+    }
+
     /// Where to send this flow.
     pub fn place(&mut self, now: Time, flow: &Flow) -> Place {
         self.began.get_or_insert(now);
@@ -472,13 +492,16 @@
         let holders = group.unwrap_or(&nobody);
         // Guards against servers that drop what they hold since more and more is placed on them, and, as
         // holders of the flow's group take more, against common work that is paid for on every server.
-        let holds = |server: &Server| holders.contains_key(&server.listed.rs);
+        let told = flow.group.as_ref().and_then(|group| self.book.told_holders.get(&number_of(group)));
+        let holds = |server: &Server| match told {
+            Some(told) => told.get(&server.listed.rs).is_some_and(|at| now < at + 3 * RETELL),
+            None => !self.tells && holders.contains_key(&server.listed.rs),
+        };
         let is_near = |server: &Server| server.listed.hall == self.hall;
         // Guards against many balancers that each hold few of a group and spread it: they agree on an order
         // of servers for each group. Its first is the group's home, held by others though not by us, with
         // room but for a few more connections that come on the same figure.
-        let name = flow.group.iter().flat_map(|group| group.bytes());
-        let name = name.fold(0, |name, byte| draw(name ^ u64::from(byte)));
+        let name = flow.group.as_ref().map_or(0, |group| name_of(group));
         let rank = |server: &Server| draw(name ^ server.listed.rs);
         let alone = flow.group.is_some() && holders.is_empty();
         let homes = healthy.iter().filter(|(server, _)| alone && is_near(server));
@@ -491,10 +514,10 @@
         };
         let least = healthy.iter().map(expected).fold(f64::INFINITY, f64::min);
         let open: Vec<Seen> = healthy.into_iter().filter(|seen| expected(seen) < room(seen.0)).collect();
-        let even = prefer(open, |server| self.book.at(server.listed.rs) <= 1.5 * mean_own + 1.0);
+        let even = prefer(open, |server| self.book.at(server.listed.rs) <= 1.5 * mean_own + if self.tells { FEWEST } else { 1.0 });
         let near = prefer(even, is_near);
         let mut kin = prefer(near, holds);
-        if flow.group.is_some() && !kin.iter().any(|(server, _)| holds(server)) {
+        if flow.group.is_some() && (self.tells || !kin.iter().any(|(server, _)| holds(server))) {
             kin = kin.into_iter().min_by_key(|(server, _)| rank(server)).into_iter().collect();
         }
         let (fresh, stale): (Vec<Seen>, Vec<Seen>) = kin.iter().partition(|seen| !self.stale(now, seen.0));
@@ -526,6 +549,7 @@
         match outcome {
             Outcome::Established { flow, .. } => {
                 if let Some(rs) = self.book.established(flow) {
+                    todo.tell = self.tell(now, flow, rs);
                     self.window.widen();
                     let warm = self.servers.get(&rs).is_some_and(|server| self.warmth(now, server) >= 1.0);
                     if let Some(server) = self.servers.get_mut(&rs) {
@@ -696,6 +720,15 @@
         self.sparse && !told && server.unprobed.back().is_none_or(|at| at + FRESH < now)
     }
 
+    /// What the others should know of this connection.
+    fn tell(&mut self, now: Time, flow: FlowId, rs: Rs) -> Option<Holds> {
+        let group = number_of(self.book.own.get(&flow)?.group.as_ref().filter(|_| self.tells)?);
+        let told = self.book.told_holders.entry(group).or_default();
+        told.retain(|_, at| now < *at + 3 * RETELL);
+        let due = told.get(&rs).is_none_or(|at| at + RETELL <= now);
+        due.then(|| told.insert(rs, now)).map(|_| Holds { group, rs })
+    }
+
     /// Whether the flow's value for its load is that of our connections on the whole, or more. A customer
     /// well over its share brings only the surplus value.
     fn worthy(&self, flow: &Flow) -> bool {
@@ -903,6 +936,16 @@
     WyRand::new_seed(of).generate()
 }
 
+/// A group's name as a number, for the order of its servers.
+fn name_of(group: &str) -> u64 {
+    group.bytes().fold(0, |name, byte| draw(name ^ u64::from(byte)))
+}
+
+/// The same in short, for others: two groups that share one share their servers too.
+fn number_of(group: &str) -> u16 {
+    name_of(group) as u16
+}
+
 /// Forgets connects that a figure of this age shows.
 fn shown(placed: &mut VecDeque<Time>, now: Time, age: Time) {
     while placed.front().is_some_and(|at| at + age <= now) {
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -88,6 +88,30 @@
     pub connections: Option<f64>,
 }
 
+/// What balancers tell one another: this server holds connections of the group with that number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holds {
+    pub group: u16,
+    pub rs: Rs,
+}
+
+impl Holds {
+    /// Short, as each byte is paid for by every receiver: the group, and the server without leading zeros.
+    pub fn to_bytes(self) -> Vec<u8> {
+        let rs = self.rs.to_be_bytes();
+        let zeros = rs.iter().take_while(|byte| **byte == 0).count();
+        self.group.to_be_bytes().into_iter().chain(rs[zeros..].iter().copied()).collect()
+    }
+
+    /// None where these bytes are no such word.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        let (group, rs) = bytes.split_first_chunk::<2>()?;
+        let short = rs.len() <= 8 && rs.first() != Some(&0);
+        let rs = rs.iter().fold(0, |rs, byte| rs << 8 | Rs::from(*byte));
+        short.then_some(Holds { group: u16::from_be_bytes(*group), rs })
+    }
+}
+
 /// How a connect, or the connection it became, has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -154,4 +178,6 @@
     pub call_off: Vec<FlowId>,
     /// Ask for the list.
     pub ask_list: bool,
+    /// Tell the other balancers.
+    pub tell: Option<Holds>,
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -76,6 +76,7 @@
             .probing(self.flag(&limits("probes"))?, self.number("costs/probe").unwrap_or(0.0))
             .weighing(self.maybe("weights").and_then(|v| v.as_str()) == Some("live"))
             .warning(warn)
+            .telling(self.maybe("limits/may-tell").and_then(Value::as_bool).unwrap_or(false))
             .asking(self.text("discovery")? == "ask")
             .cold(
                 self.number(&contract("start-capacity"))?,
