--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -44,6 +44,10 @@
 const FRESH: Time = SEC;
 /// How many servers are asked at once.
 const ASK: usize = 2;
+/// Of so many servers the one with the most room gets a group that can't stay where it is.
+const CHOICE: usize = 4;
+/// A figure says nothing against a server any more.
+const OLD: Time = 4 * SEC;
 /// A probe that has brought nothing for so long is lost.
 const LOST: Time = 150 * MS;
 /// A figure is kept so long past the next probe that is due.
@@ -512,17 +516,24 @@
             () if home == Some(server.listed.rs) => T_H.min(worth + (T_H - SPARE * each).clamp(NEW, FULL)),
             () => T_H.min(worth + NEW),
         };
-        let least = healthy.iter().map(expected).fold(f64::INFINITY, f64::min);
-        let open: Vec<Seen> = healthy.into_iter().filter(|seen| expected(seen) < room(seen.0)).collect();
+        let unknown = |server: &Server| self.stale(now, server, OLD);
+        let ahead = |seen: &Seen| if unknown(seen.0) { 0.0 } else { expected(seen) };
+        let least = healthy.iter().map(ahead).fold(f64::INFINITY, f64::min);
+        let open: Vec<Seen> = healthy.into_iter().filter(|seen| ahead(seen) < room(seen.0)).collect();
         let even = prefer(open, |server| self.book.at(server.listed.rs) <= 1.5 * mean_own + if self.tells { FEWEST } else { 1.0 });
         let near = prefer(even, is_near);
         let mut kin = prefer(near, holds);
         if flow.group.is_some() && (self.tells || !kin.iter().any(|(server, _)| holds(server))) {
-            kin = kin.into_iter().min_by_key(|(server, _)| rank(server)).into_iter().collect();
+            kin.sort_by_key(|(server, _)| rank(server));
+            kin.truncate(if self.tells && !kin.iter().any(|(server, _)| holds(server)) { CHOICE } else { 1 });
+        }
+        let choice = kin.len() > 1 && self.tells && flow.group.is_some();
+        let (fresh, stale): (Vec<Seen>, Vec<Seen>) = kin.iter().partition(|seen| !self.stale(now, seen.0, FRESH));
+        let ask: Vec<Rs> = if fresh.is_empty() || choice { stale.iter().map(|seen| seen.0.listed.rs).take(ASK.max(CHOICE)).collect() } else { vec![] };
+        let mut kin = if fresh.is_empty() { kin } else { fresh };
+        if choice {
+            kin = kin.into_iter().min_by(|a, b| expected(a).total_cmp(&expected(b))).into_iter().collect();
         }
-        let (fresh, stale): (Vec<Seen>, Vec<Seen>) = kin.iter().partition(|seen| !self.stale(now, seen.0));
-        let ask: Vec<Rs> = if fresh.is_empty() { stale.iter().map(|seen| seen.0.listed.rs).take(ASK).collect() } else { vec![] };
-        let kin = if fresh.is_empty() { kin } else { fresh };
         let among: Vec<Rs> = kin.iter().map(|(server, _)| server.listed.rs).collect();
         if flow.connects.is_empty() && !returns {
             self.least = (now, least);
@@ -715,8 +726,8 @@
     }
 
     /// Whether a server's figure is too old to send anything there, and it hasn't failed to tell a newer one.
-    fn stale(&self, now: Time, server: &Server) -> bool {
-        let told = server.reports.first().is_some_and(|(at, _)| now < at + FRESH);
+    fn stale(&self, now: Time, server: &Server, age: Time) -> bool {
+        let told = server.reports.first().is_some_and(|(at, _)| now < at + age);
         self.sparse && !told && server.unprobed.back().is_none_or(|at| at + FRESH < now)
     }
 
