--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -29,9 +29,10 @@
 const RESERVE: f64 = 0.16;
 /// A customer is well over its share from this many times it.
 const OVER: f64 = 1.25;
-/// Others are told again that a server holds a group when they last heard of it so long ago; what was not
-/// told again for three times that is forgotten.
-const RETELL: Time = 10 * SEC;
+/// Others are told that a server holds a group when it was last told so long ago, and what was not told again
+/// for a while is forgotten: 5, 10 and 20 s, and 30 and 60 s, served alike, but each telling is paid for.
+const RETELL: Time = 20 * SEC;
+const FORGET: Time = 30 * SEC;
 /// The design's start for the probe interval, and its bound.
 const PROBE_EVERY: Time = 2 * SEC;
 const PROBE_BOUND: Time = 10 * SEC;
@@ -42,12 +43,10 @@
 const SPARSE: Time = 3 * SEC;
 /// A flow goes to a server on a figure this old at most where they are probed as flows come.
 const FRESH: Time = SEC;
-/// How many servers are asked at once.
-const ASK: usize = 2;
 /// Of so many servers the one with the most room gets a group that can't stay where it is.
 const CHOICE: usize = 4;
 /// A figure says nothing against a server any more.
-const OLD: Time = 4 * SEC;
+const OLD: Time = 8 * SEC;
 /// A probe that has brought nothing for so long is lost.
 const LOST: Time = 150 * MS;
 /// A figure is kept so long past the next probe that is due.
@@ -487,7 +486,12 @@
         // Guards against a balancer that has just restarted and turns away the clients of the next one that does,
         // or puts all that wait on the first server that shows room: they bring no new load, the figures have it.
         let returns = flow.returning && self.afresh(now);
-        let theirs = if returns { -lately } else { (self.balancers - 1.0) * lately };
+        let usual = self.settled.len() as f64 * (REPORT_AGE + FRESH) as f64 / RATE_SPAN as f64 / number;
+        let theirs = match () {
+            () if self.tells => (self.balancers - 1.0) * usual,
+            () if returns => -lately,
+            () => (self.balancers - 1.0) * lately,
+        };
         let expected = |(server, beta): &Seen| {
             beta.map_or(mean, |beta| beta + each * (server.placed.len() as f64 + theirs))
         };
@@ -498,7 +502,7 @@
         // holders of the flow's group take more, against common work that is paid for on every server.
         let told = flow.group.as_ref().and_then(|group| self.book.told_holders.get(&number_of(group)));
         let holds = |server: &Server| match told {
-            Some(told) => told.get(&server.listed.rs).is_some_and(|at| now < at + 3 * RETELL),
+            Some(told) => told.get(&server.listed.rs).is_some_and(|at| now < at + FORGET),
             None => !self.tells && holders.contains_key(&server.listed.rs),
         };
         let is_near = |server: &Server| server.listed.hall == self.hall;
@@ -521,16 +525,22 @@
         let least = healthy.iter().map(ahead).fold(f64::INFINITY, f64::min);
         let open: Vec<Seen> = healthy.into_iter().filter(|seen| ahead(seen) < room(seen.0)).collect();
         let even = prefer(open, |server| self.book.at(server.listed.rs) <= 1.5 * mean_own + if self.tells { FEWEST } else { 1.0 });
+        // A crossing is paid for once, a group's common work on each server that holds it all the time.
+        let even = if self.tells { prefer(even, holds) } else { even };
         let near = prefer(even, is_near);
         let mut kin = prefer(near, holds);
-        if flow.group.is_some() && (self.tells || !kin.iter().any(|(server, _)| holds(server))) {
+        let held = kin.iter().any(|(server, _)| holds(server));
+        if flow.group.is_some() && !held {
             kin.sort_by_key(|(server, _)| rank(server));
-            kin.truncate(if self.tells && !kin.iter().any(|(server, _)| holds(server)) { CHOICE } else { 1 });
-        }
-        let choice = kin.len() > 1 && self.tells && flow.group.is_some();
-        let (fresh, stale): (Vec<Seen>, Vec<Seen>) = kin.iter().partition(|seen| !self.stale(now, seen.0, FRESH));
-        let ask: Vec<Rs> = if fresh.is_empty() || choice { stale.iter().map(|seen| seen.0.listed.rs).take(ASK.max(CHOICE)).collect() } else { vec![] };
-        let mut kin = if fresh.is_empty() { kin } else { fresh };
+            kin.truncate(if self.tells { CHOICE } else { 1 });
+        }
+        let choice = kin.len() > 1 && self.tells && flow.group.is_some() && !held;
+        let first = |a: &&Seen, b: &&Seen| (a.0.turn + a.0.listed.weight).total_cmp(&(b.0.turn + b.0.listed.weight));
+        let ask: Vec<Rs> = if choice {
+            kin.iter().filter(|seen| self.stale(now, seen.0, FRESH)).map(|seen| seen.0.listed.rs).collect()
+        } else {
+            kin.iter().max_by(first).filter(|seen| self.stale(now, seen.0, FRESH)).map(|seen| seen.0.listed.rs).into_iter().collect()
+        };
         if choice {
             kin = kin.into_iter().min_by(|a, b| expected(a).total_cmp(&expected(b))).into_iter().collect();
         }
@@ -735,7 +745,7 @@
     fn tell(&mut self, now: Time, flow: FlowId, rs: Rs) -> Option<Holds> {
         let group = number_of(self.book.own.get(&flow)?.group.as_ref().filter(|_| self.tells)?);
         let told = self.book.told_holders.entry(group).or_default();
-        told.retain(|_, at| now < *at + 3 * RETELL);
+        told.retain(|_, at| now < *at + FORGET);
         let due = told.get(&rs).is_none_or(|at| at + RETELL <= now);
         due.then(|| told.insert(rs, now)).map(|_| Holds { group, rs })
     }
