--- a/crates/hand/src/lib.rs
+++ b/crates/hand/src/lib.rs
@@ -7,7 +7,9 @@
 use std::collections::BTreeMap;
 
 use nettlemux_door::{Config, Door, LOOK_AGAIN, Ticket, Turn};
-use nettlemux_policy::{Connect, End, Flow, FlowId, Holds, Listed, Outcome, Place, Policy, Report, Rs, Time, Todo};
+use nettlemux_policy::{
+    Connect, End, Flow, FlowId, Holds, Listed, Outcome, Place, Policy, Report, Rs, Time, Todo,
+};
 
 /// What is asked of a decision module; times are nanoseconds of the caller's clock. [`Policy`] is the one that serves;
 /// the laboratory has others to compare it with.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -39,16 +39,16 @@
 /// The most that probes may cost, of the value of our flows: many balancers have few flows to each probe.
 const PROBES_WORTH: f64 = 0.02;
 /// Where probes of all servers within their worth are further apart than this, only servers that hold
-/// connections of ours are probed at intervals, and others when a flow may go there.
+/// connections of ours are probed at intervals, and others when a flow may go there (the sparse case).
 const SPARSE: Time = 3 * SEC;
-/// A flow goes to a server on a figure this old at most where they are probed as flows come.
+/// There a flow goes only where a figure is this old at most: 0.5 s served no better, 2 s worse.
 const FRESH: Time = SEC;
-/// Of so many servers the one with the most room gets a group that can't stay where it is.
-const CHOICE: usize = 4;
-/// A figure says nothing against a server any more.
+/// There a figure holds nobody off any longer than this: a server that was full is asked again.
 const OLD: Time = 8 * SEC;
-/// A probe that has brought nothing for so long is lost.
+/// A probe for a flow that has brought nothing for so long is lost.
 const LOST: Time = 150 * MS;
+/// A group that needs a server gets the roomiest of so many: one fills servers that hold others' groups.
+const CHOICE: usize = 4;
 /// A figure is kept so long past the next probe that is due.
 const KEEP_FIGURE: Time = 5 * SEC;
 /// Reports lag by their refresh and delay, so a figure that comes sooner can't show the last moves.
@@ -90,8 +90,6 @@
     failed: VecDeque<Time>,
     /// Failed probes since the last that passed.
     unprobed: VecDeque<Time>,
-    /// The list weight that went with the last report; none while the list hasn't told it a second time.
-    base: Option<f64>,
     /// Reports, newest first.
     reports: ArrayVec<(Time, f64), SAMPLES>,
     /// Rotation credit.
@@ -235,8 +233,6 @@
     sparse: bool,
     /// When to look at held flows again, where a figure that they wait for has come.
     look: Option<Time>,
-    /// List weights fall with what servers hold.
-    live_weights: bool,
     next_ask: Option<Time>,
     /// When the next server is due for a probe.
     next_probe: Option<Time>,
@@ -345,12 +341,6 @@
         self
     }
 
-    /// Whether list weights are lowered by the connections that a server holds.
-    pub fn weighing(mut self, live: bool) -> Self {
-        self.live_weights = live;
-        self
-    }
-
     /// Whether clients are to be told before their server goes.
     pub fn warning(mut self, warn: bool) -> Self {
         self.they_move = !warn;
@@ -384,7 +374,6 @@
                 listed: *entry,
                 turn: self.rng.0.generate::<f64>(),
                 reports: ArrayVec::new(),
-                base: None,
                 placed: VecDeque::new(),
                 failed: VecDeque::new(),
                 unprobed: VecDeque::new(),
@@ -397,14 +386,7 @@
                 credit: (self.rng.0.generate::<f64>(), now),
             };
             match self.servers.get_mut(&entry.rs) {
-                Some(known) if known.listed.started == entry.started => {
-                    known.listed = *entry;
-                    let old = known.reports.first().is_none_or(|(at, _)| at + PROBE_EVERY < now);
-                    if self.live_weights && self.every > PROBE_EVERY && old {
-                        known.base.get_or_insert(entry.weight);
-                        shown(&mut known.placed, now, 2 * REPORT_AGE);
-                    }
-                }
+                Some(known) if known.listed.started == entry.started => known.listed = *entry,
                 // A restart under the same id: nothing measured holds any more.
                 _ => drop(self.servers.insert(entry.rs, fresh)),
             }
@@ -486,7 +468,12 @@
         // Guards against a balancer that has just restarted and turns away the clients of the next one that does,
         // or puts all that wait on the first server that shows room: they bring no new load, the figures have it.
         let returns = flow.returning && self.afresh(now);
-        let usual = self.settled.len() as f64 * (REPORT_AGE + FRESH) as f64 / RATE_SPAN as f64 / number;
+        // Where flows are few a connect of ours tells nothing of the others' in the same second: guards
+        // against one that is taken for one of each of hundreds. They go where there is room, as ours would.
+        let roomy =
+            |&&(server, beta): &&Seen| self.stale(now, server, OLD) || beta.is_some_and(|beta| beta < FULL);
+        let roomy = healthy.iter().filter(roomy).count().max(1) as f64;
+        let usual = (self.settled.len() as Time * (REPORT_AGE + FRESH)) as f64 / RATE_SPAN as f64 / roomy;
         let theirs = match () {
             () if self.tells => (self.balancers - 1.0) * usual,
             () if returns => -lately,
@@ -518,37 +505,41 @@
             () if returns => T_H.min(worth + mean.clamp(NEW, FULL)),
             () if holds(server) => T_H.min(worth + FULL),
             () if home == Some(server.listed.rs) => T_H.min(worth + (T_H - SPARE * each).clamp(NEW, FULL)),
+            // Where no loads are told nothing brings more for its load than the rest.
+            () if told.is_some() && self.book.told.is_empty() => NEW,
             () => T_H.min(worth + NEW),
         };
         let unknown = |server: &Server| self.stale(now, server, OLD);
         let ahead = |seen: &Seen| if unknown(seen.0) { 0.0 } else { expected(seen) };
         let least = healthy.iter().map(ahead).fold(f64::INFINITY, f64::min);
         let open: Vec<Seen> = healthy.into_iter().filter(|seen| ahead(seen) < room(seen.0)).collect();
-        let even = prefer(open, |server| self.book.at(server.listed.rs) <= 1.5 * mean_own + if self.tells { FEWEST } else { 1.0 });
-        // A crossing is paid for once, a group's common work on each server that holds it all the time.
-        let even = if self.tells { prefer(even, holds) } else { even };
-        let near = prefer(even, is_near);
-        let mut kin = prefer(near, holds);
-        let held = kin.iter().any(|(server, _)| holds(server));
-        if flow.group.is_some() && !held {
+        // Guards against the few that one of hundreds of balancers holds being taken for too many.
+        let slack = if self.tells { FEWEST } else { 1.0 };
+        let mut kin = prefer(open, |server| self.book.at(server.listed.rs) <= 1.5 * mean_own + slack);
+        if self.tells {
+            // A crossing is paid for once, a group's common work on each server as long as it holds any.
+            kin = prefer(kin, holds);
+        }
+        kin = prefer(prefer(kin, is_near), holds);
+        // The one whose turn it is, or, for a group that needs a server, the roomiest of a few.
+        let next = |server: &Server| server.turn + sane(server.listed.weight);
+        let mut ask =
+            kin.iter().copied().max_by(|a, b| next(a.0).total_cmp(&next(b.0))).into_iter().collect();
+        if flow.group.is_some() && !kin.iter().any(|(server, _)| holds(server)) {
             kin.sort_by_key(|(server, _)| rank(server));
             kin.truncate(if self.tells { CHOICE } else { 1 });
+            ask = std::mem::take(&mut kin);
+            kin.extend(ask.iter().copied().min_by(|a, b| expected(a).total_cmp(&expected(b))));
         }
-        let choice = kin.len() > 1 && self.tells && flow.group.is_some() && !held;
-        let first = |a: &&Seen, b: &&Seen| (a.0.turn + a.0.listed.weight).total_cmp(&(b.0.turn + b.0.listed.weight));
-        let ask: Vec<Rs> = if choice {
-            kin.iter().filter(|seen| self.stale(now, seen.0, FRESH)).map(|seen| seen.0.listed.rs).collect()
-        } else {
-            kin.iter().max_by(first).filter(|seen| self.stale(now, seen.0, FRESH)).map(|seen| seen.0.listed.rs).into_iter().collect()
-        };
-        if choice {
-            kin = kin.into_iter().min_by(|a, b| expected(a).total_cmp(&expected(b))).into_iter().collect();
-        }
+        ask.retain(|(server, _)| self.stale(now, server, FRESH));
+        let ask: Vec<Rs> = ask.iter().map(|(server, _)| server.listed.rs).collect();
         let among: Vec<Rs> = kin.iter().map(|(server, _)| server.listed.rs).collect();
         if flow.connects.is_empty() && !returns {
             self.least = (now, least);
         }
-        if !ask.is_empty() && now < flow.taken + target && left > 2 * LOOK_AGAIN {
+        // When many wait the figures that there are must do: looking at all of them again costs too much.
+        let few = (self.held as f64) < QUEUE * self.window.width.max(1.0);
+        if !ask.is_empty() && few && now < flow.taken + target && left > 2 * LOOK_AGAIN {
             return self.ask(now, &ask);
         }
         let Some(rs) = self.turn(&among) else {
@@ -622,7 +613,6 @@
                     if let Some(beta) = report.beta.filter(|beta| passed && SANE.contains(beta)) {
                         server.reports.truncate(SAMPLES - 1);
                         server.reports.insert(0, (now, beta));
-                        server.base = server.base.and(Some(server.listed.weight));
                         shown(&mut server.placed, now, REPORT_AGE);
                         if let Some(count) = report.connections.filter(|count| *count >= 1.0) {
                             for flow in self.book.by_rs.get(&rs).into_iter().flatten() {
@@ -647,7 +637,7 @@
             for server in self.servers.values_mut() {
                 if server.next_probe <= now && server.listed.state == State::Ready {
                     // A cool server is the last to turn hot. Where twice the probes are paid for it isn't
-                    // spared: guards against one that fills within twice the interval (kandy-patrol-later).
+                    // spared: guards against one that fills within twice the interval.
                     let cool = server.reports.first().is_some_and(|(_, beta)| *beta < COOL);
                     let spared = cool && 2 * paid > PROBE_EVERY;
                     server.next_probe =
@@ -674,7 +664,8 @@
     /// How long to wait for the next outcome at most.
     pub fn wait(&self, now: Time) -> Option<Time> {
         let held = (self.held > 0).then_some(now + LOOK_AGAIN);
-        let next = [self.next_probe, self.next_ask, held, self.leaving, self.look].into_iter().flatten().min();
+        let next =
+            [self.next_probe, self.next_ask, held, self.leaving, self.look].into_iter().flatten().min();
         next.map(|at| at.saturating_sub(now))
     }
 
@@ -818,17 +809,7 @@
         let stuck = server.reports.is_full() && server.reports.iter().all(|(_, old)| *old == beta);
         // Not by the next probe, which is put off for good while probes fail.
         let due = at + PROBE_BOUND.min(2 * self.every);
-        (now < due + KEEP_FIGURE && (!stuck || beta == 0.0)).then_some(
-            beta * if self.every == PROBE_EVERY || now < at + PROBE_EVERY { 1.0 } else { self.since(server) },
-        )
-    }
-
-    /// How many times what it held when it last reported a server holds now, by its list weights.
-    fn since(&self, server: &Server) -> f64 {
-        let Some(base) = server.base else { return 1.0 };
-        let times = base / server.listed.weight;
-        // Absurd weights tell nothing.
-        if times.is_finite() && times > 0.0 { times.clamp(0.5, 2.0) } else { 1.0 }
+        (now < due + KEEP_FIGURE && (!stuck || beta == 0.0)).then_some(beta)
     }
 
     /// The share of its capacity that a server has at least.
@@ -868,7 +849,6 @@
 
     /// The rotation: smooth weighted round robin over these servers.
     fn turn(&mut self, among: &[Rs]) -> Option<Rs> {
-        let sane = |w: f64| if w.is_finite() && w > 0.0 { w.clamp(1e-3, 1e3) } else { 1.0 };
         let mut total = 0.0;
         for rs in among {
             let server = self.servers.get_mut(rs)?;
@@ -967,6 +947,11 @@
     name_of(group) as u16
 }
 
+/// A list weight, or an equal one where it is none.
+fn sane(weight: f64) -> f64 {
+    if weight.is_finite() && weight > 0.0 { weight.clamp(1e-3, 1e3) } else { 1.0 }
+}
+
 /// Forgets connects that a figure of this age shows.
 fn shown(placed: &mut VecDeque<Time>, now: Time, age: Time) {
     while placed.front().is_some_and(|at| at + age <= now) {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -74,7 +74,6 @@
             .customers(self.shares()?, self.number("surplus-value").unwrap_or(1.0))
             .come_back(come_back)
             .probing(self.flag(&limits("probes"))?, self.number("costs/probe").unwrap_or(0.0))
-            .weighing(self.maybe("weights").and_then(|v| v.as_str()) == Some("live"))
             .warning(warn)
             .telling(self.maybe("limits/may-tell").and_then(Value::as_bool).unwrap_or(false))
             .asking(self.text("discovery")? == "ask")
