--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -33,6 +33,11 @@
 /// for a while is forgotten: 5, 10 and 20 s, and 30 and 60 s, served alike, but each telling is paid for.
 const RETELL: Time = 20 * SEC;
 const FORGET: Time = 30 * SEC;
+/// Words that a balancer hears in a second at most, from all others together. Guards against hundreds that all
+/// tell where a storm puts each client (an incident with 666 balancers: 4 million words in 16 s).
+const WORDS: f64 = 40.0;
+/// Answers to probes that come this close together are looked at together, as each look walks all servers.
+const TOGETHER: Time = 5 * MS;
 /// The design's start for the probe interval, and its bound.
 const PROBE_EVERY: Time = 2 * SEC;
 const PROBE_BOUND: Time = 10 * SEC;
@@ -225,6 +230,8 @@
     probes: bool,
     /// Balancers tell one another which servers hold a group.
     tells: bool,
+    /// Words that may go out now, as of the time beside it.
+    words: (f64, Time),
     /// What a probe costs, in flows of ours.
     probe_price: f64,
     /// The probe interval now.
@@ -601,7 +608,7 @@
                 }
             }
             Outcome::Probed { rs, passed, report } => {
-                self.look = self.look.or((self.sparse && self.held > 0).then_some(now));
+                self.look = self.look.or((self.sparse && self.held > 0).then_some(now + TOGETHER));
                 if let Some(server) = self.servers.get_mut(&rs) {
                     if passed {
                         server.unprobed.clear();
@@ -738,7 +745,11 @@
         let told = self.book.told_holders.entry(group).or_default();
         told.retain(|_, at| now < *at + FORGET);
         let due = told.get(&rs).is_none_or(|at| at + RETELL <= now);
-        due.then(|| told.insert(rs, now)).map(|_| Holds { group, rs })
+        let (left, at) = self.words;
+        let left = (left + WORDS / self.balancers * now.saturating_sub(at) as f64 / SEC as f64).min(2.0);
+        let may = due && left >= 1.0;
+        self.words = (if may { left - 1.0 } else { left }, now);
+        may.then(|| told.insert(rs, now)).map(|_| Holds { group, rs })
     }
 
     /// Whether the flow's value for its load is that of our connections on the whole, or more. A customer
