Take new settings in a running program, words between balancers over UDP, fewer walks in a storm

The program: SIGHUP takes settings over; flows, connects and connections stay, service types and customers keep their places; words go by UDP between the addresses of the operator's file.

--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -8,6 +8,7 @@
 use std::path::{Path, PathBuf};
 
 use nettlemux_core::discovery::{self, News};
+use nettlemux_core::shared::Term;
 use nettlemux_door::Config as DoorConfig;
 use nettlemux_policy::Time;
 use nettlemux_settings::Settings;
@@ -42,6 +43,13 @@
 }
 
 impl Config {
+    /// What the settings say beside the module's part.
+    pub fn term(&self) -> Term {
+        let how = self.settings.maybe("report/how").and_then(Value::as_str);
+        let stats = how != Some("silent");
+        Term { reports: self.settings.reports(), stats, dial_limit: self.dial_limit }
+    }
+
     /// The keys under which another configuration says something else that is only read at the start. What `known`
     /// says is of the start by its nature.
     pub fn needing_a_restart(&self, new: &Config) -> Vec<&'static str> {
@@ -51,7 +59,6 @@
             ("seed", self.seed != new.seed),
             ("limits.sockets", self.sockets != new.sockets),
             ("limits.memory_mb", self.memory != new.memory),
-            ("settings", self.settings != new.settings),
         ];
         changed.into_iter().filter(|(_, changed)| *changed).map(|(key, _)| key).collect()
     }
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -17,9 +17,10 @@
 use nettlemux_core::discovery::{self, Agent};
 use nettlemux_core::mail::Mailbox;
 use nettlemux_core::orders::Ask;
+use nettlemux_core::peers::Peers;
 use nettlemux_core::pool::{Buffers, Shares};
 use nettlemux_core::probe::{self, Prober};
-use nettlemux_core::shared::Core;
+use nettlemux_core::shared::{Core, Terms};
 use nettlemux_door::Door;
 use nettlemux_front_lines::first::Known;
 use nettlemux_front_lines::take_in::{self, Front};
@@ -146,14 +147,12 @@
     let buffers = Buffers::new();
     let asks = Mailbox::new();
     let desk = asks.sender();
-    let reports = settings.reports();
-    let stats = settings.maybe("report/how").and_then(|how| how.as_str()) != Some("silent");
+    let terms = Terms::new(config.term());
     let prober = Prober::new(probe::Means {
         desk: desk.clone(),
         descriptors: descriptors.clone(),
         buffers: buffers.clone(),
-        reports,
-        stats,
+        terms: terms.clone(),
     });
     let mut known = Known::new(settings).map_err(faulty)?;
     let mut hand = Hand::new(policy);
@@ -172,8 +171,7 @@
         buffers: buffers.clone(),
         shares,
         ids: Arc::default(),
-        reports,
-        dial_limit: config.dial_limit,
+        terms: terms.clone(),
         numbers: AtomicU64::new(1),
     });
 
@@ -191,9 +189,32 @@
     info!(name = config.name, listen = %config.listen, sockets = config.sockets, flows, waiting, "serving");
     let (halls, machines) = (settings.names("areas"), settings.names("models"));
     let last_answer = settings.longest_wait().min(LAST_ANSWER);
-    let running = may::go!(move || Desk::new(hand, asks, halls, machines, prober, last_answer).run());
+    let (peers, words) = match operator.peers {
+        Some(keys) => {
+            let started = Peers::start(keys.listen, keys.to, desk.clone());
+            let (peers, words) =
+                started.map_err(|e| format!("can't listen for words at {}: {e}", keys.listen))?;
+            (Some((keys.listen, peers)), Some(words))
+        }
+        None => (None, None),
+    };
+    signals::untold(settings, peers.is_some());
+    let given = (config.seed, MARGIN);
+    let desk_of = move || Desk::new(hand, asks, halls, machines, prober, words, given, last_answer);
+    let running = may::go!(move || desk_of().run());
     let agent = Agent::new(config.discovery);
-    let reload = signals::Reload { file, operator: operator_file, door_seed, config };
+    let front_of = front.clone();
+    let in_file = config.settings.clone();
+    let reload = signals::Reload {
+        file,
+        operator: operator_file,
+        door_seed,
+        config,
+        in_file,
+        terms,
+        front: front_of,
+        peers,
+    };
     signals::listen(signals, reload, desk.clone(), agent.clone())
         .map_err(|e| format!("can't listen for signals: {e}"))?;
     let means = discovery::Means { agent, descriptors, buffers };
--- a/crates/balancer/src/signals.rs
+++ b/crates/balancer/src/signals.rs
@@ -3,6 +3,7 @@
 //! never end the process itself, and a file that is faulty must change nothing.
 
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
@@ -10,6 +11,11 @@
 use nettlemux_core::discovery::Agent;
 use nettlemux_core::mail::Sender;
 use nettlemux_core::orders::Ask;
+use nettlemux_core::peers::Peers;
+use nettlemux_core::shared::Terms;
+use nettlemux_front_lines::first::Known;
+use nettlemux_front_lines::take_in::Front;
+use nettlemux_settings::Settings;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tracing::{error, info, warn};
@@ -27,6 +33,12 @@
 
 /// What SIGHUP reads again, and what it says now.
 pub struct Reload {
+    /// The settings as the file had them last; those in force keep the places of what was named before.
+    pub in_file: Settings,
+    pub terms: Arc<Terms>,
+    pub front: Arc<Front>,
+    /// The way to the other balancers, where there is one, and where it listens.
+    pub peers: Option<(SocketAddr, Arc<Peers>)>,
     pub file: Option<PathBuf>,
     pub operator: Option<PathBuf>,
     /// The seed of the door's keys, where there is a door.
@@ -51,6 +63,13 @@
     Ok(())
 }
 
+/// Says so where settings expect words that have no way to go: groups are then held in more places.
+pub fn untold(settings: &Settings, peers: bool) {
+    if settings.may_tell().unwrap_or(false) && !peers {
+        warn!(key = "peers", "the settings let balancers tell one another, and no address is known");
+    }
+}
+
 impl Reload {
     fn again(&mut self, agent: &Agent, desk: &Sender<Ask>) {
         // Both are read before either acts: a faulty one changes nothing.
@@ -60,6 +79,27 @@
             Ok(read) => read,
             Err(why) => return error!(%why, "not reloaded: nothing changes"),
         };
+        // The last that may fail: from here on all is taken over.
+        let merged = new.settings.following(&self.config.settings);
+        let known = merged.and_then(|merged| Ok((Known::new(&merged)?, merged)));
+        let (known, merged) = match known {
+            Ok(known) => known,
+            Err(why) => return error!(%why, "not reloaded: nothing changes"),
+        };
+        if new.settings != self.in_file {
+            // Before the front names what is new: the desk reads its mail in order.
+            desk.send(Ask::Change(Box::new(merged.clone())));
+            self.terms.change(new.term());
+            self.front.change(known);
+            info!("other settings from now on");
+            (self.in_file, self.config.settings) = (new.settings.clone(), merged);
+        }
+        match (&operator.peers, &self.peers) {
+            (Some(keys), Some((listen, peers))) if keys.listen == *listen => peers.change(keys.to.clone()),
+            (None, None) => {}
+            _ => warn!(key = "peers", "a change of this key needs a restart"),
+        }
+        untold(&new.settings, self.peers.is_some());
         for key in self.config.needing_a_restart(&new) {
             warn!(key, "a change of this key needs a restart");
         }
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -137,8 +137,7 @@
             buffers: Buffers::new(),
             shares: Shares::new(256, 32 << 20),
             ids: Arc::default(),
-            reports: Reports::default(),
-            dial_limit: 0,
+            terms: Arc::default(),
             numbers: AtomicU64::new(1),
         });
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -9,12 +9,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use nettlemux_hand::{Act, Hand};
-use nettlemux_policy::{Flow, FlowId, Listed, MS, Rs, SEC, State, Time};
+use nettlemux_policy::{Flow, FlowId, Holds, Listed, MS, Rs, SEC, State, Time};
+use nettlemux_settings::Settings;
 use tracing::{error, info, warn};
 
 use crate::clock;
 use crate::mail::{Mailbox, Sender};
-use crate::orders::{Ask, Entry, Event, Order, Server, Target};
+use crate::orders::{Ask, Entry, Event, Order, Server, Target, Word};
 use crate::probe::Prober;
 
 /// Who is told what becomes of a flow.
@@ -33,6 +34,10 @@
         Names(names.into_iter().zip(0..).collect())
     }
 
+    fn known(&self, name: &str) -> Option<u64> {
+        self.0.get(name).copied()
+    }
+
     fn number(&mut self, name: &str) -> u64 {
         let next = self.0.len() as u64;
         *self.0.entry(name.to_string()).or_insert(next)
@@ -60,6 +65,11 @@
     machines: Names,
     cells: Names,
     prober: Prober,
+    /// The way to the other balancers, where there is one.
+    words: Option<Sender<Word>>,
+    /// What a module made from other settings is given.
+    seed: u64,
+    margin: Time,
     /// The next time at which the module wants to be asked.
     due: Option<Time>,
     terminated: Option<Time>,
@@ -76,6 +86,8 @@
         halls: Vec<String>,
         machines: Vec<String>,
         prober: Prober,
+        words: Option<Sender<Word>>,
+        (seed, margin): (u64, Time),
         last_answer: Time,
     ) -> Self {
         Desk {
@@ -88,6 +100,9 @@
             machines: Names::of(machines),
             cells: Names::default(),
             prober,
+            words,
+            seed,
+            margin,
             due: None,
             terminated: None,
             last_answer,
@@ -179,6 +194,13 @@
             }
             Ask::List { entries, whole } => self.list(now, entries, whole),
             Ask::ListFailed => self.hand.list_failed(now),
+            Ask::Heard(word) => {
+                // One that our list doesn't name is none of ours.
+                if let Some(rs) = self.ids.known(&word.server).filter(|rs| self.servers.contains_key(rs)) {
+                    self.hand.heard(now, Holds { group: word.group, rs });
+                }
+            }
+            Ask::Change(settings) => self.change(*settings),
             Ask::Door(config) => self.hand.change_door(config),
             Ask::Terminate => {
                 info!(flows = self.clients.len(), "asked to end");
@@ -187,6 +209,17 @@
         }
     }
 
+    /// Goes on under other settings. Flows in hand, connects that are out and connections stay as they are.
+    fn change(&mut self, settings: Settings) {
+        // The list may have named halls before the settings did.
+        let hall = settings.hall_name().map(|name| self.halls.number(&name));
+        let settings = hall.map_or(settings.clone(), |hall| settings.in_hall(hall));
+        match settings.policy(self.seed, self.margin, true) {
+            Ok(policy) => self.hand.change(policy),
+            Err(why) => error!(%why, "settings that can't be used; the old ones hold"),
+        }
+    }
+
     fn list(&mut self, now: Time, entries: Vec<Entry>, whole: bool) {
         let mut listed = Vec::new();
         let mut told = Vec::new();
@@ -275,7 +308,12 @@
                 }
             }
             // The watch always runs, so there is nothing to ask for.
-            Act::AskList | Act::Tell(_) => {}
+            Act::AskList => {}
+            Act::Tell(Holds { group, rs }) => {
+                if let (Some(words), Some(server)) = (&self.words, self.servers.get(&rs)) {
+                    words.send(Word { group, server: server.name.clone() });
+                }
+            }
         }
     }
 
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -8,6 +8,7 @@
 use nettlemux_door::Config;
 use nettlemux_hand::Who;
 use nettlemux_policy::{End, Flow, FlowId, Report, Rs, State, Time};
+use nettlemux_settings::Settings;
 
 use crate::mail::Sender;
 
@@ -33,6 +34,13 @@
     pub started: Time,
 }
 
+/// What balancers tell one another, by names that all of them know: a server holds connections of that group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Word {
+    pub group: u16,
+    pub server: String,
+}
+
 /// What the desk is asked or told.
 pub enum Ask {
     Place {
@@ -80,6 +88,10 @@
         whole: bool,
     },
     ListFailed,
+    /// Another balancer's word.
+    Heard(Word),
+    /// Other settings from now on.
+    Change(Box<Settings>),
     /// New limits and weights for the door.
     Door(Config),
     /// The balancer is to end.
--- a/crates/core/src/probe.rs
+++ b/crates/core/src/probe.rs
@@ -8,7 +8,6 @@
 
 use may::sync::mpsc::{Receiver, Sender as Line, channel};
 use nettlemux_policy::{MS, Report, Rs, Time};
-use nettlemux_settings::Reports;
 use tracing::{debug, warn};
 
 use crate::clock;
@@ -16,6 +15,7 @@
 use crate::net::Caller;
 use crate::orders::{Ask, Server};
 use crate::pool::{Buffers, Descriptors};
+use crate::shared::Terms;
 use crate::wire;
 
 /// A probe that has brought nothing by then has failed. Well inside the module's shortest probe interval, and
@@ -32,9 +32,7 @@
     pub desk: Sender<Ask>,
     pub descriptors: Arc<Descriptors>,
     pub buffers: Arc<Buffers>,
-    pub reports: Reports,
-    /// Whether servers tell their load when asked.
-    pub stats: bool,
+    pub terms: Arc<Terms>,
 }
 
 pub struct Prober {
@@ -108,11 +106,12 @@
             Caller::dial(Mailbox::new(), server.address, slot, until)?
         }
     };
-    caller.write(if means.stats { b"STATS\r\n" } else { b"PING\r\n" }, until)?;
+    let term = means.terms.now();
+    caller.write(if term.stats { b"STATS\r\n" } else { b"PING\r\n" }, until)?;
     let mut bytes = means.buffers.take();
     let mut held = 0;
     let (length, _) = caller.line(&mut bytes[..], &mut held, until)?;
-    let (passed, report) = wire::probed(&bytes[..length], &means.reports);
+    let (passed, report) = wire::probed(&bytes[..length], &term.reports);
     debug!(server = server.name, answer = %String::from_utf8_lossy(&bytes[..length]), "probe");
     Ok((caller, passed, report))
 }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -114,7 +114,7 @@
     book.established(target);
     let mut down = Way { bytes: Some(bytes), to: held, ..Way::default() };
     let mut up = Way::default();
-    let mut passing = Passing::new(core.reports);
+    let mut passing = Passing::new(core.terms.now().reports);
     // The client's first line that nothing has come back for.
     let mut unanswered: Option<Time> = None;
     let mut last_sent = clock::now();
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -47,7 +47,7 @@
     };
     let mut client = Client { book, gone: false };
 
-    let dialled_until = target.until.min(clock::now() + core.dial_limit);
+    let dialled_until = target.until.min(clock::now() + core.terms.now().dial_limit);
     loop {
         server.looked_at();
         match server.connected() {
@@ -105,7 +105,7 @@
             },
         }
         if let Some((length, _)) = wire::line_end(&bytes[..held]) {
-            return match wire::answer(&bytes[..length], &core.reports) {
+            return match wire::answer(&bytes[..length], &core.terms.now().reports) {
                 Answer::Up if client.gone => Sent::Left,
                 Answer::Up => Sent::Up(server, (bytes, held)),
                 Answer::Ended(end, never_ran, report) => Sent::Ended(Ended { end, never_ran, report }),
--- a/crates/core/src/shared.rs
+++ b/crates/core/src/shared.rs
@@ -23,10 +23,35 @@
     pub buffers: Arc<Buffers>,
     pub shares: Shares,
     pub ids: Arc<Ids>,
+    pub terms: Arc<Terms>,
+    pub numbers: AtomicU64,
+}
+
+/// What the settings say beside the module's part; it changes as a whole.
+#[derive(Default)]
+pub struct Terms(Mutex<Term>);
+
+#[derive(Clone, Copy, Default)]
+pub struct Term {
     pub reports: Reports,
+    /// Whether servers tell their load when asked.
+    pub stats: bool,
     /// A connection that isn't made by then can't be made.
     pub dial_limit: Time,
-    pub numbers: AtomicU64,
+}
+
+impl Terms {
+    pub fn new(term: Term) -> Arc<Self> {
+        Arc::new(Terms(Mutex::new(term)))
+    }
+
+    pub fn now(&self) -> Term {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn change(&self, term: Term) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = term;
+    }
 }
 
 impl Core {
--- a/crates/front-lines/src/take_in.rs
+++ b/crates/front-lines/src/take_in.rs
@@ -160,19 +160,29 @@
 /// What all connections of this front share.
 pub struct Front {
     pub core: Arc<Core>,
-    pub known: Known,
+    known: Mutex<Arc<Known>>,
     pub lobby: Arc<Lobby>,
 }
 
 impl Front {
     pub fn new(core: Arc<Core>, known: Known) -> Arc<Self> {
-        Arc::new(Front { core, known, lobby: Arc::default() })
+        Arc::new(Front { core, known: Mutex::new(Arc::new(known)), lobby: Arc::default() })
+    }
+
+    /// First lines that come from now on are read by this; how the door tells clients apart stays.
+    pub fn change(&self, known: Known) {
+        let mut now = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        *now = Arc::new(Known { by: now.by, ..known });
+    }
+
+    fn known(&self) -> Arc<Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// One client's connection, from its first byte to its last.
     fn serve(&self, stream: TcpStream, slot: Slot) {
         let Some(taken) = self.first_line(stream, slot) else { return };
-        if let Some(admitted) = admit(&self.core, &self.known, taken) {
+        if let Some(admitted) = admit(&self.core, &self.known(), taken) {
             chain::serve(&self.core, admitted);
         }
     }
--- a/crates/hand/src/lib.rs
+++ b/crates/hand/src/lib.rs
@@ -21,6 +21,8 @@
     fn list_failed(&mut self, now: Time);
     fn inherit(&mut self, flow: &Flow, rs: Rs);
     fn told_load(&mut self, flow: FlowId, load: f64);
+    /// Other settings from now on; only the module that serves takes any.
+    fn change(&mut self, _new: Policy) {}
     /// Another balancer's word; those that don't listen need do nothing.
     fn heard(&mut self, _now: Time, _word: Holds) {}
 }
@@ -47,6 +49,9 @@
     fn told_load(&mut self, flow: FlowId, load: f64) {
         Policy::told_load(self, flow, load);
     }
+    fn change(&mut self, new: Policy) {
+        Policy::change(self, new);
+    }
     fn heard(&mut self, now: Time, word: Holds) {
         Policy::heard(self, now, word);
     }
@@ -74,6 +79,9 @@
     fn told_load(&mut self, flow: FlowId, load: f64) {
         (**self).told_load(flow, load);
     }
+    fn change(&mut self, new: Policy) {
+        (**self).change(new);
+    }
     fn heard(&mut self, now: Time, word: Holds) {
         (**self).heard(now, word);
     }
@@ -156,6 +164,11 @@
         self
     }
 
+    /// The module goes on under other settings, with all flows that are in hand.
+    pub fn change(&mut self, new: Policy) {
+        self.brain.change(new);
+    }
+
     /// New limits and weights for the door, where there is one; nobody who waits is dropped.
     pub fn change_door(&mut self, config: Config) {
         if let Some(door) = &mut self.door {
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -35,9 +35,9 @@
 const FORGET: Time = 30 * SEC;
 /// Words that a balancer hears in a second at most, from all others together. Guards against hundreds that all
 /// tell where a storm puts each client (an incident with 666 balancers: 4 million words in 16 s).
-const WORDS: f64 = 40.0;
-/// Answers to probes that come this close together are looked at together, as each look walks all servers.
-const TOGETHER: Time = 5 * MS;
+const WORDS: f64 = 30.0;
+/// Answers are gathered so long for each flow held and server: a thousand times what one look takes.
+const TOGETHER: Time = 100_000;
 /// The design's start for the probe interval, and its bound.
 const PROBE_EVERY: Time = 2 * SEC;
 const PROBE_BOUND: Time = 10 * SEC;
@@ -101,8 +101,9 @@
     turn: f64,
     last_established: Time,
     next_probe: Time,
-    /// A flow waits for its figure since.
+    /// When a flow last asked for its figure, and when a probe last ended, whatever it brought.
     asked: Time,
+    answered: Time,
     shed: Option<Time>,
     /// Connects that the cold budget allows now, as of the time beside it.
     credit: (f64, Time),
@@ -240,6 +241,8 @@
     sparse: bool,
     /// When to look at held flows again, where a figure that they wait for has come.
     look: Option<Time>,
+    /// Until then figures that they wait for are on their way.
+    pending: Time,
     next_ask: Option<Time>,
     /// When the next server is due for a probe.
     next_probe: Option<Time>,
@@ -311,6 +314,17 @@
         }
     }
 
+    /// Goes on under other settings: what is known of servers, flows and groups stays. Service types and
+    /// customers that are in hand must stand at their places in the new ones too.
+    pub fn change(&mut self, new: Policy) {
+        let old = std::mem::replace(self, new);
+        (self.rng, self.servers, self.book, self.window) = (old.rng, old.servers, old.book, old.window);
+        (self.settled, self.began, self.cold_until) = (old.settled, old.began, old.cold_until);
+        (self.every, self.sparse, self.next_probe) = (old.every, old.sparse, old.next_probe);
+        (self.held, self.look, self.least) = (old.held, old.look, old.least);
+        (self.words, self.leaving) = (old.words, old.leaving);
+    }
+
     /// How many connects a flow may have, and how long before its connect timeout we answer.
     pub fn connects(mut self, most: usize, margin: Time, second_copies: bool, may_call_off: bool) -> Self {
         (self.max_connects, self.margin) = (most.max(1), margin);
@@ -388,6 +402,7 @@
                 // Guards against all balancers probing a server in step.
                 next_probe: now + self.rng.0.generate_range(0..PROBE_EVERY),
                 asked: 0,
+                answered: 0,
                 shed: None,
                 // Balancers don't agree on who goes first: each draws its first credit.
                 credit: (self.rng.0.generate::<f64>(), now),
@@ -441,8 +456,11 @@
         if self.window.full(now, self.book.out.len()) {
             return self.hold(now, flow);
         }
-        // Guards against walking all servers for each of the flows that wait, when none has room at this
-        // moment.
+        // Guards against walking all servers for each of the flows that wait, while nothing has come since they
+        // were last looked at, or none has room at this moment.
+        if flow.taken < now && now < self.pending {
+            return self.hold(now, flow);
+        }
         let worth = if self.worthy(flow) { RESERVE } else { 0.0 };
         if !flow.returning && self.least.0 == now && self.least.1 >= T_H.min(worth + FULL) {
             return self.hold(now, flow);
@@ -464,23 +482,28 @@
         let healthy = prefer(warm, |server| self.healthy(now, server) && answers(server.listed.rs));
         let number = healthy.len().max(1) as f64;
         let mean_own = self.book.own.len() as f64 / number;
-        let known = healthy.iter().filter_map(|(_, beta)| *beta);
-        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), beta| (sum + beta, count + 1.0));
+        let unknown = |server: &Server| self.stale(now, server, OLD);
+        // One walk for all of it, as walks are most of what a flow costs us.
+        let (mut sum, mut count, mut placed, mut roomy) = (0.0, 0.0, 0, 0.0);
+        for (server, beta) in &healthy {
+            placed += server.placed.len();
+            (sum, count) = beta.map_or((sum, count), |beta| (sum + beta, count + 1.0));
+            roomy += if beta.is_some_and(|beta| beta < FULL) || unknown(server) { 1.0 } else { 0.0 };
+        }
         let mean = sum / f64::max(count, 1.0);
         // What we placed lately counts at once, as two mean connections since it is set up and may bring its
         // group; others are expected to place as we do on average. Guards against all balancers filling a
         // server on one and the same figure.
         let each = 2.0 * mean / (mean_own * self.balancers).max(FEWEST);
-        let lately = healthy.iter().map(|(server, _)| server.placed.len()).sum::<usize>() as f64 / number;
+        let lately = placed as f64 / number;
         // Guards against a balancer that has just restarted and turns away the clients of the next one that does,
         // or puts all that wait on the first server that shows room: they bring no new load, the figures have it.
         let returns = flow.returning && self.afresh(now);
         // Where flows are few a connect of ours tells nothing of the others' in the same second: guards
         // against one that is taken for one of each of hundreds. They go where there is room, as ours would.
-        let roomy =
-            |&&(server, beta): &&Seen| self.stale(now, server, OLD) || beta.is_some_and(|beta| beta < FULL);
-        let roomy = healthy.iter().filter(roomy).count().max(1) as f64;
-        let usual = (self.settled.len() as Time * (REPORT_AGE + FRESH)) as f64 / RATE_SPAN as f64 / roomy;
+        let usual = (self.settled.len() as Time * (REPORT_AGE + FRESH)) as f64
+            / RATE_SPAN as f64
+            / f64::max(roomy, 1.0);
         let theirs = match () {
             () if self.tells => (self.balancers - 1.0) * usual,
             () if returns => -lately,
@@ -494,7 +517,8 @@
         let holders = group.unwrap_or(&nobody);
         // Guards against servers that drop what they hold since more and more is placed on them, and, as
         // holders of the flow's group take more, against common work that is paid for on every server.
-        let told = flow.group.as_ref().and_then(|group| self.book.told_holders.get(&number_of(group)));
+        let told = flow.group.as_ref().filter(|_| self.tells);
+        let told = told.and_then(|group| self.book.told_holders.get(&number_of(group)));
         let holds = |server: &Server| match told {
             Some(told) => told.get(&server.listed.rs).is_some_and(|at| now < at + FORGET),
             None => !self.tells && holders.contains_key(&server.listed.rs),
@@ -505,7 +529,7 @@
         // room but for a few more connections that come on the same figure.
         let name = flow.group.as_ref().map_or(0, |group| name_of(group));
         let rank = |server: &Server| draw(name ^ server.listed.rs);
-        let alone = flow.group.is_some() && holders.is_empty();
+        let alone = flow.group.is_some() && holders.is_empty() && told.is_none();
         let homes = healthy.iter().filter(|(server, _)| alone && is_near(server));
         let home = homes.min_by_key(|(server, _)| rank(server)).map(|(server, _)| server.listed.rs);
         let room = |server: &Server| match () {
@@ -516,10 +540,13 @@
             () if told.is_some() && self.book.told.is_empty() => NEW,
             () => T_H.min(worth + NEW),
         };
-        let unknown = |server: &Server| self.stale(now, server, OLD);
-        let ahead = |seen: &Seen| if unknown(seen.0) { 0.0 } else { expected(seen) };
-        let least = healthy.iter().map(ahead).fold(f64::INFINITY, f64::min);
-        let open: Vec<Seen> = healthy.into_iter().filter(|seen| ahead(seen) < room(seen.0)).collect();
+        let mut least = f64::INFINITY;
+        let mut open = healthy;
+        open.retain(|seen| {
+            let ahead = if unknown(seen.0) { 0.0 } else { expected(seen) };
+            least = least.min(ahead);
+            ahead < T_H && ahead < room(seen.0)
+        });
         // Guards against the few that one of hundreds of balancers holds being taken for too many.
         let slack = if self.tells { FEWEST } else { 1.0 };
         let mut kin = prefer(open, |server| self.book.at(server.listed.rs) <= 1.5 * mean_own + slack);
@@ -608,8 +635,11 @@
                 }
             }
             Outcome::Probed { rs, passed, report } => {
-                self.look = self.look.or((self.sparse && self.held > 0).then_some(now + TOGETHER));
+                self.pending = 0;
+                let at = now + self.gather().min(LOOK_AGAIN);
+                self.look = self.look.or((self.sparse && self.held > 0).then_some(at));
                 if let Some(server) = self.servers.get_mut(&rs) {
+                    server.answered = now;
                     if passed {
                         server.unprobed.clear();
                     } else {
@@ -650,7 +680,7 @@
                     server.next_probe =
                         now + PROBE_BOUND.min(if spared { 2 * self.every } else { self.every });
                     let ours = self.book.by_rs.contains_key(&server.listed.rs);
-                    if !self.sparse || ours || server.asked == now || server.asked + LOST > now {
+                    if !self.sparse || ours || now < server.asked + LOST {
                         todo.probe.push(server.listed.rs);
                     }
                 }
@@ -670,12 +700,17 @@
 
     /// How long to wait for the next outcome at most.
     pub fn wait(&self, now: Time) -> Option<Time> {
-        let held = (self.held > 0).then_some(now + LOOK_AGAIN);
+        let held = (self.held > 0).then_some(now + LOOK_AGAIN.max(self.gather()));
         let next =
             [self.next_probe, self.next_ask, held, self.leaving, self.look].into_iter().flatten().min();
         next.map(|at| at.saturating_sub(now))
     }
 
+    /// How long answers are gathered before the next look at all that is held: each looks at all servers.
+    fn gather(&self) -> Time {
+        (TOGETHER * (self.held * self.servers.len()) as Time).min(2 * LOOK_AGAIN)
+    }
+
     /// Whether we have started lately, from nothing: all that we hold was made since.
     fn afresh(&self, now: Time) -> bool {
         let young = self.began.is_none_or(|began| now < began + RATE_SPAN);
@@ -710,7 +745,7 @@
     fn hold(&mut self, now: Time, flow: &Flow) -> Place {
         let waited = now.saturating_sub(flow.taken);
         // Guards against a short-lived try that is looked at again only when its time has run out.
-        let short = flow.give_up <= now + self.margin + LOOK_AGAIN;
+        let short = flow.give_up <= now + self.margin + LOOK_AGAIN.max(self.gather());
         if short
             || waited >= self.service_type(flow).setup_target
             || self.held as f64 >= QUEUE * self.window.width.max(1.0)
@@ -727,6 +762,7 @@
             let server = self.servers.get_mut(rs).expect("a listed server");
             if server.asked + LOST < now {
                 (server.asked, server.next_probe, self.next_probe) = (now, now, Some(now));
+                self.pending = now + LOOK_AGAIN;
             }
         }
         self.held += 1;
@@ -736,7 +772,7 @@
     /// Whether a server's figure is too old to send anything there, and it hasn't failed to tell a newer one.
     fn stale(&self, now: Time, server: &Server, age: Time) -> bool {
         let told = server.reports.first().is_some_and(|(at, _)| now < at + age);
-        self.sparse && !told && server.unprobed.back().is_none_or(|at| at + FRESH < now)
+        self.sparse && !told && server.answered + FRESH <= now
     }
 
     /// What the others should know of this connection.
@@ -928,9 +964,11 @@
 type Seen<'a> = (&'a Server, Option<f64>);
 
 /// Those that pass, or all of them where none does.
-fn prefer<'a>(of: Vec<Seen<'a>>, passes: impl Fn(&Server) -> bool) -> Vec<Seen<'a>> {
-    let some: Vec<Seen> = of.iter().copied().filter(|(server, _)| passes(server)).collect();
-    if some.is_empty() { of } else { some }
+fn prefer<'a>(mut of: Vec<Seen<'a>>, passes: impl Fn(&Server) -> bool) -> Vec<Seen<'a>> {
+    if of.iter().any(|(server, _)| passes(server)) {
+        of.retain(|(server, _)| passes(server));
+    }
+    of
 }
 
 /// One less, and none at all once the last is gone.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -34,7 +34,7 @@
 pub type Read<T> = Result<T, Malformed>;
 
 /// The settings, each read where it is used.
-#[derive(PartialEq)]
+#[derive(Clone, PartialEq)]
 pub struct Settings(Value);
 
 impl Settings {
@@ -70,12 +70,12 @@
                 self.flag(&limits("second-copies"))?,
                 self.flag(&limits("may-cancel"))?,
             )
-            .among(self.number("replicas-of-me").unwrap_or(1.0))
-            .customers(self.shares()?, self.number("surplus-value").unwrap_or(1.0))
+            .among(self.number_or("replicas-of-me", 1.0)?)
+            .customers(self.shares()?, self.number_or("surplus-value", 1.0)?)
             .come_back(come_back)
-            .probing(self.flag(&limits("probes"))?, self.number("costs/probe").unwrap_or(0.0))
+            .probing(self.flag(&limits("probes"))?, self.number_or("costs/probe", 0.0)?)
             .warning(warn)
-            .telling(self.maybe("limits/may-tell").and_then(Value::as_bool).unwrap_or(false))
+            .telling(self.may_tell()?)
             .asking(self.text("discovery")? == "ask")
             .cold(
                 self.number(&contract("start-capacity"))?,
@@ -96,6 +96,49 @@
         self.longest_waits().into_iter().map(|wait| wait.unwrap_or(Time::MAX)).max().unwrap_or(Time::MAX)
     }
 
+    /// Whether balancers may tell one another anything; not where nothing is said of it.
+    pub fn may_tell(&self) -> Read<bool> {
+        self.maybe("limits/may-tell").map_or(Ok(false), |_| self.flag("limits/may-tell"))
+    }
+
+    /// These settings in a balancer that has run under others: what flows in hand refer to by its place keeps it. Service
+    /// types and customers that are no longer named stay behind those that are, for what is left of them.
+    ///
+    /// # Errors
+    /// Where a service type or a customer has no name, or two have the same.
+    pub fn following(&self, old: &Settings) -> Read<Settings> {
+        let mut merged = self.clone();
+        for list in ["service-types", "accounts"] {
+            let entries =
+                |of: &Settings| of.maybe(list).and_then(Value::as_array).cloned().unwrap_or_default();
+            let name = |one: &Value| one.get("name").and_then(Value::as_str).map(String::from);
+            let mut all: Vec<Value> = entries(old);
+            let mut seen = Vec::new();
+            for new in entries(self) {
+                let known = name(&new).filter(|name| !seen.contains(name));
+                let known = known.ok_or_else(|| Malformed::new(list, "a name is missing or comes twice"))?;
+                match all.iter_mut().find(|one| name(one).as_ref() == Some(&known)) {
+                    Some(one) => *one = new,
+                    None => all.push(new),
+                }
+                seen.push(known);
+            }
+            merged.0[list] = Value::Array(all);
+        }
+        Ok(merged)
+    }
+
+    /// The same with the own hall under this number.
+    pub fn in_hall(mut self, number: u64) -> Settings {
+        self.0["zone"] = number.into();
+        self
+    }
+
+    /// The name of the own hall, where halls have names.
+    pub fn hall_name(&self) -> Option<String> {
+        self.names("areas").into_iter().nth(self.hall().ok()? as usize)
+    }
+
     fn hall(&self) -> Read<u64> {
         Ok(self.number("zone")?.max(0.0) as u64)
     }
@@ -126,6 +169,11 @@
         self.needed(path, Value::as_f64)
     }
 
+    /// A default stands in for what is missing, not for what can't be read.
+    fn number_or(&self, path: &str, default: f64) -> Read<f64> {
+        self.maybe(path).map_or(Ok(default), |_| self.number(path))
+    }
+
     pub fn flag(&self, path: &str) -> Read<bool> {
         self.needed(path, Value::as_bool)
     }
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -3,6 +3,7 @@
 //! what it says.
 
 use std::fmt;
+use std::net::SocketAddr;
 
 use nettlemux_door::Config;
 use nettlemux_policy::Time;
@@ -20,8 +21,39 @@
     /// Fair queues at the door; none where this table is missing.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub door: Option<Door>,
+    /// Words between balancers over UDP, where the settings allow them; none where this table is missing.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub peers: Option<Peers>,
+}
+
+/// Where the other balancers are.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Peers {
+    /// Our own address for words, an address with a port.
+    pub listen: SocketAddr,
+    /// The others'; our own among them is passed over, so that all may have one list.
+    #[serde(default)]
+    #[schemars(length(max = 1024))]
+    pub to: Vec<SocketAddr>,
 }
 
+impl Peers {
+    fn check(&self) -> Result<(), Faulty> {
+        let faulty = |key: &str, why: String| Err(Faulty { key: format!("peers.{key}"), why });
+        if self.to.len() > MOST_PEERS {
+            return faulty("to", format!("{} are over {MOST_PEERS}", self.to.len()));
+        }
+        match self.to.iter().find(|to| to.is_ipv4() != self.listen.is_ipv4() || to.port() == 0) {
+            Some(to) => faulty("to", format!("{to} can't be reached from {}", self.listen)),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Each word goes to each of them in one turn.
+const MOST_PEERS: usize = 1024;
+
 /// Fair queues before the decision module, limits of each key, and return times that tell what the queue needs.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -195,6 +227,7 @@
     unknown(&toml::Value::Table(table), &schema, &schema, "")?;
     let operator: Operator = toml::from_str(text).map_err(|e| place(&e))?;
     operator.door.iter().try_for_each(Door::check)?;
+    operator.peers.iter().try_for_each(Peers::check)?;
     Ok(operator)
 }
 
@@ -234,6 +267,10 @@
             ("\n\n[log", "(line 3)", ""),
             ("[log]\nlevel = 3", "(line 2)", ""),
             ("log = 3", "(line 1)", ""),
+            ("[peers]\nlisten = \"127.0.0.1:7200\"\nt = []", "peers.t", "is 'to' meant?"),
+            ("[peers]\nlisten = \"here\"", "(line 2)", "address"),
+            ("[peers]\nto = []", "(line 1)", "listen"),
+            ("[peers]\nlisten = \"127.0.0.1:7200\"\nto = [\"[::1]:7200\"]", "peers.to", "can't be reached"),
             ("[door]\nwaitng = 3", "door.waitng", "is 'waiting' meant?"),
             ("[door]\nwaiting = 0", "door.waiting", "is not from 1 to"),
             ("[door]\nrate = -1.0", "door.rate", "from 0 up"),
