--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -77,7 +77,7 @@
     if text == "-" {
         return Ok(Vec::new());
     }
-    let whole = text.is_ascii() && text.len() % 2 == 0;
+    let whole = text.is_ascii() && text.len().is_multiple_of(2);
     let pairs = (0..text.len() / 2).map(|i| u8::from_str_radix(&text[2 * i..2 * i + 2], 16).ok());
     if whole { pairs.collect::<Option<_>>().ok_or_else(malformed) } else { Err(malformed()) }
 }
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::AtomicU64;
 
 use bpaf::{Parser, construct, long, pure};
-use nettlemux_core::desk::{Desk, LAST_ANSWER};
+use nettlemux_core::desk::{Desk, Given, LAST_ANSWER};
 use nettlemux_core::discovery::{self, Agent};
 use nettlemux_core::mail::Mailbox;
 use nettlemux_core::orders::Ask;
@@ -199,8 +199,8 @@
         None => (None, None),
     };
     signals::untold(settings, peers.is_some());
-    let given = (config.seed, MARGIN);
-    let desk_of = move || Desk::new(hand, asks, halls, machines, prober, words, given, last_answer);
+    let given = Given { seed: config.seed, margin: MARGIN, last_answer };
+    let desk_of = move || Desk::new(hand, asks, halls, machines, prober, words, given);
     let running = may::go!(move || desk_of().run());
     let agent = Agent::new(config.discovery);
     let front_of = front.clone();
--- a/crates/balancer/tests/sockets.rs
+++ b/crates/balancer/tests/sockets.rs
@@ -627,3 +627,144 @@
     assert!(stand.child.wait().unwrap().success());
     let _ = std::fs::remove_file(operator);
 }
+
+/// Guards against a switch that needs a restart, loses or repeats what was taken in, or can't be taken back.
+#[test]
+fn other_settings_are_taken_on_sighup_and_taken_back_by_the_same_step() {
+    let mut stand = Stand::new(2);
+    let first = stand.config.clone();
+    // Another shape: service types in another order, one of them new and one gone, balancers that may talk, one connect.
+    let mut other: serde_json::Value = serde_json::from_str(&first).unwrap();
+    let settings = &mut other["settings"];
+    settings["areas"] = serde_json::json!(["b", "a"]);
+    settings["replicas-of-me"] = 4.into();
+    settings["limits"]["may-tell"] = true.into();
+    settings["limits"]["max-connects"] = 1.into();
+    settings["service-types"] = serde_json::json!([
+        {"name": "lab", "setup-target": 800000, "value": 3.0, "repeat": "free", "hard-limit": 4800000},
+        {"name": "chat", "setup-target": 300000, "value": 1.0, "repeat": "free"}
+    ]);
+    let second = other.to_string();
+    let hang_up = |stand: &Stand, config: &str| {
+        std::fs::write(&stand.file, config).unwrap();
+        stand.signal("-HUP");
+    };
+    let mut standing: Vec<Client> = (0..4).map(|_| stand.client("c=chat,d=900")).collect();
+    standing.iter_mut().for_each(|client| assert_eq!(client.line(), "UP 1"));
+    assert_eq!(stand.client("c=lab,d=900").line(), "ERR", "not known yet");
+    let connects = |stand: &Stand| stand.toys.iter().map(|toy| toy.seen().len()).sum::<usize>();
+    for round in 0..3 {
+        // Taken in before the switch, answered after it: its connect is out meanwhile, and is the only one.
+        stand.toys.iter().for_each(|toy| toy.set(Mood::Silent));
+        let mut waiting = stand.client("c=order,d=900");
+        thread::sleep(Duration::from_millis(100));
+        let before = connects(&stand);
+        hang_up(&stand, &second);
+        thread::sleep(Duration::from_millis(100));
+        stand.toys.iter().for_each(|toy| toy.set(Mood::Up));
+        assert_eq!((waiting.line(), waiting.line()), ("ERR".into(), "end".into()), "round {round}");
+        assert_eq!(connects(&stand), before, "round {round}: sent twice");
+        soon("the new service type", || stand.client("c=lab,d=900").says("UP 1"));
+        // One connect only is allowed now.
+        stand.toys.iter().for_each(|toy| toy.set(Mood::Busy));
+        let before = connects(&stand);
+        assert!(stand.client("c=lab,d=900").line().starts_with("BUSY"));
+        assert_eq!(connects(&stand), before + 1, "round {round}");
+        stand.toys.iter().for_each(|toy| toy.set(Mood::Up));
+        // What no settings can mean changes nothing.
+        for faulty in [
+            second.replace("\"may-tell\":true", "\"may-tell\":\"yes\""),
+            second.replace("\"name\":\"lab\"", "\"name\":\"chat\""),
+            second.replace("\"start-capacity\":0.35", "\"start-capacity\":null"),
+        ] {
+            assert_ne!(faulty, second);
+            hang_up(&stand, &faulty);
+        }
+        thread::sleep(Duration::from_millis(100));
+        soon("the second settings", || stand.client("c=lab,d=900").says("UP 1"));
+        // The way back is the same step.
+        hang_up(&stand, &first);
+        soon("the first settings", || {
+            stand.toys.iter().for_each(|toy| toy.set(Mood::Busy));
+            let before = connects(&stand);
+            let busy = stand.client("c=chat,d=900").line().starts_with("BUSY");
+            let more = connects(&stand) > before + 1;
+            stand.toys.iter().for_each(|toy| toy.set(Mood::Up));
+            busy && more
+        });
+        soon("recovery", || stand.client("c=order,d=1000").says("UP 1"));
+        standing.iter_mut().for_each(|client| client.echoes("still here"));
+    }
+    stand.terminate();
+    assert!(stand.child.wait().unwrap().success());
+}
+
+/// Guards against words that are not sent, not heard, or believed from strangers.
+#[test]
+fn balancers_tell_one_another_where_a_group_is_held() {
+    let agent = Agent::start("127.0.0.1:0").unwrap();
+    let toys: Vec<Arc<Toy>> = (0..6).map(|_| Toy::start("127.0.0.1:0").unwrap()).collect();
+    for (i, toy) in toys.iter().enumerate() {
+        agent.tell(&format!("s-{i}"), toy.address, "Ready");
+    }
+    let ats: Vec<SocketAddr> = (0..2).map(|_| own_address()).collect();
+    let words: Vec<String> = ats.iter().map(|at| format!("{}:7200", at.ip())).collect();
+    let mut children = Vec::new();
+    let mut files = Vec::new();
+    for (at, word) in ats.iter().zip(&words) {
+        let config = EXAMPLE.replace("127.0.0.1:7000", &at.to_string());
+        let config = config.replace("127.0.0.1:7100", &agent.address.to_string());
+        let mut config: serde_json::Value = serde_json::from_str(&config).unwrap();
+        config["settings"]["limits"]["may-tell"] = true.into();
+        config["settings"]["replicas-of-me"] = 2.into();
+        // No seed in common: what they agree on they have heard.
+        config["seed"] = format!("{:x}", 77 + files.len()).into();
+        let name = |kind| std::env::temp_dir().join(format!("nettlemux-words-{}-{kind}", at.ip()));
+        let (file, operator) = (name("config.json"), name("operator.toml"));
+        std::fs::write(&file, config.to_string()).unwrap();
+        std::fs::write(&operator, format!("[peers]\nlisten = {word:?}\nto = {words:?}\n")).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
+        command.args(["serve", "--config"]).arg(&file).arg("--operator").arg(&operator);
+        children.push(command.stderr(Stdio::null()).spawn().unwrap());
+        files.extend([file, operator]);
+    }
+    for at in &ats {
+        soon("PONG", || TcpStream::connect(at).is_ok());
+        soon("a list", || Client::open(*at, "c=chat,d=1000").says("UP 1"));
+    }
+    let holder = |at: SocketAddr, group: &str| {
+        let before: Vec<usize> = toys.iter().map(|toy| toy.seen().len()).collect();
+        let mut client = Client::open(at, &format!("c=chat,d=1000,g={group}"));
+        assert_eq!(client.line(), "UP 1");
+        let after = toys.iter().map(|toy| toy.seen().len());
+        let rs = before.iter().zip(after).position(|(before, after)| after > *before).unwrap();
+        (rs, client)
+    };
+    // One server alone is ready as the first balancer gets the groups, so that no order agreed on beforehand can have
+    // brought the second one's to the same.
+    let others = |state| (0..5).for_each(|i| agent.tell(&format!("s-{i}"), toys[i].address, state));
+    others("Terminating");
+    soon("the one server", || holder(ats[0], "none").0 == 5);
+    let mut open = Vec::new();
+    for group in 0..6 {
+        open.push(holder(ats[0], &format!("group-{group}")));
+        thread::sleep(Duration::from_millis(100));
+    }
+    others("Ready");
+    // A stranger's words, of many groups: not believed.
+    let stranger = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    for number in 0..=u16::MAX {
+        let [high, low] = number.to_be_bytes();
+        let _ = stranger.send_to(&[1, high, low, b's', b'-', b'0'], &words[1]);
+    }
+    thread::sleep(Duration::from_millis(1200));
+    for group in 0..6 {
+        open.push(holder(ats[1], &format!("group-{group}")));
+    }
+    let on: Vec<usize> = open.iter().map(|held| held.0).collect();
+    assert_eq!(on, [5; 12], "the second goes where the first has told");
+    for child in &mut children {
+        let _ = (child.kill(), child.wait());
+    }
+    files.iter().for_each(|file| drop(std::fs::remove_file(file)));
+}
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -121,8 +121,6 @@
     use std::net::{TcpListener, TcpStream};
     use std::sync::atomic::AtomicU64;
 
-    use nettlemux_settings::Reports;
-
     use super::*;
     use crate::mail::Mailbox;
     use crate::pool::{Buffers, Descriptors, Shares};
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -55,6 +55,14 @@
 /// Then all has been said after so long.
 const EXIT: Time = 500 * MS;
 
+/// What a module made from other settings is given, and how long after SIGTERM the last answer is due.
+#[derive(Clone, Copy)]
+pub struct Given {
+    pub seed: u64,
+    pub margin: Time,
+    pub last_answer: Time,
+}
+
 pub struct Desk {
     hand: Hand,
     asks: Mailbox<Ask>,
@@ -87,8 +95,7 @@
         machines: Vec<String>,
         prober: Prober,
         words: Option<Sender<Word>>,
-        (seed, margin): (u64, Time),
-        last_answer: Time,
+        given: Given,
     ) -> Self {
         Desk {
             hand,
@@ -101,11 +108,11 @@
             cells: Names::default(),
             prober,
             words,
-            seed,
-            margin,
+            seed: given.seed,
+            margin: given.margin,
             due: None,
             terminated: None,
-            last_answer,
+            last_answer: given.last_answer,
             next_move: 0,
             moved_up_to: 0,
             given_up: false,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,7 +1,7 @@
 //! All decisions of one balancer. How it is called: `place` says where a flow goes, `after` what to do
 //! about an outcome (a probe's result and an elapsed wait are outcomes too), `wait` how long to wait for
-//! the next. `list`, `list_failed`, `inherit` and `told_load` bring news and return nothing. The plain
-//! types of the interface are in `types.rs`; times are nanoseconds of the caller's clock.
+//! the next. `list`, `list_failed`, `inherit`, `told_load` and `heard` bring news and return nothing,
+//! `change` other settings. The plain types are in `types.rs`; times are nanoseconds of the caller's clock.
 //!
 //! The design (docs/design.md): servers are probed for load over capacity, β. Past T_H our largest
 //! connections there are moved off until they cover our part of the excess. A smooth weighted round robin
@@ -29,12 +29,9 @@
 const RESERVE: f64 = 0.16;
 /// A customer is well over its share from this many times it.
 const OVER: f64 = 1.25;
-/// Others are told that a server holds a group when it was last told so long ago, and what was not told again
-/// for a while is forgotten: 5, 10 and 20 s, and 30 and 60 s, served alike, but each telling is paid for.
+/// A word that a server holds a group is repeated after so long and holds for twice that: 10 s cost more.
 const RETELL: Time = 20 * SEC;
-const FORGET: Time = 30 * SEC;
-/// Words that a balancer hears in a second at most, from all others together. Guards against hundreds that all
-/// tell where a storm puts each client (an incident with 666 balancers: 4 million words in 16 s).
+/// Words that a balancer hears in a second at most: guards against hundreds that tell of each in a storm.
 const WORDS: f64 = 30.0;
 /// Answers are gathered so long for each flow held and server: a thousand times what one look takes.
 const TOGETHER: Time = 100_000;
@@ -80,13 +77,13 @@
 const QUEUE: f64 = 4.0;
 /// How soon flows that wait are looked at again: well inside setup targets; each look walks all servers.
 const LOOK_AGAIN: Time = 60 * MS;
-
 /// From news of a drain to the first move: servers that send their clients away themselves have begun to.
 const LEAVE: Time = 2 * SEC;
 
 /// One server: what the list says and the last few samples of everything measured. What every flow looks at
 /// on every server stands first and together.
 #[repr(C)]
+#[derive(Default)]
 struct Server {
     listed: Listed,
     /// Our connects that the last figure can't show yet.
@@ -237,7 +234,7 @@
     probe_price: f64,
     /// The probe interval now.
     every: Time,
-    /// Few of our flows come to each server: those that hold none of ours are probed when a flow may go there.
+    /// Few of our flows come to each server: one without ours is probed when a flow may go there.
     sparse: bool,
     /// When to look at held flows again, where a figure that they wait for has come.
     look: Option<Time>,
@@ -314,8 +311,7 @@
         }
     }
 
-    /// Goes on under other settings: what is known of servers, flows and groups stays. Service types and
-    /// customers that are in hand must stand at their places in the new ones too.
+    /// Goes on under other settings, which keep the places of service types and customers in hand.
     pub fn change(&mut self, new: Policy) {
         let old = std::mem::replace(self, new);
         (self.rng, self.servers, self.book, self.window) = (old.rng, old.servers, old.book, old.window);
@@ -332,15 +328,9 @@
         self
     }
 
-    /// Whether balancers may tell one another where groups are held.
-    pub fn telling(mut self, may_tell: bool) -> Self {
-        self.tells = may_tell;
-        self
-    }
-
-    /// How many balancers place on these servers, this one among them.
-    pub fn among(mut self, balancers: f64) -> Self {
-        self.balancers = balancers.max(1.0);
+    /// How many balancers place on these servers, and whether they may tell one another what is held where.
+    pub fn among(mut self, balancers: f64, tells: bool) -> Self {
+        (self.balancers, self.tells) = (balancers.max(1.0), tells);
         self
     }
 
@@ -394,18 +384,11 @@
             let fresh = Server {
                 listed: *entry,
                 turn: self.rng.0.generate::<f64>(),
-                reports: ArrayVec::new(),
-                placed: VecDeque::new(),
-                failed: VecDeque::new(),
-                unprobed: VecDeque::new(),
-                last_established: 0,
                 // Guards against all balancers probing a server in step.
                 next_probe: now + self.rng.0.generate_range(0..PROBE_EVERY),
-                asked: 0,
-                answered: 0,
-                shed: None,
                 // Balancers don't agree on who goes first: each draws its first credit.
                 credit: (self.rng.0.generate::<f64>(), now),
+                ..Server::default()
             };
             match self.servers.get_mut(&entry.rs) {
                 Some(known) if known.listed.started == entry.started => known.listed = *entry,
@@ -456,13 +439,11 @@
         if self.window.full(now, self.book.out.len()) {
             return self.hold(now, flow);
         }
-        // Guards against walking all servers for each of the flows that wait, while nothing has come since they
-        // were last looked at, or none has room at this moment.
-        if flow.taken < now && now < self.pending {
-            return self.hold(now, flow);
-        }
+        // Guards against walking all servers for each of the flows that wait, while nothing has come since
+        // they were last looked at, or none has room at this moment.
         let worth = if self.worthy(flow) { RESERVE } else { 0.0 };
-        if !flow.returning && self.least.0 == now && self.least.1 >= T_H.min(worth + FULL) {
+        let none = !flow.returning && self.least.0 == now && self.least.1 >= T_H.min(worth + FULL);
+        if none || flow.taken < now && now < self.pending {
             return self.hold(now, flow);
         }
         // Rules 2 and 3: only ready servers, and only where a repeat can do no harm.
@@ -473,17 +454,15 @@
         let warm = allowed.filter(|server| self.warmth(now, server) >= 1.0 || has_credit(server));
         // Each server with its figure: worked out once for a flow, as this is most of what a flow costs us.
         let warm: Vec<Seen> = warm.map(|server| (server, self.beta(now, server))).collect();
-        let tried = |rs: Rs| flow.connects.iter().any(|c| c.rs == rs);
         // Guards against one server that answers nothing and soon holds all connects that may be in flight.
         let target = self.service_type(flow).setup_target;
         let late = self.book.out.values().filter(|(_, at)| at + target < now);
         let overdue: BTreeSet<Rs> = late.map(|(rs, _)| *rs).collect();
-        let answers = |rs: Rs| !tried(rs) && !overdue.contains(&rs);
+        let answers = |rs: Rs| !flow.connects.iter().any(|c| c.rs == rs) && !overdue.contains(&rs);
         let healthy = prefer(warm, |server| self.healthy(now, server) && answers(server.listed.rs));
         let number = healthy.len().max(1) as f64;
         let mean_own = self.book.own.len() as f64 / number;
         let unknown = |server: &Server| self.stale(now, server, OLD);
-        // One walk for all of it, as walks are most of what a flow costs us.
         let (mut sum, mut count, mut placed, mut roomy) = (0.0, 0.0, 0, 0.0);
         for (server, beta) in &healthy {
             placed += server.placed.len();
@@ -496,14 +475,12 @@
         // server on one and the same figure.
         let each = 2.0 * mean / (mean_own * self.balancers).max(FEWEST);
         let lately = placed as f64 / number;
-        // Guards against a balancer that has just restarted and turns away the clients of the next one that does,
-        // or puts all that wait on the first server that shows room: they bring no new load, the figures have it.
+        // Guards against a balancer that has just restarted and turns away those of the next one, or puts
+        // all on the first server that shows room: they bring no new load, the figures have it.
         let returns = flow.returning && self.afresh(now);
-        // Where flows are few a connect of ours tells nothing of the others' in the same second: guards
-        // against one that is taken for one of each of hundreds. They go where there is room, as ours would.
-        let usual = (self.settled.len() as Time * (REPORT_AGE + FRESH)) as f64
-            / RATE_SPAN as f64
-            / f64::max(roomy, 1.0);
+        // Guards against one connect of ours taken for one of each of hundreds. All go where there is room.
+        let lag = (REPORT_AGE + FRESH) as f64 / RATE_SPAN as f64;
+        let usual = lag * self.settled.len() as f64 / f64::max(roomy, 1.0);
         let theirs = match () {
             () if self.tells => (self.balancers - 1.0) * usual,
             () if returns => -lately,
@@ -512,24 +489,21 @@
         let expected = |(server, beta): &Seen| {
             beta.map_or(mean, |beta| beta + each * (server.placed.len() as f64 + theirs))
         };
-        let nobody = BTreeMap::new();
-        let group = flow.group.as_ref().and_then(|group| self.book.by_group.get(group));
-        let holders = group.unwrap_or(&nobody);
+        let holders = flow.group.as_ref().and_then(|group| self.book.by_group.get(group));
         // Guards against servers that drop what they hold since more and more is placed on them, and, as
         // holders of the flow's group take more, against common work that is paid for on every server.
         let told = flow.group.as_ref().filter(|_| self.tells);
-        let told = told.and_then(|group| self.book.told_holders.get(&number_of(group)));
+        let told = told.and_then(|group| self.book.told_holders.get(&(name_of(group) as u16)));
         let holds = |server: &Server| match told {
-            Some(told) => told.get(&server.listed.rs).is_some_and(|at| now < at + FORGET),
-            None => !self.tells && holders.contains_key(&server.listed.rs),
+            Some(told) => told.get(&server.listed.rs).is_some_and(|at| now < at + 2 * RETELL),
+            None => !self.tells && holders.is_some_and(|holders| holders.contains_key(&server.listed.rs)),
         };
         let is_near = |server: &Server| server.listed.hall == self.hall;
         // Guards against many balancers that each hold few of a group and spread it: they agree on an order
-        // of servers for each group. Its first is the group's home, held by others though not by us, with
-        // room but for a few more connections that come on the same figure.
+        // of servers for it, whose first is its home, with room but for a few more on the same figure.
         let name = flow.group.as_ref().map_or(0, |group| name_of(group));
         let rank = |server: &Server| draw(name ^ server.listed.rs);
-        let alone = flow.group.is_some() && holders.is_empty() && told.is_none();
+        let alone = flow.group.is_some() && holders.is_none() && told.is_none();
         let homes = healthy.iter().filter(|(server, _)| alone && is_near(server));
         let home = homes.min_by_key(|(server, _)| rank(server)).map(|(server, _)| server.listed.rs);
         let room = |server: &Server| match () {
@@ -550,10 +524,8 @@
         // Guards against the few that one of hundreds of balancers holds being taken for too many.
         let slack = if self.tells { FEWEST } else { 1.0 };
         let mut kin = prefer(open, |server| self.book.at(server.listed.rs) <= 1.5 * mean_own + slack);
-        if self.tells {
-            // A crossing is paid for once, a group's common work on each server as long as it holds any.
-            kin = prefer(kin, holds);
-        }
+        // A crossing is paid for once, a group's common work on each server as long as it holds any.
+        kin = if self.tells { prefer(kin, holds) } else { kin };
         kin = prefer(prefer(kin, is_near), holds);
         // The one whose turn it is, or, for a group that needs a server, the roomiest of a few.
         let next = |server: &Server| server.turn + sane(server.listed.weight);
@@ -566,26 +538,21 @@
             kin.extend(ask.iter().copied().min_by(|a, b| expected(a).total_cmp(&expected(b))));
         }
         ask.retain(|(server, _)| self.stale(now, server, FRESH));
-        let ask: Vec<Rs> = ask.iter().map(|(server, _)| server.listed.rs).collect();
-        let among: Vec<Rs> = kin.iter().map(|(server, _)| server.listed.rs).collect();
+        let [ask, among] = [ask, kin].map(|of| of.iter().map(|(s, _)| s.listed.rs).collect::<Vec<Rs>>());
         if flow.connects.is_empty() && !returns {
             self.least = (now, least);
         }
         // When many wait the figures that there are must do: looking at all of them again costs too much.
-        let few = (self.held as f64) < QUEUE * self.window.width.max(1.0);
-        if !ask.is_empty() && few && now < flow.taken + target && left > 2 * LOOK_AGAIN {
+        if !ask.is_empty() && !self.crowded() && now < flow.taken + target && left > 2 * LOOK_AGAIN {
             return self.ask(now, &ask);
         }
-        let Some(rs) = self.turn(&among) else {
-            return self.hold(now, flow);
-        };
+        let Some(rs) = self.turn(&among) else { return self.hold(now, flow) };
         let credit = self.credit(now, &self.servers[&rs], &pace) - 1.0;
         let server = self.servers.get_mut(&rs).expect("a listed server");
         server.credit = (credit.max(0.0), now);
         server.placed.push_back(now);
         self.book.enter(now, flow, rs, false);
-        // All the time that is left: a server that can't be reached shows sooner, and a connect that was
-        // given up has cost the store its call all the same.
+        // All the time that is left: a connect that was given up has cost the store its call all the same.
         Place::To(rs, left)
     }
 
@@ -636,8 +603,8 @@
             }
             Outcome::Probed { rs, passed, report } => {
                 self.pending = 0;
-                let at = now + self.gather().min(LOOK_AGAIN);
-                self.look = self.look.or((self.sparse && self.held > 0).then_some(at));
+                let waits = self.sparse && self.held > 0;
+                self.look = self.look.or(waits.then_some(now + self.gather().min(LOOK_AGAIN)));
                 if let Some(server) = self.servers.get_mut(&rs) {
                     server.answered = now;
                     if passed {
@@ -651,12 +618,10 @@
                         server.reports.truncate(SAMPLES - 1);
                         server.reports.insert(0, (now, beta));
                         shown(&mut server.placed, now, REPORT_AGE);
-                        if let Some(count) = report.connections.filter(|count| *count >= 1.0) {
-                            for flow in self.book.by_rs.get(&rs).into_iter().flatten() {
-                                if let Some(own) = self.book.own.get_mut(flow) {
-                                    own.estimate.get_or_insert(beta / count);
-                                }
-                            }
+                        let each = report.connections.filter(|count| *count >= 1.0).map(|count| beta / count);
+                        for flow in self.book.by_rs.get(&rs).into_iter().flatten() {
+                            let own = self.book.own.get_mut(flow).expect("our connection");
+                            own.estimate = own.estimate.or(each);
                         }
                         todo.shift = self.shed(now, rs);
                     }
@@ -665,20 +630,16 @@
             Outcome::Elapsed => (self.held, self.look) = (0, None),
         }
         if self.next_probe.is_some_and(|at| at <= now) {
-            let mut paid = self.probe_every(now, self.servers.len());
+            let paid = self.probe_every(now, self.servers.len());
             self.sparse = self.probes && paid > SPARSE;
-            if self.sparse {
-                paid = self.probe_every(now, self.book.by_rs.len());
-            }
+            let paid = if self.sparse { self.probe_every(now, self.book.by_rs.len()) } else { paid };
             self.every = paid.clamp(PROBE_EVERY, PROBE_BOUND);
             for server in self.servers.values_mut() {
                 if server.next_probe <= now && server.listed.state == State::Ready {
-                    // A cool server is the last to turn hot. Where twice the probes are paid for it isn't
-                    // spared: guards against one that fills within twice the interval.
+                    // Where twice the probes are paid for a cool one isn't spared: it may fill meanwhile.
                     let cool = server.reports.first().is_some_and(|(_, beta)| *beta < COOL);
-                    let spared = cool && 2 * paid > PROBE_EVERY;
-                    server.next_probe =
-                        now + PROBE_BOUND.min(if spared { 2 * self.every } else { self.every });
+                    let times = if cool && 2 * paid > PROBE_EVERY { 2 } else { 1 };
+                    server.next_probe = now + PROBE_BOUND.min(times * self.every);
                     let ours = self.book.by_rs.contains_key(&server.listed.rs);
                     if !self.sparse || ours || now < server.asked + LOST {
                         todo.probe.push(server.listed.rs);
@@ -701,9 +662,8 @@
     /// How long to wait for the next outcome at most.
     pub fn wait(&self, now: Time) -> Option<Time> {
         let held = (self.held > 0).then_some(now + LOOK_AGAIN.max(self.gather()));
-        let next =
-            [self.next_probe, self.next_ask, held, self.leaving, self.look].into_iter().flatten().min();
-        next.map(|at| at.saturating_sub(now))
+        let all = [self.next_probe, self.next_ask, held, self.leaving, self.look];
+        all.into_iter().flatten().min().map(|at| at.saturating_sub(now))
     }
 
     /// How long answers are gathered before the next look at all that is held: each looks at all servers.
@@ -746,16 +706,17 @@
         let waited = now.saturating_sub(flow.taken);
         // Guards against a short-lived try that is looked at again only when its time has run out.
         let short = flow.give_up <= now + self.margin + LOOK_AGAIN.max(self.gather());
-        if short
-            || waited >= self.service_type(flow).setup_target
-            || self.held as f64 >= QUEUE * self.window.width.max(1.0)
-        {
+        if short || waited >= self.service_type(flow).setup_target || self.crowded() {
             return self.give_up(flow);
         }
         self.held += 1;
         Place::NotYet
     }
 
+    fn crowded(&self) -> bool {
+        self.held as f64 >= QUEUE * self.window.width.max(1.0)
+    }
+
     /// Holds a flow until these have told their load.
     fn ask(&mut self, now: Time, ask: &[Rs]) -> Place {
         for rs in ask {
@@ -769,7 +730,7 @@
         Place::NotYet
     }
 
-    /// Whether a server's figure is too old to send anything there, and it hasn't failed to tell a newer one.
+    /// Whether a server's figure is too old to go by, and none was asked for in vain just now.
     fn stale(&self, now: Time, server: &Server, age: Time) -> bool {
         let told = server.reports.first().is_some_and(|(at, _)| now < at + age);
         self.sparse && !told && server.answered + FRESH <= now
@@ -777,15 +738,18 @@
 
     /// What the others should know of this connection.
     fn tell(&mut self, now: Time, flow: FlowId, rs: Rs) -> Option<Holds> {
-        let group = number_of(self.book.own.get(&flow)?.group.as_ref().filter(|_| self.tells)?);
-        let told = self.book.told_holders.entry(group).or_default();
-        told.retain(|_, at| now < *at + FORGET);
-        let due = told.get(&rs).is_none_or(|at| at + RETELL <= now);
+        let group = name_of(self.book.own.get(&flow)?.group.as_ref().filter(|_| self.tells)?) as u16;
+        let told = self.book.told_holders.get(&group).and_then(|told| told.get(&rs));
+        if told.is_some_and(|at| now < at + RETELL) {
+            return None;
+        }
         let (left, at) = self.words;
         let left = (left + WORDS / self.balancers * now.saturating_sub(at) as f64 / SEC as f64).min(2.0);
-        let may = due && left >= 1.0;
-        self.words = (if may { left - 1.0 } else { left }, now);
-        may.then(|| told.insert(rs, now)).map(|_| Holds { group, rs })
+        self.words = (if left >= 1.0 { left - 1.0 } else { left }, now);
+        // What isn't told again is dropped here, so that groups that are no more take no room.
+        self.book.told_holders.values_mut().for_each(|told| told.retain(|_, at| now < *at + 2 * RETELL));
+        self.book.told_holders.retain(|_, told| !told.is_empty());
+        (left >= 1.0).then(|| self.heard(now, Holds { group, rs })).map(|()| Holds { group, rs })
     }
 
     /// Whether the flow's value for its load is that of our connections on the whole, or more. A customer
@@ -986,16 +950,11 @@
     WyRand::new_seed(of).generate()
 }
 
-/// A group's name as a number, for the order of its servers.
+/// A group's name as a number: for the order of its servers and, in short, for others.
 fn name_of(group: &str) -> u64 {
     group.bytes().fold(0, |name, byte| draw(name ^ u64::from(byte)))
 }
 
-/// The same in short, for others: two groups that share one share their servers too.
-fn number_of(group: &str) -> u16 {
-    name_of(group) as u16
-}
-
 /// A list weight, or an equal one where it is none.
 fn sane(weight: f64) -> f64 {
     if weight.is_finite() && weight > 0.0 { weight.clamp(1e-3, 1e3) } else { 1.0 }
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -59,15 +59,16 @@
     pub connects: Vec<Connect>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum State {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
 /// A server as the list tells of it.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Listed {
     pub rs: Rs,
     pub hall: u64,
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -467,7 +467,7 @@
     let placed = |seed, group: &str, holder: Option<Rs>| {
         let mut policy = Policy::new(seed, 0, vec![repeat(Repeat::Repeatable)])
             .connects(3, MS, false, true)
-            .among(100.0)
+            .among(100.0, false)
             .probing(true, 0.0);
         policy.list(T0, &(0..20).map(ready).collect::<Vec<_>>(), true);
         if let Some(rs) = holder {
@@ -514,7 +514,7 @@
     // Guards against turning away the clients of the next balancer that restarts, or putting all of them on the first
     // server that shows room. Inherited connections, whether the clients return, whether all get in.
     for (own, returning, all) in [(0, true, true), (0, false, false), (20, true, false)] {
-        let mut policy = balancer(Repeat::Repeatable).among(2.0);
+        let mut policy = balancer(Repeat::Repeatable).among(2.0, false);
         policy.list(T0, &(0..5).map(ready).collect::<Vec<_>>(), true);
         (100..100 + own).for_each(|id| policy.inherit(&flow(T0, id), id % 5));
         (0..5).for_each(|rs| drop(probe(&mut policy, T0, rs, 0.45)));
@@ -552,7 +552,7 @@
     // Guards against 47 probes a flow for figures of 15 s (four balancers to a server). What the probe brings,
     // whether the flow then goes to that server.
     for (load, goes) in [(Some(0.1), true), (None, true), (Some(0.9), false)] {
-        let mut policy = balancer(Repeat::Repeatable).probing(true, 1.0).telling(true);
+        let mut policy = balancer(Repeat::Repeatable).probing(true, 1.0).among(1.0, true);
         policy.list(T0, &(0..9).map(ready).collect::<Vec<_>>(), true);
         let mut now = T0 + 3 * SEC;
         assert_eq!(policy.after(now, Outcome::Elapsed).probe, [], "none holds a connection of ours");
@@ -579,12 +579,12 @@
     // Guards against a group on as many servers as there are balancers. Whether words are allowed, their age in
     // seconds, whether the group follows them into the other hall.
     for (tells, age, follows) in [(true, 1, true), (true, 31, false), (false, 1, false)] {
-        let mut policy = balancer(Repeat::Repeatable).telling(tells);
+        let mut policy = balancer(Repeat::Repeatable).among(1.0, tells);
         let list = |rs| Listed { hall: u64::from(rs > 3), ..ready(rs) };
         policy.list(T0, &(0..9).map(list).collect::<Vec<_>>(), true);
         let group = Some("a".to_string());
         // Whoever places one says so, once.
-        let mut teller = balancer(Repeat::Repeatable).telling(true);
+        let mut teller = balancer(Repeat::Repeatable).among(1.0, true);
         teller.list(T0, &[list(7)], true);
         let mut words = Vec::new();
         for id in 0..5 {
@@ -611,7 +611,7 @@
     // Guards against a storm in which each of hundreds tells of each client (4 million words in 16 s). Balancers,
     // words in 10 s at most.
     for (balancers, most) in [(1.0, 100), (30.0, 12), (600.0, 2)] {
-        let mut policy = balancer(Repeat::Repeatable).among(balancers).telling(true);
+        let mut policy = balancer(Repeat::Repeatable).among(balancers, true);
         policy.list(T0, &[ready(0)], true);
         let mut words = 0;
         for id in 0..100 {
@@ -629,7 +629,7 @@
 #[test]
 fn other_settings_keep_what_is_known_and_in_hand() {
     // Guards against a switch that forgets connections, drains or failures, and one that can't be taken back.
-    let made = |tells| balancer(Repeat::Repeatable).telling(tells);
+    let made = |tells| balancer(Repeat::Repeatable).among(1.0, tells);
     let mut policy = made(false);
     policy.list(T0, &[ready(0), ready(1), Listed { state: State::Draining, ..ready(2) }], true);
     (0..4).for_each(|id| policy.inherit(&Flow { group: Some("a".into()), ..flow(T0, id) }, 1));
@@ -674,7 +674,7 @@
 #[test]
 fn large_lists_that_turn_over_within_one_moment_and_reports_absurd_on_a_part_do_no_harm() {
     // Guards against panics, and against sends to servers that came and went, at twice the largest size seen.
-    let mut policy = balancer(Repeat::Repeatable).among(1000.0).probing(true, 0.002);
+    let mut policy = balancer(Repeat::Repeatable).among(1000.0, false).probing(true, 0.002);
     let list = |from: Rs, state| -> Vec<Listed> {
         let one = |rs| Listed { state, started: if rs % 7 == 0 { T0 } else { 0 }, hall: rs % 3, ..ready(rs) };
         (from..from + 500).map(one).collect()
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -70,12 +70,11 @@
                 self.flag(&limits("second-copies"))?,
                 self.flag(&limits("may-cancel"))?,
             )
-            .among(self.number_or("replicas-of-me", 1.0)?)
+            .among(self.number_or("replicas-of-me", 1.0)?, self.may_tell()?)
             .customers(self.shares()?, self.number_or("surplus-value", 1.0)?)
             .come_back(come_back)
             .probing(self.flag(&limits("probes"))?, self.number_or("costs/probe", 0.0)?)
             .warning(warn)
-            .telling(self.may_tell()?)
             .asking(self.text("discovery")? == "ask")
             .cold(
                 self.number(&contract("start-capacity"))?,
