--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -462,7 +462,7 @@
 
 #[test]
 fn balancers_agree_on_a_groups_home_and_own_holders_come_first() {
-    // Guards against 163 balancers that spread each group over the fleet (nuwara-eliya-live-later, big-1).
+    // Guards against 163 balancers that spread each group over the fleet.
     let of = |group: &str, id| Flow { group: Some(group.into()), ..flow(T0, id) };
     let placed = |seed, group: &str, holder: Option<Rs>| {
         let mut policy = Policy::new(seed, 0, vec![repeat(Repeat::Repeatable)])
