Keep what the desk was given as one; read the peers' list where it stands

Read once more: Desk held a copy of each part of Given; change() cloned the settings to use them once; the list of others was copied for each datagram, strangers' too; main.rs wrapped the desk in a closure. Behaviour as before, tests unchanged.

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -200,10 +200,9 @@
     };
     signals::untold(settings, peers.is_some());
     let given = Given { seed: config.seed, margin: MARGIN, last_answer };
-    let desk_of = move || Desk::new(hand, asks, halls, machines, prober, words, given);
-    let running = may::go!(move || desk_of().run());
+    let whole_desk = Desk::new(hand, asks, halls, machines, prober, words, given);
+    let running = may::go!(move || whole_desk.run());
     let agent = Agent::new(config.discovery);
-    let front_of = front.clone();
     let in_file = config.settings.clone();
     let reload = signals::Reload {
         file,
@@ -212,7 +211,7 @@
         config,
         in_file,
         terms,
-        front: front_of,
+        front: front.clone(),
         peers,
     };
     signals::listen(signals, reload, desk.clone(), agent.clone())
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -75,13 +75,10 @@
     prober: Prober,
     /// The way to the other balancers, where there is one.
     words: Option<Sender<Word>>,
-    /// What a module made from other settings is given.
-    seed: u64,
-    margin: Time,
+    given: Given,
     /// The next time at which the module wants to be asked.
     due: Option<Time>,
     terminated: Option<Time>,
-    last_answer: Time,
     next_move: Time,
     moved_up_to: FlowId,
     given_up: bool,
@@ -108,11 +105,9 @@
             cells: Names::default(),
             prober,
             words,
-            seed: given.seed,
-            margin: given.margin,
+            given,
             due: None,
             terminated: None,
-            last_answer: given.last_answer,
             next_move: 0,
             moved_up_to: 0,
             given_up: false,
@@ -219,9 +214,11 @@
     /// Goes on under other settings. Flows in hand, connects that are out and connections stay as they are.
     fn change(&mut self, settings: Settings) {
         // The list may have named halls before the settings did.
-        let hall = settings.hall_name().map(|name| self.halls.number(&name));
-        let settings = hall.map_or(settings.clone(), |hall| settings.in_hall(hall));
-        match settings.policy(self.seed, self.margin, true) {
+        let settings = match settings.hall_name() {
+            Some(name) => settings.in_hall(self.halls.number(&name)),
+            None => settings,
+        };
+        match settings.policy(self.given.seed, self.given.margin, true) {
             Ok(policy) => self.hand.change(policy),
             Err(why) => error!(%why, "settings that can't be used; the old ones hold"),
         }
@@ -337,8 +334,8 @@
         // Late, since the connections are sound and others may be restarting with us, and spread, so that clients
         // don't come to those all at once. Nor too early: the front sends us new ones for up to 0.4 s, and they
         // would come straight back.
-        let move_until = self.last_answer + LAST_MOVES;
-        if passed >= self.last_answer / 2 && now >= self.next_move {
+        let move_until = self.given.last_answer + LAST_MOVES;
+        if passed >= self.given.last_answer / 2 && now >= self.next_move {
             // Guards against one step for each thing that the desk is told: each move is told, and so moved the
             // next, and all clients went within 10 ms.
             self.next_move = now + STEP;
@@ -356,7 +353,7 @@
                 self.moved_up_to = id + 1;
             }
         }
-        if passed >= self.last_answer && !self.given_up {
+        if passed >= self.given.last_answer && !self.given_up {
             self.given_up = true;
             let mut owed = Vec::new();
             self.acts(now, |hand, acts| owed = hand.cut_short(now, acts));
@@ -364,6 +361,6 @@
                 self.order(id, Order::TimeUp);
             }
         }
-        passed >= self.last_answer + EXIT || passed >= move_until && self.clients.is_empty()
+        passed >= self.given.last_answer + EXIT || passed >= move_until && self.clients.is_empty()
     }
 }
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -4,7 +4,7 @@
 
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use may::io::{CoIo, WaitIo};
 use nettlemux_policy::{SEC, Time};
@@ -62,16 +62,16 @@
     /// From now on these are the others.
     pub fn change(&self, others: Vec<SocketAddr>) {
         info!(others = others.len(), "other balancers");
-        *self.others.lock().unwrap_or_else(PoisonError::into_inner) = others;
+        *self.others() = others;
     }
 
-    fn others(&self) -> Vec<SocketAddr> {
-        self.others.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    fn others(&self) -> MutexGuard<'_, Vec<SocketAddr>> {
+        self.others.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn tell(&self, word: &Word) {
         let Some(bytes) = write(word) else { return };
-        for other in self.others().into_iter().filter(|other| *other != self.own) {
+        for other in self.others().iter().filter(|other| **other != self.own) {
             // Lost where it can't go now.
             let _ = self.socket.inner().send_to(&bytes, other);
         }
