Fill cold servers by what warm ones hold; spread moves off draining servers over 2 s

All balancers hear of a drain within 0.1 s and moved their clients 2 s later to the millisecond: 204 in second 10, all first lines '10.056 relay: moved id=10 server="s-"', at 63 places for 90, so 340 flows came within that second. Ruled out: full servers (no end=Full), the window (8 in flight never reached), room (x0=0 there). At fault: pace() (policy.rs) and 'now + LEAVE' in list().

Now the pace is what fills a warm server over the stated warm-up, by what we hold there and the mean load, or half of what was lately established if that is more. Summed over balancers it is the fleet's, by what each holds. Moves begin 2 to 4 s after the news.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -40,8 +40,7 @@
 const PROBE_BOUND: Time = 10 * SEC;
 /// The most that probes may cost, of the value of our flows: many balancers have few flows to each probe.
 const PROBES_WORTH: f64 = 0.02;
-/// Where probes of all servers within their worth are further apart than this, only servers that hold
-/// connections of ours are probed at intervals, and others when a flow may go there (the sparse case).
+/// Probes of all servers within their worth further apart than this: the sparse case of docs/design.md.
 const SPARSE: Time = 3 * SEC;
 /// There a flow goes only where a figure is this old at most: 0.5 s served no better, 2 s worse.
 const FRESH: Time = SEC;
@@ -69,6 +68,8 @@
 const RATE_SPAN: Time = 20 * SEC;
 /// Connects that were made together fail together: the window narrows once in this span.
 const ROUND: Time = 250 * MS;
+/// A mean load under this doesn't tell what a full server holds.
+const SCANT: f64 = 0.1;
 /// Connects in flight at once that trouble nobody; where the window starts.
 const CALM: f64 = 8.0;
 /// One connect in sixteen rounds, 4 s, still notices recovery well before clients have given up for good.
@@ -77,11 +78,11 @@
 const QUEUE: f64 = 4.0;
 /// How soon flows that wait are looked at again: well inside setup targets; each look walks all servers.
 const LOOK_AGAIN: Time = 60 * MS;
-/// From news of a drain to the first move: servers that send their clients away themselves have begun to.
+/// From news of a drain to the first move, and up to twice that, since all balancers are told at once: servers
+/// that send their clients away themselves have begun to.
 const LEAVE: Time = 2 * SEC;
 
-/// One server: what the list says and the last few samples of everything measured. What every flow looks at
-/// on every server stands first and together.
+/// One server: the list's word and the last few samples; what every flow looks at stands first and together.
 #[repr(C)]
 #[derive(Default)]
 struct Server {
@@ -204,14 +205,6 @@
     }
 }
 
-/// The part of the rule on cold servers that is this balancer's.
-#[derive(Default)]
-struct Cold {
-    start: f64,
-    warm_up: Time,
-    multiple: f64,
-}
-
 #[derive(Default)]
 pub struct Policy {
     rng: Dice,
@@ -243,7 +236,8 @@
     next_ask: Option<Time>,
     /// When the next server is due for a probe.
     next_probe: Option<Time>,
-    cold: Cold,
+    /// The rule on cold servers: their share at the start, when they are warm, how many times it they may get.
+    cold: (f64, Time, f64),
     /// When the last of the servers is warm.
     cold_until: Time,
     servers: BTreeMap<Rs, Server>,
@@ -304,7 +298,7 @@
             max_connects: 1,
             margin: 10 * MS,
             every: PROBE_EVERY,
-            cold: Cold { start: 0.1, warm_up: 30 * SEC, multiple: 1.0 },
+            cold: (0.1, 30 * SEC, 1.0),
             window: Window { width: CALM, steady: f64::INFINITY, narrowed: 0 },
             they_move: true,
             ..Policy::default()
@@ -366,7 +360,7 @@
 
     /// A cold server has this share of its capacity, is warm after so long and may get so many times it.
     pub fn cold(mut self, start: f64, warm_up: Time, multiple: f64) -> Self {
-        self.cold = Cold { start, warm_up, multiple };
+        self.cold = (start, warm_up, multiple);
         self
     }
 
@@ -379,7 +373,7 @@
         }
         for entry in entries {
             if entry.started > 0 {
-                self.cold_until = self.cold_until.max(entry.started + self.cold.warm_up);
+                self.cold_until = self.cold_until.max(entry.started + self.cold.1);
             }
             let fresh = Server {
                 listed: *entry,
@@ -398,7 +392,9 @@
         }
         let book = &self.book;
         self.servers.retain(|rs, server| server.listed.state != State::Gone || book.at(*rs) > 0.0);
-        self.leaving = self.leaving.or(Some(now + LEAVE).filter(|_| !self.drained(now).is_empty()));
+        if self.leaving.is_none() && !self.drained(now).is_empty() {
+            self.leaving = Some(now + LEAVE + self.rng.0.generate_range(0..LEAVE));
+        }
         self.next_probe = self.due(now);
     }
 
@@ -492,8 +488,9 @@
         let holders = flow.group.as_ref().and_then(|group| self.book.by_group.get(group));
         // Guards against servers that drop what they hold since more and more is placed on them, and, as
         // holders of the flow's group take more, against common work that is paid for on every server.
+        let name = flow.group.as_ref().map_or(0, |group| name_of(group));
         let told = flow.group.as_ref().filter(|_| self.tells);
-        let told = told.and_then(|group| self.book.told_holders.get(&(name_of(group) as u16)));
+        let told = told.and_then(|_| self.book.told_holders.get(&(name as u16)));
         let holds = |server: &Server| match told {
             Some(told) => told.get(&server.listed.rs).is_some_and(|at| now < at + 2 * RETELL),
             None => !self.tells && holders.is_some_and(|holders| holders.contains_key(&server.listed.rs)),
@@ -501,7 +498,6 @@
         let is_near = |server: &Server| server.listed.hall == self.hall;
         // Guards against many balancers that each hold few of a group and spread it: they agree on an order
         // of servers for it, whose first is its home, with room but for a few more on the same figure.
-        let name = flow.group.as_ref().map_or(0, |group| name_of(group));
         let rank = |server: &Server| draw(name ^ server.listed.rs);
         let alone = flow.group.is_some() && holders.is_none() && told.is_none();
         let homes = healthy.iter().filter(|(server, _)| alone && is_near(server));
@@ -617,7 +613,7 @@
                     if let Some(beta) = report.beta.filter(|beta| passed && SANE.contains(beta)) {
                         server.reports.truncate(SAMPLES - 1);
                         server.reports.insert(0, (now, beta));
-                        shown(&mut server.placed, now, REPORT_AGE);
+                        server.placed.retain(|at| at + REPORT_AGE > now);
                         let each = report.connections.filter(|count| *count >= 1.0).map(|count| beta / count);
                         for flow in self.book.by_rs.get(&rs).into_iter().flatten() {
                             let own = self.book.own.get_mut(flow).expect("our connection");
@@ -825,37 +821,42 @@
 
     /// The share of its capacity that a server has at least.
     fn warmth(&self, now: Time, server: &Server) -> f64 {
+        let (start, warm_up, _) = self.cold;
         let age = now.saturating_sub(server.listed.started);
-        if server.listed.started == 0 || age >= self.cold.warm_up {
-            return 1.0;
-        }
-        self.cold.start + (1.0 - self.cold.start) * age as f64 / self.cold.warm_up as f64
+        let warm = server.listed.started == 0 || age >= warm_up;
+        if warm { 1.0 } else { start + (1.0 - start) * age as f64 / warm_up as f64 }
     }
 
-    /// For each kind of machine how many connects a warm server of it has lately established a nanosecond:
-    /// what others carry, not what is sent, for a storm of failing connects must not raise the budget,
-    /// and without the cold ones, which would thin it out when many are added at once.
+    /// For each kind of machine what a warm server takes of ours, in connects a nanosecond: half of what it lately
+    /// established, not of what is sent, which would rise in a storm, or what fills one over the warm-up, as
+    /// each of hundreds establishes too few. Not by cold servers: many new ones would thin it out.
     fn pace(&self, now: Time) -> BTreeMap<u64, f64> {
-        let began = self.began.unwrap_or(now).max(now.saturating_sub(RATE_SPAN));
-        let span = now.saturating_sub(began).max(SEC) as f64;
-        let mut pace: BTreeMap<u64, (f64, f64)> = BTreeMap::new();
+        let span = now.saturating_sub(self.began.unwrap_or(now)).clamp(SEC, RATE_SPAN);
+        let mut kinds: BTreeMap<u64, (f64, f64, f64)> = BTreeMap::new();
+        let (mut sum, mut count) = (0.0, 0.0);
         for server in self.servers.values() {
             if server.listed.state == State::Ready && self.warmth(now, server) >= 1.0 {
-                pace.entry(server.listed.machine).or_default().1 += 1.0;
+                let (warm, held, _) = kinds.entry(server.listed.machine).or_default();
+                (*warm, *held) = (*warm + 1.0, *held + self.book.at(server.listed.rs));
+                (sum, count) = self.beta(now, server).map_or((sum, count), |b| (sum + b, count + 1.0));
             }
         }
-        for (_, machine) in self.settled.iter().filter(|(at, _)| *at >= began) {
-            pace.entry(*machine).or_default().0 += 1.0;
+        for (at, machine) in &self.settled {
+            kinds.entry(*machine).or_default().2 += if at + span >= now { 0.5 / span as f64 } else { 0.0 };
         }
-        pace.into_iter().map(|(machine, (sum, warm))| (machine, sum / span / f64::max(warm, 1.0))).collect()
+        let load = if count > 0.0 { (sum / count).clamp(SCANT, 1.0) } else { 1.0 };
+        let (out, time) = (self.book.out.len() as f64, self.cold.1.max(SEC) as f64);
+        let each =
+            |(warm, held, settled): (f64, f64, f64)| settled.max((held - out) / load / time) / warm.max(1.0);
+        kinds.into_iter().map(|(machine, kind)| (machine, each(kind))).collect()
     }
 
     /// Connects to a cold server that have come free since the last look, one at most.
     fn credit(&self, now: Time, server: &Server, pace: &BTreeMap<u64, f64>) -> f64 {
         let pace = pace.get(&server.listed.machine).copied().unwrap_or(0.0);
         let (left, at) = server.credit;
-        let grown = self.cold.multiple * self.warmth(now, server) * pace * now.saturating_sub(at) as f64;
-        (left + 0.5 * grown).min(1.0)
+        let grown = self.cold.2 * self.warmth(now, server) * pace * now.saturating_sub(at) as f64;
+        (left + grown).min(1.0)
     }
 
     /// The rotation: smooth weighted round robin over these servers.
@@ -960,13 +961,6 @@
     if weight.is_finite() && weight > 0.0 { weight.clamp(1e-3, 1e3) } else { 1.0 }
 }
 
-/// Forgets connects that a figure of this age shows.
-fn shown(placed: &mut VecDeque<Time>, now: Time, age: Time) {
-    while placed.front().is_some_and(|at| at + age <= now) {
-        placed.pop_front();
-    }
-}
-
 /// Keeps the last few samples.
 fn keep<T>(samples: &mut VecDeque<T>, sample: T) {
     samples.push_back(sample);
