Count others' connects by our usual rate also where probes are sparse

Cause: one connect of ours in the last second was taken for one of each of the 300 others on every server: 'theirs' in place() was 299 times placed over 60 servers, five connects at an eighth of the mean each, so that a balancer saw no room anywhere until the next report (the new test's fleet of 60 answered 'flow 11: NotYet' after its first connect). At fault: the last line of 'theirs'; the rate of 20 s that the told case has was made against the same.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -478,7 +478,7 @@
         let lag = (REPORT_AGE + FRESH) as f64 / RATE_SPAN as f64;
         let usual = lag * self.settled.len() as f64 / f64::max(roomy, 1.0);
         let theirs = match () {
-            () if self.tells => (self.balancers - 1.0) * usual,
+            () if self.tells || self.sparse => (self.balancers - 1.0) * usual,
             () if returns => -lately,
             () => (self.balancers - 1.0) * lately,
         };
