Move clients off draining servers evenly while replacements warm up, not all at once

At fault: drained() and 'leaving' in policy.rs, one each 60 ms at every balancer whatever their number.

Each connection there now goes at an even chance from 2 s after the news until a replacement is warm by the settings; one each 60 ms stays the fastest, and moves go on when room comes back. The test fails without it: 120 of 120 moves in two seconds.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -78,8 +78,7 @@
 const QUEUE: f64 = 4.0;
 /// How soon flows that wait are looked at again: well inside setup targets; each look walks all servers.
 const LOOK_AGAIN: Time = 60 * MS;
-/// From news of a drain to the first move, and up to twice that, since all balancers are told at once: servers
-/// that send their clients away themselves have begun to.
+/// From news of a drain to the first move: servers that send their clients away themselves have begun to.
 const LEAVE: Time = 2 * SEC;
 
 /// One server: the list's word and the last few samples; what every flow looks at stands first and together.
@@ -103,6 +102,8 @@
     asked: Time,
     answered: Time,
     shed: Option<Time>,
+    /// When we were told that it drains.
+    drains: Time,
     /// Connects that the cold budget allows now, as of the time beside it.
     credit: (f64, Time),
 }
@@ -346,15 +347,9 @@
         self
     }
 
-    /// Whether clients are to be told before their server goes.
-    pub fn warning(mut self, warn: bool) -> Self {
-        self.they_move = !warn;
-        self
-    }
-
-    /// The list has to be asked for.
-    pub fn asking(mut self, ask: bool) -> Self {
-        self.next_ask = ask.then_some(0);
+    /// Whether the list has to be asked for, and whether clients are to be told before their server goes.
+    pub fn told(mut self, ask: bool, warn: bool) -> Self {
+        (self.next_ask, self.they_move) = (ask.then_some(0), !warn);
         self
     }
 
@@ -378,6 +373,7 @@
             let fresh = Server {
                 listed: *entry,
                 turn: self.rng.0.generate::<f64>(),
+                drains: now,
                 // Guards against all balancers probing a server in step.
                 next_probe: now + self.rng.0.generate_range(0..PROBE_EVERY),
                 // Balancers don't agree on who goes first: each draws its first credit.
@@ -385,7 +381,10 @@
                 ..Server::default()
             };
             match self.servers.get_mut(&entry.rs) {
-                Some(known) if known.listed.started == entry.started => known.listed = *entry,
+                Some(known) if known.listed.started == entry.started => {
+                    known.drains = if known.listed.state == State::Ready { now } else { known.drains };
+                    known.listed = *entry;
+                }
                 // A restart under the same id: nothing measured holds any more.
                 _ => drop(self.servers.insert(entry.rs, fresh)),
             }
@@ -393,7 +392,7 @@
         let book = &self.book;
         self.servers.retain(|rs, server| server.listed.state != State::Gone || book.at(*rs) > 0.0);
         if self.leaving.is_none() && !self.drained(now).is_empty() {
-            self.leaving = Some(now + LEAVE + self.rng.0.generate_range(0..LEAVE));
+            self.leaving = Some(now + LEAVE);
         }
         self.next_probe = self.due(now);
     }
@@ -467,8 +466,7 @@
         }
         let mean = sum / f64::max(count, 1.0);
         // What we placed lately counts at once, as two mean connections since it is set up and may bring its
-        // group; others are expected to place as we do on average. Guards against all balancers filling a
-        // server on one and the same figure.
+        // group; others place as we do on average. Guards against all filling a server on one figure.
         let each = 2.0 * mean / (mean_own * self.balancers).max(FEWEST);
         let lately = placed as f64 / number;
         // Guards against a balancer that has just restarted and turns away those of the next one, or puts
@@ -582,9 +580,7 @@
                 if shared && self.servers.get(&rs).is_some_and(|server| self.healthy(now, server)) {
                     self.window.narrow(now);
                 }
-                if let Some(server) = self.servers.get_mut(&rs)
-                    && setting_up
-                {
+                if let Some(server) = self.servers.get_mut(&rs).filter(|_| setting_up) {
                     server.placed.pop_back();
                     if shared || matches!(end, End::Unreachable | End::Full | End::Cut) {
                         keep(&mut server.failed, now);
@@ -645,8 +641,10 @@
             self.next_probe = self.due(now);
         }
         if self.leaving.is_some_and(|at| at <= now) {
-            todo.shift.extend(self.drained(now));
-            self.leaving = (!todo.shift.is_empty()).then_some(now + LOOK_AGAIN);
+            let drained = self.drained(now);
+            self.leaving = (!drained.is_empty()).then_some(now + LOOK_AGAIN);
+            let mut goes = |chance| self.rng.0.generate::<f64>() < chance;
+            todo.shift.extend(drained.into_iter().filter(|(_, chance)| goes(*chance)).map(|(flow, _)| flow));
         }
         todo.shift.iter().for_each(|flow| self.book.own.get_mut(flow).expect("our connection").moved = true);
         if self.next_ask.is_some_and(|at| at <= now) {
@@ -748,8 +746,7 @@
         (left >= 1.0).then(|| self.heard(now, Holds { group, rs })).map(|()| Holds { group, rs })
     }
 
-    /// Whether the flow's value for its load is that of our connections on the whole, or more. A customer
-    /// well over its share brings only the surplus value.
+    /// Whether the flow brings our connections' value for its load; a customer over its share only the surplus.
     fn worthy(&self, flow: &Flow) -> bool {
         let (mut load, mut value) = (0.0, 0.0);
         for (service_type, (count, sum)) in &self.book.told {
@@ -874,15 +871,22 @@
         Some(first)
     }
 
-    /// The next own connection to move off each server that drains, while there is room elsewhere. Guards
-    /// against clients whose server goes without a word. One that is gone keeps its: it was listed wrongly.
-    fn drained(&self, now: Time) -> Vec<FlowId> {
+    /// The next own connection to move off each server that drains, and how likely it is to go now: evenly while
+    /// its replacement warms up and there is room elsewhere. Guards against clients whose server goes without a
+    /// word, and hundreds of balancers that move theirs at once. One that is gone keeps its: listed wrongly.
+    fn drained(&self, now: Time) -> Vec<(FlowId, f64)> {
         let cool = |server: &Server| self.beta(now, server).is_none_or(|beta| beta < NEW);
         let room = self.servers.values().any(|server| server.listed.state == State::Ready && cool(server));
-        let drains = |server: &&Server| room && !self.they_move && server.listed.state == State::Draining;
-        let held = |server: &Server| self.book.by_rs.get(&server.listed.rs).into_iter().flatten();
+        let drains = |server: &&Server| !self.they_move && server.listed.state == State::Draining;
         let stays = |flow: &&FlowId| self.book.own[flow].established && !self.book.own[flow].moved;
-        self.servers.values().filter(drains).filter_map(|s| held(s).find(stays).copied()).collect()
+        let next = |server: &Server| {
+            let mut held = self.book.by_rs.get(&server.listed.rs)?.iter().filter(stays);
+            let (flow, more) = (*held.next()?, held.count());
+            let left = (server.drains + self.cold.1.max(2 * LEAVE)).saturating_sub(now).max(LOOK_AGAIN);
+            let due = room && now >= server.drains + LEAVE;
+            Some((flow, if due { (more + 1) as f64 * LOOK_AGAIN as f64 / left as f64 } else { 0.0 }))
+        };
+        self.servers.values().filter(drains).filter_map(next).collect()
     }
 
     /// Own connections to move off a hot server.
@@ -962,7 +966,7 @@
 }
 
 /// Keeps the last few samples.
-fn keep<T>(samples: &mut VecDeque<T>, sample: T) {
+fn keep(samples: &mut VecDeque<Time>, sample: Time) {
     samples.push_back(sample);
     if samples.len() > SAMPLES {
         samples.pop_front();
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -233,7 +233,7 @@
         (vec![], true, vec![]),
         (vec![ready(1)], false, vec![]),
     ] {
-        let mut policy = balancer(Repeat::Repeatable).probing(false, 0.0).warning(true);
+        let mut policy = balancer(Repeat::Repeatable).probing(false, 0.0).told(false, true);
         policy.list(0, &[ready(1), ready(2)], true);
         policy.inherit(&flow(0, 1), 1);
         policy.inherit(&flow(0, 2), 1);
@@ -241,16 +241,17 @@
         policy.after(SEC, Outcome::Elapsed);
         policy.list(SEC, &news, whole);
         assert_eq!(policy.after(3 * SEC - 1, Outcome::Elapsed).shift, [], "too early");
-        let due = 5 * SEC;
-        assert_eq!(policy.wait(due) == Some(0), !expected.is_empty(), "{news:?}");
-        assert_eq!(policy.after(due, Outcome::Elapsed).shift, expected, "{news:?}");
-        // One after the other, and each once.
-        let mut next = || policy.after(due + SEC, Outcome::Elapsed).shift;
-        assert_eq!(next().len(), expected.len(), "{news:?}");
-        assert!(next().is_empty());
+        // Each once, one after the other, by the time in which a replacement is warm.
+        let tick = |tick: u64| policy.after(3 * SEC + tick * 60 * MS, Outcome::Elapsed).shift;
+        let moved: Vec<FlowId> = (0..350).flat_map(tick).collect();
+        assert_eq!(
+            moved,
+            [expected.clone(), expected.iter().map(|id| id + 1).collect()].concat(),
+            "{news:?}"
+        );
     }
     // Guards against moving clients twice where servers that drain send them away themselves.
-    let mut policy = balancer(Repeat::Repeatable).warning(true);
+    let mut policy = balancer(Repeat::Repeatable).told(false, true);
     policy.list(0, &[ready(1), ready(2)], true);
     (1..4).for_each(|id| policy.inherit(&flow(0, id), 1));
     policy.list(SEC, &[drains(1)], false);
@@ -265,7 +266,7 @@
             .connects(3, 4 * MS, false, true)
             .among(balancers as f64, false)
             .cold(0.35, 8 * SEC, 3.0)
-            .warning(true);
+            .told(false, true);
         policy.list(T0, &(0..40).map(ready).collect::<Vec<_>>(), true);
         (0..2).for_each(|id| policy.inherit(&flow(T0, id), (2 * seed + id) % 40));
         (0..40).for_each(|rs| drop(probe(&mut policy, T0, rs, beta)));
@@ -277,14 +278,16 @@
 fn a_fleet_told_at_once_of_a_drain_does_not_move_all_at_once() {
     // Guards against 300 balancers that moved 204 clients within the second in which each was first due.
     let at = |n| Listed { state: State::Draining, ..ready(n) };
-    let mut due = [0; 3];
+    let mut seconds = [0; 9];
     for mut policy in fleet(60, 0.3) {
         policy.list(T0, &(0..40).map(at).chain([ready(40)]).collect::<Vec<_>>(), false);
-        let moved = |now| policy.after(now, Outcome::Elapsed).shift.len();
-        let moved: Vec<usize> = [T0 + 2 * SEC, T0 + 3 * SEC, T0 + 4 * SEC].into_iter().map(moved).collect();
-        due.iter_mut().zip(moved).for_each(|(due, moved)| *due += moved);
+        for now in (0..9 * SEC).step_by((60 * MS) as usize) {
+            seconds[(now / SEC) as usize] += policy.after(T0 + now, Outcome::Elapsed).shift.len();
+        }
     }
-    assert!(due[0] < 12 && (30..90).contains(&due[1]) && due[2] >= 30, "{due:?}");
+    // Two each, from 2 s after the news until a replacement is warm, at 8 s.
+    assert_eq!((seconds[..2].iter().sum::<usize>(), seconds.iter().sum()), (0, 120), "{seconds:?}");
+    assert!(seconds.iter().all(|moved| *moved < 40), "{seconds:?}");
 }
 
 #[test]
@@ -491,7 +494,7 @@
 
 #[test]
 fn probes_and_lists_are_asked_for_when_due() {
-    let mut policy = balancer(Repeat::Repeatable).asking(true);
+    let mut policy = balancer(Repeat::Repeatable).told(true, false);
     assert!(policy.after(T0, Outcome::Elapsed).ask_list);
     assert_eq!(policy.wait(T0), None);
     policy.list_failed(T0);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -74,8 +74,7 @@
             .customers(self.shares()?, self.number_or("surplus-value", 1.0)?)
             .come_back(come_back)
             .probing(self.flag(&limits("probes"))?, self.number_or("costs/probe", 0.0)?)
-            .warning(warn)
-            .asking(self.text("discovery")? == "ask")
+            .told(self.text("discovery")? == "ask", warn)
             .cold(
                 self.number(&contract("start-capacity"))?,
                 self.time(&contract("warm-up"))?,
