Number servers by instanceId, so that all balancers agree on a group's order

Cause, read in desk.rs (Names::number): numbers went by order of arrival, and rank() of a group's servers is drawn from them; a balancer that starts from a list told in another order sends a group's connections elsewhere, and each server that holds any pays for it. Now FNV-1a of the name, the next free number on a collision; the test has two orders of arrival and a taken number.

--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -25,7 +25,7 @@
     inherited: Option<(Flow, Rs)>,
 }
 
-/// Names of the wire and the numbers that the module has for them, in order of arrival.
+/// Names of the wire and the numbers that the module has for them.
 #[derive(Default)]
 struct Names(HashMap<String, u64>);
 
@@ -38,10 +38,27 @@
         self.0.get(name).copied()
     }
 
+    /// In order of arrival, for names whose numbers mean nothing to other balancers.
     fn number(&mut self, name: &str) -> u64 {
         let next = self.0.len() as u64;
         *self.0.entry(name.to_string()).or_insert(next)
     }
+
+    /// Worked out from the name. Guards against balancers that were told of the same servers in another order, after a
+    /// restart above all, and so send a group's connections to other servers than the rest do.
+    fn lasting(&mut self, name: &str) -> u64 {
+        if let Some(known) = self.known(name) {
+            return known;
+        }
+        // FNV-1a, as RFC 9923 gives it.
+        let hash = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
+        let mut number = name.bytes().fold(0xcbf2_9ce4_8422_2325, hash);
+        while self.0.values().any(|taken| *taken == number) {
+            number = number.wrapping_add(1);
+        }
+        self.0.insert(name.to_string(), number);
+        number
+    }
 }
 
 /// Time that is left after the last answer for what is still to be moved: SIGKILL comes 0.7 s after it at the
@@ -164,7 +181,7 @@
                 self.acts(now, |hand, acts| hand.take(now, flow, who, acts));
             }
             Ask::Inherit { flow, at, mail } => {
-                let rs = self.ids.number(&at);
+                let rs = self.ids.lasting(&at);
                 let server = self.servers.get(&rs);
                 let order = server.map_or(Order::Abort, |server| {
                     Order::Connect(Target { rs, number: 0, server: server.clone(), until: flow.give_up })
@@ -228,7 +245,7 @@
         let mut listed = Vec::new();
         let mut told = Vec::new();
         for entry in entries {
-            let rs = self.ids.number(&entry.name);
+            let rs = self.ids.lasting(&entry.name);
             told.push(rs);
             listed.push(Listed {
                 rs,
@@ -364,3 +381,22 @@
         passed >= self.given.last_answer + EXIT || passed >= move_until && self.clients.is_empty()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_server_has_the_same_number_whatever_was_told_before_it() {
+        let names = ["s-5be2a07c", "s-023359c9", "s-02bf5bf7", ""];
+        let (mut one, mut other) = (Names::default(), Names::default());
+        let numbers = names.map(|name| one.lasting(name));
+        let reversed: Vec<u64> = names.iter().rev().map(|name| other.lasting(name)).rev().collect();
+        assert_eq!(numbers.as_slice(), reversed);
+        assert_eq!(names.map(|name| one.lasting(name)), numbers);
+        assert_eq!(one.lasting("a"), 0xaf63_dc4c_8601_ec8c, "the published value");
+        // Two names with one number stay two servers.
+        let mut taken = Names(HashMap::from([("another".to_string(), numbers[0])]));
+        assert_eq!(taken.lasting(names[0]), numbers[0] + 1);
+    }
+}
