Let cold servers have four times what fills one over the stated warm-up

Cause: the stated warm-up is the longest that there may be, and what we hold at the mean load tells a full server low when all are busy. A mean load under 0.25 is taken for 0.25, lest an idle fleet allows any number.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -68,8 +68,9 @@
 const RATE_SPAN: Time = 20 * SEC;
 /// Connects that were made together fail together: the window narrows once in this span.
 const ROUND: Time = 250 * MS;
-/// A mean load under this doesn't tell what a full server holds.
-const SCANT: f64 = 0.1;
+/// A cold server takes so many times what fills it over the stated warm-up, the longest that there may be: it
+/// fell over at 105 connects in 3 s on sockets, and gets 25 by this.
+const FILLS: f64 = 4.0;
 /// Connects in flight at once that trouble nobody; where the window starts.
 const CALM: f64 = 8.0;
 /// One connect in sixteen rounds, 4 s, still notices recovery well before clients have given up for good.
@@ -237,7 +238,7 @@
     next_ask: Option<Time>,
     /// When the next server is due for a probe.
     next_probe: Option<Time>,
-    /// The rule on cold servers: their share at the start, when they are warm, how many times it they may get.
+    /// Cold servers: their share at the start, when they are warm, how many times that they may get.
     cold: (f64, Time, f64),
     /// When the last of the servers is warm.
     cold_until: Time,
@@ -391,9 +392,8 @@
         }
         let book = &self.book;
         self.servers.retain(|rs, server| server.listed.state != State::Gone || book.at(*rs) > 0.0);
-        if self.leaving.is_none() && !self.drained(now).is_empty() {
-            self.leaving = Some(now + LEAVE);
-        }
+        let drains = !self.drained(now).is_empty();
+        self.leaving = self.leaving.or(drains.then_some(now + LEAVE));
         self.next_probe = self.due(now);
     }
 
@@ -746,7 +746,7 @@
         (left >= 1.0).then(|| self.heard(now, Holds { group, rs })).map(|()| Holds { group, rs })
     }
 
-    /// Whether the flow brings our connections' value for its load; a customer over its share only the surplus.
+    /// Whether the flow brings the value for its load that ours do; a customer over its share only the surplus.
     fn worthy(&self, flow: &Flow) -> bool {
         let (mut load, mut value) = (0.0, 0.0);
         for (service_type, (count, sum)) in &self.book.told {
@@ -824,9 +824,9 @@
         if warm { 1.0 } else { start + (1.0 - start) * age as f64 / warm_up as f64 }
     }
 
-    /// For each kind of machine what a warm server takes of ours, in connects a nanosecond: half of what it lately
-    /// established, not of what is sent, which would rise in a storm, or what fills one over the warm-up, as
-    /// each of hundreds establishes too few. Not by cold servers: many new ones would thin it out.
+    /// For each kind of machine what a warm server takes of ours, in connects a nanosecond: half of what it
+    /// lately established, not of what is sent, which would rise in a storm, or what fills one, as each of
+    /// hundreds establishes too few. Not by cold servers: many new ones would thin it out.
     fn pace(&self, now: Time) -> BTreeMap<u64, f64> {
         let span = now.saturating_sub(self.began.unwrap_or(now)).clamp(SEC, RATE_SPAN);
         let mut kinds: BTreeMap<u64, (f64, f64, f64)> = BTreeMap::new();
@@ -841,8 +841,8 @@
         for (at, machine) in &self.settled {
             kinds.entry(*machine).or_default().2 += if at + span >= now { 0.5 / span as f64 } else { 0.0 };
         }
-        let load = if count > 0.0 { (sum / count).clamp(SCANT, 1.0) } else { 1.0 };
-        let (out, time) = (self.book.out.len() as f64, self.cold.1.max(SEC) as f64);
+        let load = if count > 0.0 { (sum / count).clamp(0.25, 1.0) } else { 1.0 };
+        let (out, time) = (self.book.out.len() as f64, self.cold.1.max(SEC) as f64 / FILLS);
         let each =
             |(warm, held, settled): (f64, f64, f64)| settled.max((held - out) / load / time) / warm.max(1.0);
         kinds.into_iter().map(|(machine, kind)| (machine, each(kind))).collect()
@@ -871,9 +871,9 @@
         Some(first)
     }
 
-    /// The next own connection to move off each server that drains, and how likely it is to go now: evenly while
-    /// its replacement warms up and there is room elsewhere. Guards against clients whose server goes without a
-    /// word, and hundreds of balancers that move theirs at once. One that is gone keeps its: listed wrongly.
+    /// The next own connection to move off each server that drains, and how likely it goes now: evenly while a
+    /// replacement warms up, if there is room. Guards against clients whose server goes without a word, and
+    /// hundreds of balancers that move theirs at once. One that is gone keeps its: it was listed wrongly.
     fn drained(&self, now: Time) -> Vec<(FlowId, f64)> {
         let cool = |server: &Server| self.beta(now, server).is_none_or(|beta| beta < NEW);
         let room = self.servers.values().any(|server| server.listed.state == State::Ready && cool(server));
