--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -392,7 +392,7 @@
     for (balancers, first) in [(1.0, 8), (75.0, 8), (300.0, 2), (1000.0, 1)] {
         let mut policy = balancer(Repeat::Repeatable).among(balancers, false);
         policy.list(T0, &(0..9).map(ready).collect::<Vec<_>>(), true);
-        let mut latest = |policy: &mut Policy| {
+        let latest = |policy: &mut Policy| {
             let late = |id| Flow { taken: T0 - SEC, ..flow(T0, id) };
             let told = (100..200).filter_map(|id| match policy.place(T0, &late(id)) {
                 Place::Reject(told) => told,
@@ -408,7 +408,8 @@
             (1..20).for_each(|id| {
                 drop(policy.after(T0, Outcome::Ended { flow: id, rs: 0, end: End::Done, owed: None }))
             });
-            (0..first as u64 / 2).for_each(|id| drop(policy.place(T0, &flow(T0, 50 + id))));
+            (0..first as u64 / 2)
+                .for_each(|id| assert!(matches!(policy.place(T0, &flow(T0, 50 + id)), Place::To(..))));
             assert!(latest(&mut policy).is_some_and(|told| (SEC..=2 * SEC).contains(&told)), "{balancers}");
         }
     }
