Count a drain from its news also where a whole list tells of it

Cause, read in list(): a whole list first marks all servers gone, so that one which now drains was not seen as having been ready, its drain counted from long ago, and all its clients moved within 60 ms: where discovery has moved (roll+mass) at all balancers.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -102,6 +102,7 @@
     asked: Time,
     answered: Time,
     shed: Option<Time>,
+    /// When it was last listed as ready, as of the news that it isn't.
     drains: Time,
     /// Connects that the cold budget allows now, as of the time beside it.
     credit: (f64, Time),
@@ -288,6 +289,7 @@
 }
 
 impl Policy {
+    /// A balancer that knows no servers yet.
     pub fn new(seed: u64, hall: u64, service_types: Vec<ServiceType>) -> Self {
         Policy {
             rng: Dice(WyRand::new_seed(seed)),
@@ -363,10 +365,10 @@
 
     /// News of the list: changed entries, or all of them.
     pub fn list(&mut self, now: Time, entries: &[Listed], whole: bool) {
-        if whole {
-            for server in self.servers.values_mut() {
-                server.listed.state = State::Gone;
-            }
+        for server in self.servers.values_mut() {
+            // Also where a whole list tells of the drain.
+            server.drains = if server.listed.state == State::Ready { now } else { server.drains };
+            server.listed.state = if whole { State::Gone } else { server.listed.state };
         }
         for entry in entries {
             if entry.started > 0 {
@@ -383,10 +385,7 @@
                 ..Server::default()
             };
             match self.servers.get_mut(&entry.rs) {
-                Some(known) if known.listed.started == entry.started => {
-                    known.drains = if known.listed.state == State::Ready { now } else { known.drains };
-                    known.listed = *entry;
-                }
+                Some(known) if known.listed.started == entry.started => known.listed = *entry,
                 // A restart under the same id: nothing measured holds any more.
                 _ => drop(self.servers.insert(entry.rs, fresh)),
             }
@@ -408,6 +407,7 @@
         self.book.enter(0, flow, rs, true);
     }
 
+    /// A connection's load now.
     pub fn told_load(&mut self, flow: FlowId, load: f64) {
         if load.is_finite() && load >= 0.0 {
             self.book.told(flow, load);
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -278,16 +278,19 @@
 fn a_fleet_told_at_once_of_a_drain_does_not_move_all_at_once() {
     // Guards against 300 balancers that moved 204 clients within the second in which each was first due.
     let at = |n| Listed { state: State::Draining, ..ready(n) };
-    let mut seconds = [0; 9];
-    for mut policy in fleet(60, 0.3) {
-        policy.list(T0, &(0..40).map(at).chain([ready(40)]).collect::<Vec<_>>(), false);
-        for now in (0..9 * SEC).step_by((60 * MS) as usize) {
-            seconds[(now / SEC) as usize] += policy.after(T0 + now, Outcome::Elapsed).shift.len();
+    // A whole list comes where discovery has moved.
+    for whole in [false, true] {
+        let (mut seconds, news) = ([0; 9], T0 + 9 * SEC);
+        for mut policy in fleet(60, 0.3) {
+            policy.list(news, &(0..40).map(at).chain([ready(40)]).collect::<Vec<_>>(), whole);
+            for now in (0..9 * SEC).step_by((60 * MS) as usize) {
+                seconds[(now / SEC) as usize] += policy.after(news + now, Outcome::Elapsed).shift.len();
+            }
         }
+        // Two each, from 2 s after the news until a replacement is warm, at 8 s.
+        assert_eq!((seconds[..2].iter().sum::<usize>(), seconds.iter().sum()), (0, 120), "{seconds:?}");
+        assert!(seconds.iter().all(|moved| *moved < 40), "{whole}: {seconds:?}");
     }
-    // Two each, from 2 s after the news until a replacement is warm, at 8 s.
-    assert_eq!((seconds[..2].iter().sum::<usize>(), seconds.iter().sum()), (0, 120), "{seconds:?}");
-    assert!(seconds.iter().all(|moved| *moved < 40), "{seconds:?}");
 }
 
 #[test]
