--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -241,6 +241,9 @@
         policy.after(SEC, Outcome::Elapsed);
         policy.list(SEC, &news, whole);
         assert_eq!(policy.after(3 * SEC - 1, Outcome::Elapsed).shift, [], "too early");
+        // Looked at while any of ours stands on a server that drains, for room may come back.
+        let drains = news.iter().any(|server| server.state == State::Draining);
+        assert_eq!(policy.wait(3 * SEC) == Some(0), drains, "{news:?}");
         // Each once, one after the other, by the time in which a replacement is warm.
         let tick = |tick: u64| policy.after(3 * SEC + tick * 60 * MS, Outcome::Elapsed).shift;
         let moved: Vec<FlowId> = (0..350).flat_map(tick).collect();
