Start also where the configuration has keys that we don't know

The process's only line: 'nettlemux: configuration key 'peer_listen': unknown; there are name, listen, discovery, seed, limits, known, settings'.

Cause: parse() in crates/balancer/src/config.rs refused each key that it doesn't know at the top and under limits. Where balancers may tell one another, the platform writes peer_listen, peers and peers_all.

Change: such keys are told in the log with the nearest known one, at the start and at SIGHUP, and passed over. The test starts the real program with such keys; without the change it fails with 'no PONG in time'.

--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -14,6 +14,7 @@
 use nettlemux_settings::Settings;
 use nettlemux_settings::operator::{self, Operator};
 use serde_json::Value;
+use tracing::warn;
 
 /// Where no limit is told. Many systems allow a process so many.
 const SOCKETS: u64 = 1024;
@@ -40,6 +41,8 @@
     pub settings: Settings,
     /// A connection that isn't made by then can't be made.
     pub dial_limit: Time,
+    /// Keys that nothing reads, each with the known one that is nearest.
+    pub unknown: Vec<Faulty>,
 }
 
 impl Config {
@@ -50,6 +53,13 @@
         Term { reports: self.settings.reports(), stats, dial_limit: self.dial_limit }
     }
 
+    /// Says in the log which keys nothing reads.
+    pub fn warn_of_unknown(&self) {
+        for Faulty { key, why } in &self.unknown {
+            warn!(key, why, "a key of the configuration that nothing reads");
+        }
+    }
+
     /// The keys under which another configuration says something else that is only read at the start. What `known`
     /// says is of the start by its nature.
     pub fn needing_a_restart(&self, new: &Config) -> Vec<&'static str> {
@@ -113,16 +123,15 @@
     if !value.is_object() {
         return Err(Faulty::new("(whole file)", "no object"));
     }
-    // Guards against a slip of the pen that silently costs a limit. What stands in `settings` is the platform's.
-    let check = |value: &Value, known: &[&str], path: &str| {
-        let names = value.as_object().into_iter().flatten().map(|(name, _)| name.as_str());
-        nettlemux_settings::known(names, known)
-            .map_err(|(key, why)| Faulty::new(&format!("{path}{key}"), why))
+    // Told, for a slip of the pen that costs a limit, but no fault: the platform writes this file and may say more in it
+    // than we know. Guards against a fleet that doesn't start since one key is new. `settings` are the platform's too.
+    let check = |value: Option<&Value>, known: &[&str], path: &str| -> Vec<Faulty> {
+        let names = value.and_then(Value::as_object).into_iter().flatten().map(|(name, _)| name.as_str());
+        let unknown = nettlemux_settings::unknown(names, known);
+        unknown.map(|(key, why)| Faulty::new(&format!("{path}{key}"), why)).collect()
     };
-    check(&value, &KEYS, "")?;
-    if let Some(limits) = value.get("limits") {
-        check(limits, &LIMITS, "limits.")?;
-    }
+    let mut unknown = check(Some(&value), &KEYS, "");
+    unknown.extend(check(value.get("limits"), &LIMITS, "limits."));
     let told = |key: &str, variable: &str| match value.get(key) {
         Some(Value::String(text)) => Ok(Some(text.clone())),
         Some(other) => Err(Faulty::new(key, format!("{other} is no text"))),
@@ -148,7 +157,10 @@
     let memory = limit("memory_mb", MEMORY_MB, LEAST_MEMORY_MB)?.saturating_mul(1 << 20);
     let known =
         value.get("known").map(discovery::news).transpose().map_err(|why| Faulty::new("known", why))?;
-    let settings = value.get("settings").ok_or_else(|| Faulty::new("settings", "missing"))?;
+    let settings = value.get("settings").ok_or_else(|| {
+        let others = unknown.iter().map(|other| format!("; '{}': {}", other.key, other.why));
+        Faulty::new("settings", format!("missing{}", others.collect::<String>()))
+    })?;
     let faulty = |e: nettlemux_settings::Malformed| {
         let key =
             if e.field == "settings" { e.field } else { format!("settings.{}", e.field.replace('/', ".")) };
@@ -167,5 +179,6 @@
         known,
         dial_limit: settings.time("limits/dial-timeout").map_err(faulty)?,
         settings,
+        unknown,
     })
 }
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -84,6 +84,7 @@
                 let operator = config::operator(operator_file.as_deref())?;
                 let level = log.unwrap_or(level(operator.log.level));
                 let _guard = log::start(level, format.unwrap_or(operator.log.format));
+                config.warn_of_unknown();
                 let signals = signals.map_err(|e| format!("can't listen for signals: {e}"))?;
                 serve(config, file, operator, operator_file, signals)
             })
@@ -91,6 +92,9 @@
         Command::Check { config, operator } => {
             config::load(config).map_err(|e| e.to_string()).and_then(|config| {
                 config::operator(operator.as_deref())?;
+                for unknown in &config.unknown {
+                    println!("{unknown}");
+                }
                 println!("{}: listens at {}, asks {}: good", config.name, config.listen, config.discovery);
                 Ok(())
             })
--- a/crates/balancer/src/signals.rs
+++ b/crates/balancer/src/signals.rs
@@ -86,6 +86,7 @@
             Ok(known) => known,
             Err(why) => return error!(%why, "not reloaded: nothing changes"),
         };
+        new.warn_of_unknown();
         if new.settings != self.in_file {
             // Before the front names what is new: the desk reads its mail in order.
             desk.send(Ask::Change(Box::new(merged.clone())));
--- a/crates/balancer/tests/sockets.rs
+++ b/crates/balancer/tests/sockets.rs
@@ -549,15 +549,37 @@
         ("single_shot", "sometimes", "'settings.repeat'"),
         ("\"settings\"", "\"known\": {}, \"settings\"", "'known'"),
         ("\"settings\"", "\"setings\"", "'setings': unknown; is 'settings' meant?"),
-        // Guards against a limit that a slip of the pen lets go of in silence.
+    ] {
+        let (good, text) = check(&EXAMPLE.replacen(from, to, 1));
+        assert!(!good && text.contains(key) && !text.contains("panicked"), "{key}: {text}");
+    }
+    // Guards against a limit that a slip of the pen lets go of in silence, and a fleet that doesn't start since the
+    // platform says more than we know.
+    for (from, to, key) in [
         ("\"limits\"", "\"limts\"", "'limts': unknown; is 'limits' meant?"),
         ("\"sockets\"", "\"socket\"", "'limits.socket': unknown; is 'sockets' meant?"),
+        ("\"limits\"", "\"peer_listen\": \"127.0.0.1:7200\", \"limits\"", "'peer_listen': unknown"),
     ] {
         let (good, text) = check(&EXAMPLE.replacen(from, to, 1));
-        assert!(!good && text.contains(key) && !text.contains("panicked"), "{key}: {text}");
+        assert!(good && text.contains(key), "{key}: {text}");
     }
 }
 
+/// Guards against a start that is refused since the configuration says more than we know, here as on a deployment whose
+/// balancers may tell one another; and against a reload that is.
+#[test]
+fn keys_that_nothing_reads_are_no_reason_not_to_serve() {
+    let more =
+        "\"peer_listen\": \"127.0.0.1:7200\", \"more\": {\"a\": [1, null]}, \"limits\": {\"threads\": 4, ";
+    let stand = Stand::with(1, |config| config.replacen("\"limits\": {", more, 1));
+    let (other, toy) = (Agent::start("127.0.0.1:0").unwrap(), Toy::start("127.0.0.1:0").unwrap());
+    other.tell("s-other", toy.address, "Ready");
+    let moved = stand.config.replace(&stand.agent.address.to_string(), &other.address.to_string());
+    std::fs::write(&stand.file, moved).unwrap();
+    stand.signal("-HUP");
+    soon("the other agent's list", || stand.client("c=chat,d=900").says("UP 1") && !toy.seen().is_empty());
+}
+
 #[test]
 fn the_operators_file_is_read_and_the_log_comes_as_objects() {
     let name = |kind| std::env::temp_dir().join(format!("nettlemux-operator-{}-{kind}", std::process::id()));
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -8,14 +8,23 @@
     (far(near) <= (name.chars().count() / 3).max(2)).then_some(near)
 }
 
-/// Passes if each name is known; else says which one isn't, and what it may have been meant to be.
+/// Each name that isn't known, and what it may have been meant to be.
+pub fn unknown<'a>(
+    names: impl IntoIterator<Item = &'a str>,
+    known: &[&str],
+) -> impl Iterator<Item = (String, String)> {
+    names.into_iter().filter(|name| !known.contains(name)).map(|name| {
+        let why = match nearest(name, known.iter().copied()) {
+            Some(near) => format!("unknown; is '{near}' meant?"),
+            None => format!("unknown; there are {}", known.join(", ")),
+        };
+        (name.to_string(), why)
+    })
+}
+
+/// Passes if each name is known; else says which one isn't.
 pub fn known<'a>(names: impl IntoIterator<Item = &'a str>, known: &[&str]) -> Result<(), (String, String)> {
-    let Some(unknown) = names.into_iter().find(|name| !known.contains(name)) else { return Ok(()) };
-    let why = match nearest(unknown, known.iter().copied()) {
-        Some(near) => format!("unknown; is '{near}' meant?"),
-        None => format!("unknown; there are {}", known.join(", ")),
-    };
-    Err((unknown.to_string(), why))
+    unknown(names, known).next().map_or(Ok(()), Err)
 }
 
 #[cfg(test)]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,7 +9,7 @@
 use nettlemux_policy::{Policy, Repeat, Report, Scope, ServiceType, Time};
 use serde_json::Value;
 
-pub use crate::keys::{known, nearest};
+pub use crate::keys::{known, nearest, unknown};
 
 const US: Time = 1_000;
 
