Give settings that are left out the meaning that harms nobody

Change: what nothing is said of is not allowed (probes, second copies, calling off, times to come back), what has no limit takes as long as the flow; without fall-multiple there is no rule on cold servers; without repeat a service type is once-only. No span is longer than a year, so that no sum of times runs over. accounts that are no list were taken for none and are now named, like all that can't be read.

--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -118,11 +118,11 @@
 
 /// Checks a configuration; what it doesn't tell is taken from the environment, else a default.
 pub fn parse(text: &str, environment: impl Fn(&str) -> Option<String>) -> Result<Config, Faulty> {
-    let value: Value =
+    let mut value: Value =
         serde_json::from_str(text).map_err(|e| Faulty::new("(whole file)", format!("no JSON: {e}")))?;
-    if !value.is_object() {
-        return Err(Faulty::new("(whole file)", "no object"));
-    }
+    // What is `null` is missing.
+    let keys = value.as_object_mut().ok_or_else(|| Faulty::new("(whole file)", "no object"))?;
+    keys.retain(|_, value| !value.is_null());
     // Told, for a slip of the pen that costs a limit, but no fault: the platform writes this file and may say more in it
     // than we know. Guards against a fleet that doesn't start since one key is new. `settings` are the platform's too.
     let check = |value: Option<&Value>, known: &[&str], path: &str| -> Vec<Faulty> {
@@ -177,7 +177,7 @@
         sockets,
         memory,
         known,
-        dial_limit: settings.time("limits/dial-timeout").map_err(faulty)?,
+        dial_limit: settings.dial_limit().map_err(faulty)?,
         settings,
         unknown,
     })
--- /dev/null
+++ b/crates/balancer/tests/common/mod.rs
@@ -0,0 +1,139 @@
+//! What the tests of the real program share: it is started between toy servers, a toy discovery agent and clients, all on
+//! loopback. Each wait is bounded.
+
+#![allow(dead_code)]
+
+#[path = "../../../../examples/toy.rs"]
+pub mod toy;
+
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use toy::{Agent, Toy};
+
+pub const EXAMPLE: &str = include_str!("../../../../examples/balancer.json");
+
+/// A balancer with its servers. It is killed when dropped.
+pub struct Stand {
+    pub child: Child,
+    pub at: SocketAddr,
+    pub agent: Arc<Agent>,
+    pub toys: Vec<Arc<Toy>>,
+    pub file: std::path::PathBuf,
+    pub config: String,
+}
+
+impl Stand {
+    pub fn new(servers: usize) -> Self {
+        Stand::with(servers, |config| config)
+    }
+
+    pub fn with(servers: usize, change: impl Fn(String) -> String) -> Self {
+        let agent = Agent::start("127.0.0.1:0").unwrap();
+        let toys: Vec<Arc<Toy>> = (0..servers).map(|_| Toy::start("127.0.0.1:0").unwrap()).collect();
+        for (i, toy) in toys.iter().enumerate() {
+            agent.tell(&format!("s-{i}"), toy.address, "Ready");
+        }
+        let at = own_address();
+        let config = EXAMPLE.replace("127.0.0.1:7000", &at.to_string());
+        let config = change(config.replace("127.0.0.1:7100", &agent.address.to_string()));
+        let file = std::env::temp_dir().join(format!("nettlemux-{}-{}.json", std::process::id(), at.ip()));
+        std::fs::write(&file, &config).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
+        command.args(["serve", "--log", "debug", "--config"]).arg(&file).stderr(Stdio::null());
+        let stand = Stand { child: command.spawn().unwrap(), at, agent, toys, file, config };
+        // Ready once it answers, and has had its list.
+        soon("PONG", || TcpStream::connect(at).is_ok());
+        soon("a list", || Client::open(at, "c=chat,d=1000").says("UP 1"));
+        stand
+    }
+
+    pub fn client(&self, values: &str) -> Client {
+        Client::open(self.at, values)
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+    }
+
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+}
+
+impl Drop for Stand {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// An address that nothing else has. Guards against a port that was free a moment ago and is then given to a client's
+/// end of another test's connection.
+pub fn own_address() -> SocketAddr {
+    static STANDS: AtomicU64 = AtomicU64::new(0);
+    let number = STANDS.fetch_add(1, Ordering::Relaxed);
+    let run = 2 + std::process::id() % 250;
+    format!("127.{run}.{}.{}:7000", 1 + number / 250, 1 + number % 250).parse().unwrap()
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    pub lines: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn new(at: SocketAddr, text: &[u8]) -> Self {
+        let mut stream = TcpStream::connect(at).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(9))).unwrap();
+        stream.write_all(text).unwrap();
+        let lines = BufReader::new(stream.try_clone().unwrap());
+        Client { stream, lines }
+    }
+
+    pub fn open(at: SocketAddr, values: &str) -> Self {
+        // An id is new with every connection.
+        static IDS: AtomicU64 = AtomicU64::new(0x9b1f);
+        let id = IDS.fetch_add(1, Ordering::Relaxed);
+        Client::new(at, format!("OPEN {id:x} 7f3a {values}\r\n").as_bytes())
+    }
+
+    /// The next line; `end` at the end, `reset` after a reset, `nothing` if none comes.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        match self.lines.read_line(&mut line) {
+            Ok(0) => "end".into(),
+            Ok(_) => line.trim_end().into(),
+            Err(e) if e.kind() == io::ErrorKind::ConnectionReset => "reset".into(),
+            Err(_) => "nothing".into(),
+        }
+    }
+
+    pub fn says(&mut self, expected: &str) -> bool {
+        self.line() == expected
+    }
+
+    pub fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).unwrap();
+    }
+
+    pub fn echoes(&mut self, line: &str) {
+        self.send(&format!("{line}\r\n"));
+        assert_eq!(self.line(), format!("ok {line}"));
+    }
+}
+
+pub fn soon(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + Duration::from_secs(8);
+    while !holds() {
+        assert!(Instant::now() < until, "no {what} in time");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,12 +6,22 @@
 
 use std::fmt;
 
-use nettlemux_policy::{Policy, Repeat, Report, Scope, ServiceType, Time};
+use nettlemux_policy::{Policy, Repeat, Report, SEC, Scope, ServiceType, Time};
 use serde_json::Value;
 
 pub use crate::keys::{known, nearest, unknown};
 
 const US: Time = 1_000;
+/// Where a rule on cold servers says neither: colder and longer than any deployment's that was met (0.12, 24 s).
+const COLDEST: f64 = 0.1;
+const LONGEST_WARM_UP: Time = 30 * SEC;
+/// No span in the settings is longer, whatever they say: guards against sums of times that run over. A year is no flow's.
+const LONGEST: Time = 365 * 24 * 3600 * SEC;
+
+/// A span of so many microseconds.
+fn span(us: f64) -> Time {
+    ((us.max(0.0) * US as f64) as Time).min(LONGEST)
+}
 
 #[derive(Debug)]
 pub struct Malformed {
@@ -57,36 +67,52 @@
     /// whether clients are moved off a server that drains, as the operators want on sockets; the simulator counts
     /// a move as a cost and a break as nothing.
     pub fn policy(&self, seed: u64, margin: Time, warn: bool) -> Read<Policy> {
-        let limits = |name: &str| format!("limits/{name}");
-        let contract = |name: &str| format!("contract/{name}");
-        let come_back = match self.flag(&limits("retry-after"))? {
-            true => Some(self.time(&limits("max-retry-after"))?),
-            false => None,
+        // What nothing is said of is not allowed, and what is not limited may take as long as it does.
+        // Without a multiple at which cold servers fall there is no rule on them: all count as warm.
+        let (start, warm_up, multiple) = match self.maybe("contract/fall-multiple") {
+            Some(_) => (
+                self.number_or("contract/start-capacity", COLDEST)?,
+                self.time_or("contract/warm-up", LONGEST_WARM_UP)?,
+                self.number("contract/fall-multiple")?,
+            ),
+            None => (1.0, 0, 1.0),
         };
         Ok(Policy::new(seed, self.hall()?, self.service_types()?)
             .connects(
-                self.number(&limits("max-connects"))?.max(0.0) as usize,
+                self.number_or("limits/max-connects", 1.0)?.max(0.0) as usize,
                 margin,
-                self.flag(&limits("second-copies"))?,
-                self.flag(&limits("may-cancel"))?,
+                self.allowed("limits/second-copies")?,
+                self.allowed("limits/may-cancel")?,
             )
             .among(self.number_or("replicas-of-me", 1.0)?, self.may_tell()?)
             .customers(self.shares()?, self.number_or("surplus-value", 1.0)?)
-            .come_back(come_back)
-            .probing(self.flag(&limits("probes"))?, self.number_or("costs/probe", 0.0)?)
-            .told(self.text("discovery")? == "ask", warn)
-            .cold(
-                self.number(&contract("start-capacity"))?,
-                self.time(&contract("warm-up"))?,
-                self.number(&contract("fall-multiple"))?,
-            ))
+            .come_back(self.come_back()?)
+            .probing(self.allowed("limits/probes")?, self.number_or("costs/probe", 0.0)?)
+            .told(self.maybe("discovery").is_some() && self.text("discovery")? == "ask", warn)
+            .cold(start, warm_up, multiple))
+    }
+
+    /// Whether the settings allow that; not where nothing is said of it.
+    fn allowed(&self, path: &str) -> Read<bool> {
+        self.maybe(path).map_or(Ok(false), |_| self.flag(path))
+    }
+
+    /// The longest that clients are told to wait before they come back, where they may be told at all.
+    pub fn come_back(&self) -> Read<Option<Time>> {
+        let longest = self.time_or("limits/max-retry-after", SEC)?;
+        Ok(self.allowed("limits/retry-after")?.then_some(longest))
+    }
+
+    /// A connection that isn't made by then can't be made; without a limit it is waited for as long as the flow is.
+    pub fn dial_limit(&self) -> Read<Time> {
+        self.time_or("limits/dial-timeout", LONGEST)
     }
 
     /// The longest that clients of each service type wait, where the settings have a limit.
     pub fn longest_waits(&self) -> Vec<Option<Time>> {
         let list = self.maybe("service-types").and_then(Value::as_array);
         let limits = list.into_iter().flatten().map(|one| one.get("hard-limit").and_then(Value::as_f64));
-        limits.map(|us| us.map(|us| (us * US as f64) as Time)).collect()
+        limits.map(|us| us.map(span)).collect()
     }
 
     /// The longest that any client waits; without a limit in the settings, as long as a time can be.
@@ -96,7 +122,7 @@
 
     /// Whether balancers may tell one another anything; not where nothing is said of it.
     pub fn may_tell(&self) -> Read<bool> {
-        self.maybe("limits/may-tell").map_or(Ok(false), |_| self.flag("limits/may-tell"))
+        self.allowed("limits/may-tell")
     }
 
     /// These settings in a balancer that has run under others: what flows in hand refer to by its place keeps it. Service
@@ -138,7 +164,8 @@
     }
 
     fn hall(&self) -> Read<u64> {
-        Ok(self.number("zone")?.max(0.0) as u64)
+        // Where there are no halls all are one.
+        Ok(self.number_or("zone", 0.0)?.max(0.0) as u64)
     }
 
     /// How this deployment's load reports are read.
@@ -154,8 +181,9 @@
         list.into_iter().flatten().map(|one| name(one).unwrap_or_default()).collect()
     }
 
+    /// What stands there; `null` is nothing.
     pub fn maybe(&self, path: &str) -> Option<&Value> {
-        path.split('/').try_fold(&self.0, |value, key| value.get(key))
+        path.split('/').try_fold(&self.0, |value, key| value.get(key)).filter(|value| !value.is_null())
     }
 
     fn needed<T>(&self, path: &str, read: impl Fn(&Value) -> Option<T>) -> Read<T> {
@@ -172,12 +200,16 @@
         self.maybe(path).map_or(Ok(default), |_| self.number(path))
     }
 
+    fn time_or(&self, path: &str, default: Time) -> Read<Time> {
+        self.maybe(path).map_or(Ok(default), |_| self.time(path))
+    }
+
     pub fn flag(&self, path: &str) -> Read<bool> {
         self.needed(path, Value::as_bool)
     }
 
     pub fn time(&self, path: &str) -> Read<Time> {
-        Ok((self.number(path)?.max(0.0) * US as f64) as Time)
+        Ok(span(self.number(path)?))
     }
 
     pub fn text(&self, path: &str) -> Read<String> {
@@ -186,8 +218,10 @@
 
     /// Each customer's share; none where there are no customers.
     pub fn shares(&self) -> Read<Vec<f64>> {
-        let Some(Value::Array(list)) = self.maybe("accounts") else { return Ok(Vec::new()) };
-        list.iter().map(|one| Settings(one.clone()).number("fraction")).collect()
+        let none = Value::Array(Vec::new());
+        let list = self.maybe("accounts").unwrap_or(&none);
+        let list = list.as_array().ok_or_else(|| Malformed::new("accounts", "is no list"))?;
+        list.iter().map(|one| Settings(one.clone()).number_or("fraction", 1.0)).collect()
     }
 
     pub fn service_types(&self) -> Read<Vec<ServiceType>> {
@@ -196,21 +230,26 @@
     }
 
     fn service_type(self) -> Read<ServiceType> {
-        let repeat = match self.text("repeat")?.as_str() {
+        // What isn't said to be repeatable is not repeated; without a window, nothing is after it.
+        let word = |path, default: &str| self.maybe(path).map_or(Ok(default.into()), |_| self.text(path));
+        let repeat = match word("repeat", "single_shot")?.as_str() {
             "free" => Repeat::Repeatable,
             "single_shot" => Repeat::OnceOnly,
             "guarded" => {
-                let scope = match self.text("group")?.as_str() {
+                let scope = match word("group", "cell")?.as_str() {
                     "all" => Scope::All,
                     "zone" => Scope::Hall,
                     "cell" => Scope::Cell,
                     other => return Err(Malformed::new("group", format!("unknown scope '{other}'"))),
                 };
-                Repeat::Referenced(scope, self.time("window")?)
+                Repeat::Referenced(scope, self.time_or("window", 0)?)
             }
             other => return Err(Malformed::new("repeat", format!("unknown kind '{other}'"))),
         };
-        Ok(ServiceType { setup_target: self.time("setup-target")?, value: self.number("value")?, repeat })
+        // Without a target any answer in time will do.
+        let longest = self.time_or("hard-limit", LONGEST)?;
+        let (setup_target, value) = (self.time_or("setup-target", longest)?, self.number_or("value", 1.0)?);
+        Ok(ServiceType { setup_target, value, repeat })
     }
 }
 
