Refuse an answer of discovery that is nested deeper than 16 levels

Seen, in a test of our own: an answer of 100,000 brackets ended the debug build of the program, 'a_list... no too deep to read in time': the parser goes down 128 levels on a coroutine's 64 KB. A processor whose signal frames are larger, or a parser whose frames are, would end there too, so the depth is counted before the answer is parsed (discovery.rs, call()).

--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -29,6 +29,9 @@
 const APART: Duration = Duration::from_millis(20);
 /// An answer is no longer than this: guards against an endless one.
 const MOST: usize = 4 << 20;
+/// And nested no deeper; entries lie at the third level. Guards against a parser that follows it down past the end of a
+/// coroutine's stack, which ends the coroutine without a word: 128 levels, as far as the parser goes, are too many there.
+const DEEPEST: usize = 16;
 
 /// One answer: a version of the list, whole or what has changed since the last.
 #[derive(Debug, PartialEq)]
@@ -199,6 +202,9 @@
     let request = format!("GET {path} HTTP/1.1\r\nHost: {agent}\r\nAccept: application/json\r\n\r\n");
     line.write(request.as_bytes(), until)?;
     let (body, stays) = answer(&mut line, means, until)?;
+    if deeper(&body, DEEPEST) {
+        return Err(io::Error::new(ErrorKind::InvalidData, "the answer is nested too deep"));
+    }
     let value: Value = serde_json::from_slice(&body)?;
     let news = news(&value).map_err(io::Error::other)?;
     if stays {
@@ -207,6 +213,22 @@
     Ok(news)
 }
 
+/// Whether brackets outside of texts are nested deeper than that.
+fn deeper(json: &[u8], most: usize) -> bool {
+    let (mut depth, mut text, mut escaped) = (0_usize, false, false);
+    json.iter().any(|byte| {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' => escaped = text,
+            b'"' => text = !text,
+            b'[' | b'{' if !text => depth += 1,
+            b']' | b'}' if !text => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        depth > most
+    })
+}
+
 /// How the length of an answer's body is told.
 enum Length {
     Bytes(usize),
@@ -337,6 +359,12 @@
         }
     }
 
+    #[test]
+    fn depth_is_told_without_following_it() {
+        assert!(deeper(b"[[[", 2) && deeper(br#"{"a":"]]]\"","b":[{"c":1}]}"#, 2));
+        assert!(!deeper(br#"[[1],["[[[[\\"],[2]]"#, 2) && !deeper(b"]]][[", 2));
+    }
+
     #[test]
     fn heads() {
         assert!(head(b"HTTP/1.1 200 OK\r\nContent-Le").unwrap().is_none());
