Ask the module as without words where balancers have no way to tell them

Cause: serve() in crates/balancer/src/main.rs gave the module limits.may-tell as it stands, so that it went by holders that nobody tells of, had no home for a group it holds, and let a server hold eight more than its mean. Change: without [peers] the module is asked as where words are not allowed; also after SIGHUP. The module is untouched.

Test: words_that_have_no_way_are_no_words, [1, 0, 0, 11, 0, 0] without.

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -138,7 +138,11 @@
 ) -> Result<(), String> {
     // One core is all there is: one worker, free to run where the system puts it.
     may::config().set_workers(1).set_stack_size(STACK).set_worker_pin(false);
-    let settings = &config.settings;
+    let settings = match operator.peers {
+        Some(_) => config.settings.clone(),
+        None => config.settings.clone().without_words(),
+    };
+    let settings = &settings;
     let faulty = |e: nettlemux_settings::Malformed| format!("settings: {e}");
     let policy = settings.policy(config.seed, MARGIN, true).map_err(faulty)?;
     let shares = Shares::new(config.sockets, config.memory);
@@ -197,7 +201,7 @@
         }
         None => (None, None),
     };
-    signals::untold(settings, peers.is_some());
+    signals::untold(&config.settings, peers.is_some());
     let given = Given { seed: config.seed, margin: MARGIN, last_answer };
     let whole_desk = Desk::new(hand, asks, halls, machines, prober, words, given);
     let running = may::go!(move || whole_desk.run());
--- a/crates/balancer/src/signals.rs
+++ b/crates/balancer/src/signals.rs
@@ -95,7 +95,9 @@
         new.warn_of_unknown();
         if new.settings != self.in_file {
             // Before the front names what is new: the desk reads its mail in order.
-            desk.send(Ask::Change(Box::new(merged.clone())));
+            let settings = merged.clone();
+            let settings = if self.peers.is_some() { settings } else { settings.without_words() };
+            desk.send(Ask::Change(Box::new(settings)));
             self.terms.change(new.term());
             self.front.change(known);
             info!("other settings from now on");
--- a/crates/balancer/tests/starts.rs
+++ b/crates/balancer/tests/starts.rs
@@ -12,7 +12,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::toy::Agent;
+use common::toy::{Agent, Toy};
 use common::{Client, EXAMPLE, Stand, own_address, soon};
 use serde_json::{Value, json};
 
@@ -308,3 +308,20 @@
     assert!(child.wait().unwrap().success());
     let _ = std::fs::remove_file(file);
 }
+
+/// Guards against a module that goes by the others' words where the settings allow them and there is no way for any: it has to
+/// place as where they are not allowed, and so pass over a server that holds well over its mean of our connections.
+#[test]
+fn words_that_have_no_way_are_no_words() {
+    let stand = Stand::with(6, |config| {
+        changed(&config, &[("limits/may-tell", json!(true)), ("replicas-of-me", json!(300))])
+    });
+    let mut open: Vec<Client> = Vec::new();
+    for _ in 0..12 {
+        open.push(stand.client("c=chat,d=900,g=ours"));
+        assert_eq!(open.last_mut().unwrap().line(), "UP 1");
+    }
+    let of_group = |toy: &Arc<Toy>| toy.seen().iter().filter(|line| line.contains("g=ours")).count();
+    let held: Vec<usize> = stand.toys.iter().map(of_group).collect();
+    assert!(held.iter().all(|count| *count <= 6), "{held:?}");
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -125,6 +125,15 @@
         self.allowed("limits/may-tell")
     }
 
+    /// These settings where balancers have no way to tell one another anything, whatever they may: guards against a module
+    /// that waits for the others' words in place of going by what it holds itself.
+    pub fn without_words(mut self) -> Settings {
+        if self.maybe("limits/may-tell").is_some() {
+            self.0["limits"]["may-tell"] = false.into();
+        }
+        self
+    }
+
     /// These settings in a balancer that has run under others: what flows in hand refer to by its place keeps it. Service
     /// types and customers that are no longer named stay behind those that are, for what is left of them.
     ///
