--- a/crates/core/src/probe.rs
+++ b/crates/core/src/probe.rs
@@ -113,12 +113,11 @@
                 means.desk.send(Ask::Probed { rs, passed: false, report: Report::default() });
             }
         }
-        if open.is_none() {
-            return;
-        }
-        match asked.recv() {
-            Ok(next) => server = next,
-            Err(_) => return,
+        // One that was asked for meanwhile isn't left out where the connection doesn't stay open.
+        let next = if open.is_some() { asked.recv().ok() } else { asked.try_recv().ok() };
+        match next {
+            Some(next) => server = next,
+            None => return,
         }
     }
 }
