--- a/crates/lab/src/file.rs
+++ b/crates/lab/src/file.rs
@@ -131,7 +131,7 @@
         "replicas-of-me": scenario.balancers.number,
         "accounts": customers,
         "surplus-value": scenario.clients.surplus,
-        "costs": {"probe": 0.0},
+        "costs": {"probe": scenario.limits.probe_price},
         "contract": {"start-capacity": fleet.cold_share, "warm-up": us(fleet.warm_up),
             "fall-multiple": fleet.fall_multiple, "fall": us(fleet.fall),
             "stop-sending-within": us(limits.grace)},
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -248,6 +248,8 @@
     pub second_copies: bool,
     pub may_cancel: bool,
     pub probes: bool,
+    /// What a probe costs, of a flow's value; balancers that see few flows then probe less.
+    pub probe_price: f64,
     /// Longest time to come back that clients may be told, in seconds; 0: none is told.
     pub come_back: f64,
     /// Seconds after it was told of a drain in which a balancer may still send there.
@@ -261,6 +263,7 @@
             second_copies: false,
             may_cancel: true,
             probes: true,
+            probe_price: 0.0,
             come_back: 2.0,
             grace: 0.4,
         }
