--- a/crates/balancer/tests/starts.rs
+++ b/crates/balancer/tests/starts.rs
@@ -31,6 +31,21 @@
     value.to_string()
 }
 
+/// What may be missing at the top of the settings.
+const OPTIONAL: [&str; 11] = [
+    "zone",
+    "areas",
+    "models",
+    "discovery",
+    "weights",
+    "replicas-of-me",
+    "accounts",
+    "contract",
+    "limits",
+    "report",
+    "specifics",
+];
+
 /// Starts it with these settings, lets it serve a flow of each service type, and ends it.
 fn serves_and_ends(what: &str, changes: &[(&str, Value)]) {
     let mut stand = Stand::with(2, |config| changed(&config, changes));
@@ -48,19 +63,10 @@
 #[test]
 fn a_setting_may_be_missing_and_each_kind_may_stand_there() {
     let gone = |path: &'static str| (path.to_string(), vec![(path, Value::Null)]);
-    let mut cases: Vec<(String, Vec<(&str, Value)>)> = [
-        "zone",
-        "areas",
-        "models",
-        "discovery",
-        "weights",
-        "replicas-of-me",
-        "accounts",
-        "contract",
+    let inside = [
         "contract/start-capacity",
         "contract/warm-up",
         "contract/fall-multiple",
-        "limits",
         "limits/max-connects",
         "limits/second-copies",
         "limits/may-cancel",
@@ -68,17 +74,13 @@
         "limits/retry-after",
         "limits/max-retry-after",
         "limits/dial-timeout",
-        "report",
         "report/how",
-        "specifics",
         "specifics/groups",
         "service-types/0/setup-target",
         "service-types/0/value",
         "service-types/0/repeat",
-    ]
-    .into_iter()
-    .map(gone)
-    .collect();
+    ];
+    let mut cases: Vec<(String, Vec<(&str, Value)>)> = OPTIONAL.into_iter().chain(inside).map(gone).collect();
     let class = |repeat: &str, group: &str| json!({"name": "chat", "repeat": repeat, "group": group, "window": 500_000, "setup-target": 300_000, "value": 2.0, "hard-limit": 1_000_000});
     for (repeat, group) in [
         ("free", "all"),
@@ -103,24 +105,7 @@
                 ("service-types/0/hard-limit", json!(1e200)),
             ],
         ),
-        (
-            "nothing but service types".into(),
-            [
-                "zone",
-                "areas",
-                "models",
-                "discovery",
-                "weights",
-                "replicas-of-me",
-                "accounts",
-                "contract",
-                "limits",
-                "report",
-                "specifics",
-            ]
-            .map(|path| (path, Value::Null))
-            .to_vec(),
-        ),
+        ("nothing but service types".into(), OPTIONAL.map(|path| (path, Value::Null)).to_vec()),
     ]);
     let cases: Vec<_> = cases
         .into_iter()
