Keep what should never end in a file of its own; write two choices once

No behaviour changes. keep_up stood in chain.rs, which owns the order of the stages and nothing else; it is parts.rs now. Whether words count was decided in main.rs and again in signals.rs: Settings::with_words. That a default stands in for what is missing was written five times: Settings::or.

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -13,11 +13,11 @@
 use std::sync::atomic::AtomicU64;
 
 use bpaf::{Parser, construct, long, pure};
-use nettlemux_core::chain;
 use nettlemux_core::desk::{Desk, Given, LAST_ANSWER};
 use nettlemux_core::discovery::{self, Agent};
 use nettlemux_core::mail::Mailbox;
 use nettlemux_core::orders::Ask;
+use nettlemux_core::parts;
 use nettlemux_core::peers::Peers;
 use nettlemux_core::pool::{Buffers, Shares};
 use nettlemux_core::probe::{self, Prober};
@@ -138,11 +138,7 @@
 ) -> Result<(), String> {
     // One core is all there is: one worker, free to run where the system puts it.
     may::config().set_workers(1).set_stack_size(STACK).set_worker_pin(false);
-    let settings = match operator.peers {
-        Some(_) => config.settings.clone(),
-        None => config.settings.clone().without_words(),
-    };
-    let settings = &settings;
+    let settings = &config.settings.clone().with_words(operator.peers.is_some());
     let faulty = |e: nettlemux_settings::Malformed| format!("settings: {e}");
     let policy = settings.policy(config.seed, MARGIN, true).map_err(faulty)?;
     let shares = Shares::new(config.sockets, config.memory);
@@ -221,8 +217,8 @@
         .map_err(|e| format!("can't listen for signals: {e}"))?;
     let means = discovery::Means { agent, descriptors, buffers };
     let told = desk.clone();
-    may::go!(move || chain::keep_up("discovery", &told, || discovery::watch(version, &means, &told)));
-    may::go!(move || chain::keep_up("the listener", &desk, || take_in::accept(&front, &listener)));
+    may::go!(move || parts::keep_up("discovery", &told, || discovery::watch(version, &means, &told)));
+    may::go!(move || parts::keep_up("the listener", &desk, || take_in::accept(&front, &listener)));
     let ended = running.join().unwrap_or(Err("the desk"));
     ended.map(|()| info!("ended")).map_err(|part| {
         error!(part, "a part has failed for good");
--- a/crates/balancer/src/signals.rs
+++ b/crates/balancer/src/signals.rs
@@ -95,9 +95,7 @@
         new.warn_of_unknown();
         if new.settings != self.in_file {
             // Before the front names what is new: the desk reads its mail in order.
-            let settings = merged.clone();
-            let settings = if self.peers.is_some() { settings } else { settings.without_words() };
-            desk.send(Ask::Change(Box::new(settings)));
+            desk.send(Ask::Change(Box::new(merged.clone().with_words(self.peers.is_some()))));
             self.terms.change(new.term());
             self.front.change(known);
             info!("other settings from now on");
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod mail;
 pub mod net;
 pub mod orders;
+pub mod parts;
 pub mod peers;
 pub mod pool;
 pub mod probe;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -88,13 +88,13 @@
             .customers(self.shares()?, self.number_or("surplus-value", 1.0)?)
             .come_back(self.come_back()?)
             .probing(self.allowed("limits/probes")?, self.number_or("costs/probe", 0.0)?)
-            .told(self.maybe("discovery").is_some() && self.text("discovery")? == "ask", warn)
+            .told(self.or("discovery", "push".into(), Settings::text)? == "ask", warn)
             .cold(start, warm_up, multiple))
     }
 
     /// Whether the settings allow that; not where nothing is said of it.
     fn allowed(&self, path: &str) -> Read<bool> {
-        self.maybe(path).map_or(Ok(false), |_| self.flag(path))
+        self.or(path, false, Settings::flag)
     }
 
     /// The longest that clients are told to wait before they come back, where they may be told at all.
@@ -125,10 +125,10 @@
         self.allowed("limits/may-tell")
     }
 
-    /// These settings where balancers have no way to tell one another anything, whatever they may: guards against a module
-    /// that waits for the others' words in place of going by what it holds itself.
-    pub fn without_words(mut self) -> Settings {
-        if self.maybe("limits/may-tell").is_some() {
+    /// These settings where balancers have a way to tell one another what they may, or none: guards against a module that
+    /// waits for the others' words in place of going by what it holds itself.
+    pub fn with_words(mut self, way: bool) -> Settings {
+        if !way && self.maybe("limits/may-tell").is_some() {
             self.0["limits"]["may-tell"] = false.into();
         }
         self
@@ -205,12 +205,16 @@
     }
 
     /// A default stands in for what is missing, not for what can't be read.
+    fn or<T>(&self, path: &str, default: T, read: impl Fn(&Self, &str) -> Read<T>) -> Read<T> {
+        self.maybe(path).map_or(Ok(default), |_| read(self, path))
+    }
+
     fn number_or(&self, path: &str, default: f64) -> Read<f64> {
-        self.maybe(path).map_or(Ok(default), |_| self.number(path))
+        self.or(path, default, Settings::number)
     }
 
     fn time_or(&self, path: &str, default: Time) -> Read<Time> {
-        self.maybe(path).map_or(Ok(default), |_| self.time(path))
+        self.or(path, default, Settings::time)
     }
 
     pub fn flag(&self, path: &str) -> Read<bool> {
@@ -240,7 +244,7 @@
 
     fn service_type(self) -> Read<ServiceType> {
         // What isn't said to be repeatable is not repeated; without a window, nothing is after it.
-        let word = |path, default: &str| self.maybe(path).map_or(Ok(default.into()), |_| self.text(path));
+        let word = |path, default: &str| self.or(path, default.into(), Settings::text);
         let repeat = match word("repeat", "single_shot")?.as_str() {
             "free" => Repeat::Repeatable,
             "single_shot" => Repeat::OnceOnly,
