Send nothing on for a client that has left before its line is written

A client that leaves while its server is dialled was sent on a second later, once the connection came up, where the settings allow no cancelling (crossings.rs, server with a full queue: "OPEN 9b60 7f3a c=chat,d=3459" after the client's end, reset, half close and after more bytes). A client whose end came in one with its line was waited for up to its setup target and answered `BUSY 563` 4.3 s later, as the end rang no bell of its own (program stopped by SIGSTOP while line and end come).

Lines at fault: send.rs, the dial's wait and the partial write went on while `client.gone`, and nothing looked at the client before the first write; route.rs, `order` looked only when rung.

Checked: where cancelling is allowed the module's CallOff had closed the dial in time; the "half" case and "reset" fail alike without the guard.

A connect whose last byte isn't written has not been sent: it is closed and told as NotSent, never ran. Once the line is out the module says as before whether it is called off.

--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -14,10 +14,26 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
 use toy::{Agent, Toy};
 
 pub const EXAMPLE: &str = include_str!("../../../../examples/balancer.json");
 
+/// The example's settings with some of them changed: each path as `a/b/0`, and what stands there then; `null` takes it out.
+pub fn changed(config: &str, changes: &[(&str, Value)]) -> String {
+    let mut value: Value = serde_json::from_str(config).unwrap();
+    for (path, new) in changes {
+        let (inside, key) =
+            path.rsplit_once('/').map_or((String::new(), *path), |(a, b)| (format!("/{a}"), b));
+        match value["settings"].pointer_mut(&inside).unwrap() {
+            Value::Array(list) => list[key.parse::<usize>().unwrap()] = new.clone(),
+            parent if new.is_null() => drop(parent.as_object_mut().unwrap().remove(key)),
+            parent => parent[key] = new.clone(),
+        }
+    }
+    value.to_string()
+}
+
 /// A balancer with its servers. It is killed when dropped.
 pub struct Stand {
     pub child: Child,
--- a/crates/balancer/tests/starts.rs
+++ b/crates/balancer/tests/starts.rs
@@ -13,24 +13,9 @@
 use std::time::{Duration, Instant};
 
 use common::toy::{Agent, Toy};
-use common::{Client, EXAMPLE, Stand, own_address, soon};
+use common::{Client, EXAMPLE, Stand, changed, own_address, soon};
 use serde_json::{Value, json};
 
-/// The example's settings with some of them changed: each path as `a/b/0`, and what stands there then; `null` takes it out.
-fn changed(config: &str, changes: &[(&str, Value)]) -> String {
-    let mut value: Value = serde_json::from_str(config).unwrap();
-    for (path, new) in changes {
-        let (inside, key) =
-            path.rsplit_once('/').map_or((String::new(), *path), |(a, b)| (format!("/{a}"), b));
-        match value["settings"].pointer_mut(&inside).unwrap() {
-            Value::Array(list) => list[key.parse::<usize>().unwrap()] = new.clone(),
-            parent if new.is_null() => drop(parent.as_object_mut().unwrap().remove(key)),
-            parent => parent[key] = new.clone(),
-        }
-    }
-    value.to_string()
-}
-
 /// What may be missing at the top of the settings.
 const OPTIONAL: [&str; 11] = [
     "zone",
--- a/crates/core/src/chain.rs
+++ b/crates/core/src/chain.rs
@@ -43,8 +43,8 @@
                 true => {}
                 false => return book.abort(),
             },
-            Sent::Left => {
-                called_off(&book, &target);
+            Sent::Left { unsent } => {
+                called_off(&book, &target, unsent);
                 return book.left();
             }
         }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -52,6 +52,10 @@
 }
 
 pub fn order(book: &mut Book) -> Next {
+    // Guards against a client whose end has come in one with its line, which rings no bell, and who is waited for.
+    if book.client_left() {
+        return Next::Left;
+    }
     loop {
         match book.caller.mailbox.next(book.give_up + OVERDUE) {
             Some(Event::Order(Order::Move)) => book.moving = true,
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -21,8 +21,10 @@
     /// Served: the server's socket and all that it has sent, from its answer on.
     Up(Socket, (Buffer, usize)),
     Ended(Ended),
-    /// The client went away, and the connect with it.
-    Left,
+    /// The client went away, and the connect with it; whether its line was never written whole.
+    Left {
+        unsent: bool,
+    },
 }
 
 /// What a wait inside a connect was ended by.
@@ -47,6 +49,9 @@
     };
     let mut client = Client { book, gone: false };
 
+    // Up to its line's last byte a connect has not been sent, so whoever is gone by then needs none, whether or not the
+    // settings allow connects to be called off. Guards against a flow that is sent on long after its client has left: while
+    // a connection comes up late, or since the client's end came in one with its line and rang no bell.
     let dialled_until = target.until.min(clock::now() + core.terms.now().dial_limit);
     loop {
         server.looked_at();
@@ -56,11 +61,15 @@
             Err(_) => return never(End::Unreachable),
         }
         match client.wait(dialled_until) {
+            Woken::Look if client.gone => return Sent::Left { unsent: true },
             Woken::Look => {}
             Woken::Ended(_) => return never(End::Unreachable),
-            Woken::Left => return Sent::Left,
+            Woken::Left => return Sent::Left { unsent: true },
         }
     }
+    if client.looks_gone() {
+        return Sent::Left { unsent: true };
+    }
 
     // The list may have changed since the desk gave the order. What was open before the run goes where it was.
     if !inherited && !target.server.ready() {
@@ -80,9 +89,10 @@
         }
         if written < onward.len() {
             match client.wait(target.until) {
+                Woken::Look if client.gone => return Sent::Left { unsent: true },
                 Woken::Look => {}
                 Woken::Ended(_) => return never(End::Unreachable),
-                Woken::Left => return Sent::Left,
+                Woken::Left => return Sent::Left { unsent: true },
             }
         }
     }
@@ -101,12 +111,12 @@
                     drop(server);
                     return maybe(end);
                 }
-                Woken::Left => return Sent::Left,
+                Woken::Left => return Sent::Left { unsent: false },
             },
         }
         if let Some((length, _)) = wire::line_end(&bytes[..held]) {
             return match wire::answer(&bytes[..length], &core.terms.now().reports) {
-                Answer::Up if client.gone => Sent::Left,
+                Answer::Up if client.gone => Sent::Left { unsent: false },
                 Answer::Up => Sent::Up(server, (bytes, held)),
                 Answer::Ended(end, never_ran, report) => Sent::Ended(Ended { end, never_ran, report }),
             };
@@ -124,6 +134,16 @@
 }
 
 impl Client<'_> {
+    /// Whether it has left by now, also where nothing has rung for it.
+    fn looks_gone(&mut self) -> bool {
+        if !self.gone && self.book.client_left() {
+            self.gone = true;
+            // Where the line is out the module says whether the connect is called off.
+            self.book.left();
+        }
+        self.gone
+    }
+
     fn wait(&mut self, until: Time) -> Woken {
         match self.book.caller.mailbox.next(until) {
             None | Some(Event::Order(Order::TimeUp)) => Woken::Ended(End::TimedOut),
@@ -134,11 +154,7 @@
             }
             Some(Event::Order(_) | Event::Stop) => Woken::Look,
             Some(Event::Rung) => {
-                if !self.gone && self.book.client_left() {
-                    self.gone = true;
-                    // The module says whether the connect is called off.
-                    self.book.left();
-                }
+                self.looks_gone();
                 Woken::Look
             }
         }
@@ -146,7 +162,14 @@
 }
 
 /// Tells the desk of a connect that ended with its client.
-pub fn called_off(book: &Book, target: &Target) {
-    let (end, never_ran, report) = (End::CalledOff, false, Report::default());
-    book.tell(Ask::Ended { flow: book.id, rs: target.rs, number: target.number, end, never_ran, report });
+pub fn called_off(book: &Book, target: &Target, unsent: bool) {
+    let (end, report) = (if unsent { End::NotSent } else { End::CalledOff }, Report::default());
+    book.tell(Ask::Ended {
+        flow: book.id,
+        rs: target.rs,
+        number: target.number,
+        end,
+        never_ran: unsent,
+        report,
+    });
 }
