Ask nothing over a kept connection on which more came than was asked for

Seen: a server whose second answer to a probe comes 20 ms after the first (the standing test has such) has that answer read as the answer to the next probe: its figure stands for 2 s, and a server with x0=0.01 is taken for hot ("BUSY 927" where "UP 1" was due).

At fault: probe.rs, `serve` used the kept connection without a look at it; discovery.rs did the same with the agent's. Now both look first (Caller::quiet), and a connection on which bytes follow an answer isn't kept. Caller::read looks once more when its time is up, so that an answer that has come while the process stood still counts.

--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -183,7 +183,7 @@
     means: &Means,
     until: Time,
 ) -> io::Result<News> {
-    let mut line = match caller.take() {
+    let mut line = match caller.take().filter(Caller::quiet) {
         Some(line) => line,
         None => {
             let slot = means.descriptors.take(0).ok_or_else(|| io::Error::other("no descriptor left"))?;
@@ -257,6 +257,8 @@
                     return Err(ErrorKind::UnexpectedEof.into());
                 }
             }
+            // More than it told is the answer to nothing.
+            stays &= rest.len() == count;
             rest.truncate(count);
             rest
         }
@@ -283,6 +285,7 @@
                         body.extend_from_slice(&rest[size..end - 2]);
                         rest.drain(..end);
                         if count == 0 {
+                            stays &= rest.is_empty();
                             break body;
                         }
                     }
--- a/crates/core/src/net.rs
+++ b/crates/core/src/net.rs
@@ -191,14 +191,26 @@
         }
     }
 
-    /// The next bytes; 0 at the end.
+    /// Whether nothing has come that nobody waits for. Guards against what comes late on a connection that is kept, a
+    /// second answer or the answer to what was given up, and is read as the answer to the next question.
+    pub fn quiet(&self) -> bool {
+        self.socket.looked_at();
+        matches!(self.socket.read(&mut [0; 1]), Ok(None))
+    }
+
+    /// The next bytes; 0 at the end. Looks once more when the time is up: what has come by then has come in time.
     pub fn read(&self, into: &mut [u8], until: Time) -> io::Result<usize> {
+        let mut waited = Ok(());
         loop {
             self.socket.looked_at();
             match self.socket.read(into)? {
                 Some(count) => return Ok(count),
-                None => self.wait(until)?,
+                None => waited?,
             }
+            waited = match self.wait(until) {
+                Err(e) if e.kind() != ErrorKind::TimedOut => return Err(e),
+                waited => waited,
+            };
         }
     }
 
--- a/crates/core/src/probe.rs
+++ b/crates/core/src/probe.rs
@@ -92,7 +92,7 @@
     loop {
         let until = clock::now() + LONGEST;
         // A connection that was left open may have ended meanwhile: one more try over a new one.
-        let kept = open.take().filter(|(to, _)| Arc::ptr_eq(to, &server));
+        let kept = open.take().filter(|(to, caller)| Arc::ptr_eq(to, &server) && caller.quiet());
         let again = kept.is_some();
         let mut result = probe(kept.map(|k| k.1), slot.take(), &server, means, until);
         if again && result.as_ref().is_err_and(|e| e.kind() != io::ErrorKind::TimedOut) {
@@ -101,7 +101,8 @@
         match result {
             Ok((caller, passed, report)) => {
                 // Guards against more servers than descriptors: the last few are used in turn.
-                open = means.descriptors.room(IN_TURN).then(|| (server.clone(), caller));
+                open =
+                    caller.filter(|_| means.descriptors.room(IN_TURN)).map(|caller| (server.clone(), caller));
                 means.desk.send(Ask::Probed { rs, passed, report });
             }
             // Our own want must not count against the server: it is asked when it is due again.
@@ -122,13 +123,14 @@
     }
 }
 
+/// One question: the connection, where nothing came after the answer, whether it passed, and the report.
 fn probe(
     kept: Option<Caller>,
     slot: Option<Slot>,
     server: &Server,
     means: &Means,
     until: Time,
-) -> io::Result<(Caller, bool, Report)> {
+) -> io::Result<(Option<Caller>, bool, Report)> {
     let caller = match kept {
         Some(caller) => caller,
         None => {
@@ -140,8 +142,8 @@
     caller.write(if term.stats { b"STATS\r\n" } else { b"PING\r\n" }, until)?;
     let mut bytes = means.buffers.take();
     let mut held = 0;
-    let (length, _) = caller.line(&mut bytes[..], &mut held, until)?;
+    let (length, next) = caller.line(&mut bytes[..], &mut held, until)?;
     let (passed, report) = wire::probed(&bytes[..length], &term.reports);
     debug!(server = server.name, answer = %String::from_utf8_lossy(&bytes[..length]), "probe");
-    Ok((caller, passed, report))
+    Ok(((next == held).then_some(caller), passed, report))
 }
