Send a repeat while it is known or not at all; end only once all that came is answered

- A referenced flow's repeat was placed within its window and written when the connection came up, up to the dial limit later: "OPEN 9b20 7f3a c=order,d=2826" 1.0 s after a first connect whose window was 1.0 s.
At fault: policy.rs may_send looks at the time of placing only, send.rs at none.
Place::To now says by when the line must be out (send_by); send.rs doesn't write it later.
- A connect ordered just as its client left (chain.rs returns before it reads the order) stayed in the module's book as in flight for good, and its server as overdue.
Hand::over, the one place where a flow is given back, tells the module.
- The end: with connect timeouts of 100 ms the process ended 0.3 s after SIGTERM while the front sends clients for 0.4 s; lines half there in the lobby, flows that came after the last cut, and connections from before the run whose server hangs ended without an answer. desk.rs ending(): not before COMING (0.5 s), not with anybody in the lobby, the cut again with each look, inherited flows too.
Settings taken over by SIGHUP change when the last answer is due.
- `Abort` and «not listed» were one order; a flow open before the run could not be aborted.
Two orders now.

--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -189,7 +189,8 @@
     /// Lets go of a flow that is owed nothing and has no connect out: it has ended.
     fn give_back(&mut self, flow: FlowId) {
         if !self.hand.owed(flow) && !self.hand.out(flow) {
-            self.hand.over(flow);
+            // Nothing is out, so nothing is said.
+            self.hand.over(0, flow, &mut Vec::new());
         }
     }
 }
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -198,7 +198,8 @@
         None => (None, None),
     };
     signals::untold(&config.settings, peers.is_some());
-    let given = Given { seed: config.seed, margin: MARGIN, last_answer };
+    let lobby = core.shares.waiting.clone();
+    let given = Given { seed: config.seed, margin: MARGIN, last_answer, lobby };
     let whole_desk = Desk::new(hand, asks, halls, machines, prober, words, given);
     let running = may::go!(move || whole_desk.run());
     let agent = Agent::new(config.discovery);
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -61,7 +61,10 @@
         let file = std::env::temp_dir().join(format!("nettlemux-{}-{}.json", std::process::id(), at.ip()));
         std::fs::write(&file, &config).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
-        command.args(["serve", "--log", "debug", "--config"]).arg(&file).stderr(Stdio::null());
+        command
+            .args(["serve", "--log", "debug", "--config"])
+            .arg(&file)
+            .stderr(if std::env::var_os("SEE").is_some() { Stdio::inherit() } else { Stdio::null() });
         let stand = Stand { child: command.spawn().unwrap(), at, agent, toys, file, config };
         // Ready once it answers, and has had its list.
         soon("PONG", || TcpStream::connect(at).is_ok());
@@ -69,6 +72,16 @@
         stand
     }
 
+    /// The same balancer once more, with these settings changed.
+    pub fn restarted(&mut self, changes: &[(&str, Value)]) {
+        let _ = (self.child.kill(), self.child.wait());
+        std::fs::write(&self.file, changed(&self.config, changes)).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
+        command.args(["serve", "--log", "debug", "--config"]).arg(&self.file).stderr(Stdio::null());
+        self.child = command.spawn().unwrap();
+        soon("PONG", || TcpStream::connect(self.at).is_ok());
+    }
+
     pub fn client(&self, values: &str) -> Client {
         Client::open(self.at, values)
     }
--- a/crates/balancer/tests/crossings.rs
+++ b/crates/balancer/tests/crossings.rs
@@ -4,11 +4,14 @@
 
 mod common;
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use common::toy::Mood;
 use common::{Client, Stand, changed, soon};
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
@@ -156,3 +159,146 @@
     let seen = stand.toys[0].seen();
     assert!(seen.iter().all(|line| !line.starts_with("OPEN e")), "{seen:?}");
 }
+
+/// A repeat that is placed in time, to a server whose connection comes up only once the first server's memory of the flow
+/// may be over: it is not sent. Without its limit the second server gets it a second later.
+#[test]
+fn a_repeat_whose_connection_comes_up_too_late_is_not_sent() {
+    let late = Late::new();
+    let stand = Stand::with(1, |config| {
+        let order = json!({"name": "order", "setup-target": 4_000_000, "value": 1.0, "repeat": "guarded", "group": "all",
+            "window": 1_000_000});
+        let order = ("service-types/1", order);
+        let dial = ("limits/dial-timeout", json!(5_000_000));
+        changed(&config, &[order, dial, ("limits/probes", json!(false))])
+    });
+    stand.toys[0].set(Mood::Silent);
+    let mut client = stand.client("c=order,d=4000");
+    soon("the first connect", || stand.toys[0].seen().last().is_some_and(|line| line.contains("c=order")));
+    // Others are served meanwhile: time-outs would be taken for a jam, in which nothing is sent again.
+    stand.toys[0].set(Mood::Up);
+    stand.agent.tell("s-late", late.address, "Ready");
+    stand.agent.tell("s-0", stand.toys[0].address, "Terminating");
+    soon("the new list", || {
+        let _asked = stand.client("c=chat,d=60");
+        (0..5).any(|_| {
+            thread::sleep(Duration::from_millis(5));
+            late.dialled()
+        })
+    });
+    soon("nobody dialling", || !late.dialled());
+    // Cut off: it may have run there.
+    stand.toys[0].say("", true);
+    soon("the second connect", || late.dialled());
+    assert_eq!(late.let_in(), "", "sent again too late");
+    let answer = client.line();
+    assert!(answer.starts_with("BUSY"), "{answer}");
+    assert_eq!(client.line(), "end");
+}
+
+/// The front goes on sending clients for 0.4 s after SIGTERM. Where all that was to be said is said before, since connect
+/// timeouts are short, they must not find a closed port, nor a line that is half there an end without an answer.
+#[test]
+fn clients_that_come_after_sigterm_are_answered_however_short_timeouts_are() {
+    thread::scope(|scope| {
+        for (longest, mood) in [(100, Mood::Up), (100, Mood::Silent), (250, Mood::Silent), (700, Mood::Up)] {
+            scope.spawn(move || {
+                let mut stand = Stand::new(1);
+                let limit = json!(longest * 1000);
+                stand.restarted(&[
+                    ("service-types/0/hard-limit", limit.clone()),
+                    ("service-types/1/hard-limit", limit),
+                ]);
+                // Nobody is served yet, so that nothing keeps the balancer from its end.
+                stand.toys[0].set(Mood::Err);
+                soon("a list", || stand.client(&format!("c=order,d={longest}")).says("ERR"));
+                stand.toys[0].set(mood);
+                let since = Instant::now();
+                stand.terminate();
+                let mut half = Client::new(stand.at, b"OPEN half k c=chat,");
+                let mut last = Client::new(stand.at, b"OPEN last k c=chat,");
+                thread::sleep(Duration::from_millis(390).saturating_sub(since.elapsed()));
+                let mut late = stand.client(&format!("c=order,d={}", longest.min(90)));
+                half.send(&format!("d={}\r\n", longest.min(90)));
+                for client in [&mut late, &mut half] {
+                    let answer = client.line();
+                    let answered = answer == "UP 1" || answer == "ERR" || answer.starts_with("BUSY");
+                    assert!(answered, "{longest} {mood:?}: {answer}");
+                    if answer == "UP 1" {
+                        assert_eq!(client.line(), "MOVE", "{longest} {mood:?}");
+                    }
+                }
+                // All is said but for one whose line is whole only now, and whose time would run past our end.
+                drop((late, half));
+                if longest == 250 {
+                    thread::sleep(Duration::from_millis(620).saturating_sub(since.elapsed()));
+                    last.send("d=250\r\n");
+                    let answer = last.line();
+                    assert!(answer == "ERR" || answer.starts_with("BUSY"), "{answer}");
+                }
+                let status = stand.child.wait().unwrap();
+                // SIGKILL comes so long after SIGTERM.
+                let kill = Duration::from_millis(longest + 700);
+                assert!(status.success() && since.elapsed() < kill, "{status} {:?}", since.elapsed());
+            });
+        }
+    });
+}
+
+/// One that was open before the run, and whose server says nothing, has its answer when the balancer ends, as have those
+/// that are still owed one at the last moment.
+#[test]
+fn who_waits_for_a_hung_server_is_answered_before_the_end() {
+    let mut stand = Stand::new(1);
+    let limit = json!(400_000);
+    stand.restarted(&[("service-types/0/hard-limit", limit.clone()), ("service-types/1/hard-limit", limit)]);
+    soon("a list", || stand.client("c=chat,d=400").says("UP 1"));
+    stand.toys[0].set(Mood::Silent);
+    let mut clients: Vec<Client> =
+        ["c=chat,at=s-0", "c=chat,at=s-none"].into_iter().map(|values| stand.client(values)).collect();
+    soon("the connect", || stand.toys[0].seen().last().is_some_and(|line| line.contains("at=s-0")));
+    stand.terminate();
+    for client in &mut clients {
+        assert_eq!((client.line(), client.line()), ("ERR".into(), "end".into()));
+    }
+    assert!(stand.child.wait().unwrap().success());
+}
+
+/// A server whose second answer to a probe comes some milliseconds after the first, and says that it is hot.
+fn answers_twice() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (address, asked) = (listener.local_addr().unwrap(), Arc::new(AtomicUsize::new(0)));
+    let count = asked.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let count = count.clone();
+            thread::spawn(move || {
+                let mut out = stream.try_clone().unwrap();
+                for line in BufReader::new(stream).lines().map_while(Result::ok) {
+                    if line == "STATS" {
+                        let _ = out.write_all(b"PONG x0=0.01\r\n");
+                        thread::sleep(Duration::from_millis(20));
+                        let _ = out.write_all(b"PONG x0=9\r\n");
+                        count.fetch_add(1, Ordering::SeqCst);
+                    } else if line.starts_with("OPEN") {
+                        let _ = out.write_all(b"UP 1\r\n");
+                    }
+                }
+            });
+        }
+    });
+    (address, asked)
+}
+
+/// A second answer to one probe is not the answer to the next. Without the look before it is asked, the server that says so
+/// is taken for hot from the second probe on, and nobody is served.
+#[test]
+fn a_second_answer_to_a_probe_is_not_the_next_ones() {
+    let stand = Stand::new(1);
+    let (twice, asked) = answers_twice();
+    stand.agent.tell("s-twice", twice, "Ready");
+    stand.agent.tell("s-0", stand.toys[0].address, "Gone");
+    soon("two probes", || asked.load(Ordering::SeqCst) >= 2);
+    thread::sleep(Duration::from_millis(50));
+    assert_eq!(stand.client("c=chat,d=900").line(), "UP 1");
+}
--- a/crates/core/src/chain.rs
+++ b/crates/core/src/chain.rs
@@ -18,8 +18,7 @@
     loop {
         let target = match route::order(&mut book) {
             Next::Order(Order::Connect(target)) => target,
-            Next::Order(order) if at.is_some() => {
-                drop(order);
+            Next::Order(Order::NotListed) => {
                 // Open before the run: asked for again until its server is there.
                 match asked.again(core, &mut book) {
                     true => continue,
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -16,6 +16,7 @@
 use crate::clock;
 use crate::mail::{Mailbox, Sender};
 use crate::orders::{Ask, Entry, Event, Order, Server, Target, Word};
+use crate::pool::Descriptors;
 use crate::probe::Prober;
 
 /// Who is told what becomes of a flow.
@@ -73,13 +74,18 @@
 pub const LAST_ANSWER: Time = 3 * SEC;
 /// Then all has been said after so long.
 const EXIT: Time = 500 * MS;
+/// The front goes on sending us clients for up to 0.4 s after SIGTERM. Guards against an end that leaves them to a closed
+/// port where connect timeouts are so short that all has been said before.
+const COMING: Time = 500 * MS;
 
-/// What a module made from other settings is given, and how long after SIGTERM the last answer is due.
-#[derive(Clone, Copy)]
+/// What a module made from other settings is given, and what the end of the balancer waits for.
 pub struct Given {
     pub seed: u64,
     pub margin: Time,
+    /// How long after SIGTERM the last answer is due.
     pub last_answer: Time,
+    /// Connections that no flow has come of yet, or that are on their way out.
+    pub lobby: Arc<Descriptors>,
 }
 
 pub struct Desk {
@@ -99,8 +105,10 @@
     due: Option<Time>,
     terminated: Option<Time>,
     next_move: Time,
+    next_cut: Time,
     moved_up_to: FlowId,
-    given_up: bool,
+    /// While ending: whoever is still owed an answer gets it now.
+    last_answer_passed: bool,
 }
 
 impl Desk {
@@ -128,8 +136,9 @@
             due: None,
             terminated: None,
             next_move: 0,
+            next_cut: 0,
             moved_up_to: 0,
-            given_up: false,
+            last_answer_passed: false,
         }
     }
 
@@ -192,10 +201,15 @@
             }
             Ask::Inherit { flow, at, mail } => {
                 let rs = self.ids.lasting(&at);
-                let server = self.servers.get(&rs);
-                let order = server.map_or(Order::Abort, |server| {
-                    Order::Connect(Target { rs, number: 0, server: server.clone(), until: flow.give_up })
-                });
+                let (until, by) = (flow.give_up, flow.give_up);
+                let order = match self.servers.get(&rs) {
+                    // Nobody is waited for any more.
+                    _ if self.last_answer_passed => Order::Abort,
+                    Some(server) => {
+                        Order::Connect(Target { rs, number: 0, server: server.clone(), until, by })
+                    }
+                    None => Order::NotListed,
+                };
                 mail.send(Event::Order(order));
                 self.clients.insert(flow.id, Client { mail, inherited: Some((flow, rs)) });
             }
@@ -215,7 +229,7 @@
             Ask::Load { flow, load } => self.hand.told_load(flow, load),
             Ask::Left { flow } => self.acts(now, |hand, acts| hand.left(now, flow, acts)),
             Ask::Over { flow } => {
-                self.hand.over(flow);
+                self.acts(now, |hand, acts| hand.over(now, flow, acts));
                 self.clients.remove(&flow);
             }
             Ask::Probed { rs, passed, report } => {
@@ -247,7 +261,10 @@
             None => settings,
         };
         match settings.policy(self.given.seed, self.given.margin, true) {
-            Ok(policy) => self.hand.change(policy),
+            Ok(policy) => {
+                self.hand.change(policy);
+                self.given.last_answer = settings.longest_wait().min(LAST_ANSWER);
+            }
             Err(why) => error!(%why, "settings that can't be used; the old ones hold"),
         }
     }
@@ -319,10 +336,10 @@
 
     fn carry_out(&mut self, now: Time, act: Act) {
         match act {
-            Act::Connect { flow, rs, number, limit } => match self.servers.get(&rs) {
+            Act::Connect { flow, rs, number, limit, by } => match self.servers.get(&rs) {
                 Some(server) => {
-                    let (server, until) = (server.clone(), now + limit);
-                    self.order(flow, Order::Connect(Target { rs, number, server, until }));
+                    let (server, until, by) = (server.clone(), now + limit, now + by);
+                    self.order(flow, Order::Connect(Target { rs, number, server, until, by }));
                 }
                 None => {
                     warn!(id = flow, rs, "the module names a server without an address");
@@ -381,15 +398,20 @@
                 self.moved_up_to = id + 1;
             }
         }
-        if passed >= self.given.last_answer && !self.given_up {
-            self.given_up = true;
+        // Again with each look: guards against a flow that comes after the first and is still owed its answer at the end.
+        if passed >= self.given.last_answer && now >= self.next_cut {
+            (self.last_answer_passed, self.next_cut) = (true, now + STEP);
             let mut owed = Vec::new();
             self.acts(now, |hand, acts| owed = hand.cut_short(now, acts));
             for id in owed {
                 self.order(id, Order::TimeUp);
             }
+            // The hand knows none of those that were open before the run and are not yet again.
+            let waiting = self.clients.iter().filter(|(_, client)| client.inherited.is_some());
+            waiting.for_each(|(_, client)| client.mail.send(Event::Order(Order::TimeUp)));
         }
-        passed >= self.given.last_answer + EXIT || passed >= move_until && self.clients.is_empty()
+        let all_said = self.clients.is_empty() && self.given.lobby.open() == 0;
+        passed >= self.given.last_answer + EXIT || passed >= move_until.max(COMING) && all_said
     }
 }
 
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -105,6 +105,8 @@
     Connect(Target),
     Reject(Option<Time>),
     Abort,
+    /// The server that it was open at before the run isn't listed.
+    NotListed,
     /// Send the client away.
     Move,
     /// Stop waiting for the connect, as the client is gone.
@@ -113,12 +115,13 @@
     TimeUp,
 }
 
-/// Where a connect goes and how long it is waited for.
+/// Where a connect goes, how long it is waited for, and when its line has to be out or isn't sent at all.
 pub struct Target {
     pub rs: Rs,
     pub number: usize,
     pub server: Arc<Server>,
     pub until: Time,
+    pub by: Time,
 }
 
 /// A server as the list has it now. Shared with those that send, who look again just before they do.
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -52,7 +52,7 @@
     // Up to its line's last byte a connect has not been sent, so whoever is gone by then needs none, whether or not the
     // settings allow connects to be called off. Guards against a flow that is sent on long after its client has left: while
     // a connection comes up late, or since the client's end came in one with its line and rang no bell.
-    let dialled_until = target.until.min(clock::now() + core.terms.now().dial_limit);
+    let dialled_until = target.by.min(clock::now() + core.terms.now().dial_limit);
     loop {
         server.looked_at();
         match server.connected() {
@@ -63,6 +63,10 @@
         match client.wait(dialled_until) {
             Woken::Look if client.gone => return Sent::Left { unsent: true },
             Woken::Look => {}
+            // Too late for a repeat, which tells nothing of the server.
+            Woken::Ended(_) if target.by < target.until && clock::now() >= target.by => {
+                return never(End::NotSent);
+            }
             Woken::Ended(_) => return never(End::Unreachable),
             Woken::Left => return Sent::Left { unsent: true },
         }
@@ -71,8 +75,9 @@
         return Sent::Left { unsent: true };
     }
 
-    // The list may have changed since the desk gave the order. What was open before the run goes where it was.
-    if !inherited && !target.server.ready() {
+    // The list may have changed since the desk gave the order, and a repeat that was in time may be so no more. What was
+    // open before the run goes where it was.
+    if !inherited && (!target.server.ready() || clock::now() >= target.by) {
         return never(End::NotSent);
     }
     let onward = match inherited {
@@ -88,7 +93,7 @@
             Err(_) => return never(End::Unreachable),
         }
         if written < onward.len() {
-            match client.wait(target.until) {
+            match client.wait(target.by) {
                 Woken::Look if client.gone => return Sent::Left { unsent: true },
                 Woken::Look => {}
                 Woken::Ended(_) => return never(End::Unreachable),
@@ -99,18 +104,22 @@
 
     let mut bytes = core.buffers.take();
     let mut held = 0;
+    let mut over = None;
     loop {
         server.looked_at();
         match server.read(&mut bytes[held..]) {
             Ok(Some(0)) | Err(_) => return maybe(End::Cut),
             Ok(Some(count)) => held += count,
+            Ok(None) if let Some(end) = over => {
+                // Closed before it is told: nobody may be served by it any more.
+                drop(server);
+                return maybe(end);
+            }
             Ok(None) => match client.wait(target.until) {
                 Woken::Look => {}
-                Woken::Ended(end) => {
-                    // Closed before it is told: nobody may be served by it any more.
-                    drop(server);
-                    return maybe(end);
-                }
+                // Looked at once more: guards against an answer that has come by then, and a connection that is made and
+                // told as lost.
+                Woken::Ended(end) => over = Some(end),
                 Woken::Left => return Sent::Left { unsent: false },
             },
         }
--- a/crates/hand/src/lib.rs
+++ b/crates/hand/src/lib.rs
@@ -90,12 +90,13 @@
 /// What is to be carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Act {
-    /// Make this flow's connect of that number, and wait for it so long.
+    /// Make this flow's connect of that number, and wait for it so long; it is not made if it isn't sent within `by`.
     Connect {
         flow: FlowId,
         rs: Rs,
         number: usize,
         limit: Time,
+        by: Time,
     },
     Reject {
         flow: FlowId,
@@ -359,11 +360,18 @@
     }
 
     /// Nothing more comes of this flow: the one place where it is given back.
-    pub fn over(&mut self, flow: FlowId) {
-        self.flows.remove(&flow);
+    pub fn over(&mut self, now: Time, flow: FlowId, acts: &mut Vec<Act>) {
+        let in_hand = self.flows.remove(&flow);
         if let Some(door) = &mut self.door {
             door.over(flow);
         }
+        // Guards against a connect that was ordered just as the client left, or whose flow has panicked: nobody else says
+        // that nothing comes of it, and the module would count it as in flight for good.
+        let out = in_hand.and_then(|in_hand| in_hand.flow.connects.into_iter().find(|connect| connect.out));
+        if let Some(Connect { rs, .. }) = out {
+            let todo = self.brain.after(now, Outcome::Ended { flow, rs, end: End::NotSent, owed: None });
+            self.carry_out(todo, acts);
+        }
     }
 
     /// Whether the flow is still owed an answer.
@@ -384,9 +392,9 @@
     fn answer(&mut self, now: Time, id: FlowId, place: Place, acts: &mut Vec<Act>) {
         let Some(in_hand) = self.flows.get_mut(&id) else { return };
         acts.push(match place {
-            Place::To(rs, limit) => {
+            Place::To(rs, limit, by) => {
                 in_hand.flow.connects.push(Connect { rs, at: now, out: true, never_ran: false });
-                Act::Connect { flow: id, rs, number: in_hand.flow.connects.len() - 1, limit }
+                Act::Connect { flow: id, rs, number: in_hand.flow.connects.len() - 1, limit, by }
             }
             Place::NotYet => return self.held.push(id),
             Place::Reject(come_back) => {
@@ -456,7 +464,7 @@
 
     #[test]
     fn a_flow_is_connected_again_and_answered_once() {
-        let mut hand = hand(&[Place::To(4, 70), Place::To(5, 60), Place::Reject(Some(8))]);
+        let mut hand = hand(&[Place::To(4, 70, 70), Place::To(5, 60, 30), Place::Reject(Some(8))]);
         let mut acts = Vec::new();
         hand.take(1, Flow { id: 7, ..Flow::default() }, Who::default(), &mut acts);
         let report = Report { beta: Some(0.4), connections: None };
@@ -466,23 +474,37 @@
         assert_eq!(
             acts,
             [
-                Act::Connect { flow: 7, rs: 4, number: 0, limit: 70 },
+                Act::Connect { flow: 7, rs: 4, number: 0, limit: 70, by: 70 },
                 Act::Probe { rs: 4 },
                 Act::Move { flow: 9 },
-                Act::Connect { flow: 7, rs: 5, number: 1, limit: 60 },
+                Act::Connect { flow: 7, rs: 5, number: 1, limit: 60, by: 30 },
                 Act::Reject { flow: 7, come_back: Some(8) },
             ]
         );
         // Guards against a second answer for a flow that has had its own.
         hand.ended(4, (7, 1), 5, (End::Cut, false), Report::default(), &mut acts);
         assert_eq!((acts.len(), hand.brain.owed.as_slice()), (5, &[true, true, false][..]));
-        hand.over(7);
-        assert!(hand.flows.is_empty());
+        hand.over(5, 7, &mut acts);
+        assert!(hand.flows.is_empty() && hand.brain.owed.len() == 3, "nothing is out, nothing is told");
+    }
+
+    /// Guards against a connect that is ordered just as its client leaves and counts as in flight for good.
+    #[test]
+    fn a_connect_that_nobody_made_is_told_when_its_flow_is_over() {
+        let mut hand = hand(&[Place::To(4, 9, 9)]);
+        let mut acts = Vec::new();
+        hand.take(1, Flow { id: 1, ..Flow::default() }, Who::default(), &mut acts);
+        // The client's leave was on its way to us as the order was on its way out.
+        hand.left(2, 1, &mut acts);
+        hand.over(3, 1, &mut acts);
+        assert_eq!(hand.brain.owed, [false], "the module is told once that it is not out");
+        hand.over(4, 1, &mut acts);
+        assert_eq!(hand.brain.owed, [false]);
     }
 
     #[test]
     fn what_is_held_is_asked_about_again_unless_its_client_has_left() {
-        let mut hand = hand(&[Place::NotYet, Place::NotYet, Place::To(4, 9)]);
+        let mut hand = hand(&[Place::NotYet, Place::NotYet, Place::To(4, 9, 9)]);
         let mut acts = Vec::new();
         hand.take(1, Flow { id: 1, ..Flow::default() }, Who::default(), &mut acts);
         hand.take(1, Flow { id: 2, ..Flow::default() }, Who::default(), &mut acts);
@@ -490,7 +512,10 @@
         hand.elapsed(3, &mut acts);
         assert_eq!(
             acts,
-            [Act::CallOff { flow: 1, number: 0 }, Act::Connect { flow: 2, rs: 4, number: 0, limit: 9 }]
+            [
+                Act::CallOff { flow: 1, number: 0 },
+                Act::Connect { flow: 2, rs: 4, number: 0, limit: 9, by: 9 }
+            ]
         );
         assert_eq!(hand.cut_short(5, &mut acts), [2]);
         assert_eq!(hand.flow(2).map(|f| f.give_up), Some(0));
@@ -503,7 +528,7 @@
         let places = [
             Place::NotYet,
             Place::NotYet,
-            Place::To(4, 9),
+            Place::To(4, 9, 9),
             Place::NotYet,
             Place::Reject(Some(3)),
             Place::NotYet,
@@ -530,7 +555,7 @@
         acts.clear();
         let owed = hand.cut_short(4, &mut acts);
         assert!(owed.contains(&1) && owed.contains(&2) && !owed.contains(&5), "{owed:?}");
-        (1..=5).for_each(|id| hand.over(id));
+        (1..=5).for_each(|id| hand.over(5, id, &mut acts));
         assert_eq!(hand.door().unwrap().waiting(), 0);
     }
 }
--- a/crates/lab/src/brains.rs
+++ b/crates/lab/src/brains.rs
@@ -168,7 +168,7 @@
         self.enter(flow.id, rs);
         // Each try gets its part of the time that is left.
         let tries = (self.connects - flow.connects.len()) as u64;
-        Place::To(rs, left / tries.max(1))
+        Place::To(rs, left / tries.max(1), left)
     }
 
     fn after(&mut self, now: Time, outcome: Outcome) -> Todo {
--- a/crates/lab/src/mischief.rs
+++ b/crates/lab/src/mischief.rs
@@ -96,7 +96,7 @@
 impl Bent {
     fn bend(&self, place: Place, flow: &Flow) -> Place {
         match (place, self.mischief, self.youngest) {
-            (Place::To(_, limit), Mischief::FloodsCold, Some((_, rs))) => Place::To(rs, limit),
+            (Place::To(_, limit, by), Mischief::FloodsCold, Some((_, rs))) => Place::To(rs, limit, by),
             (Place::Abort, Mischief::RejectsWhatMayHaveRun, _) if !flow.connects.is_empty() => {
                 Place::Reject(None)
             }
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -647,7 +647,7 @@
 
     fn act(&mut self, b: usize, act: Act) {
         match act {
-            Act::Connect { flow, rs, number, limit } => self.connect(flow, (number, rs as usize), limit),
+            Act::Connect { flow, rs, number, limit, .. } => self.connect(flow, (number, rs as usize), limit),
             Act::Reject { flow, come_back } => self.say(flow, Final::Rejected, come_back),
             Act::Abort { flow } => self.say(flow, Final::Aborted, None),
             Act::Move { flow } => self.send_away(flow),
@@ -856,9 +856,11 @@
         if self.of_client.get(&live.client) == Some(&flow) {
             self.of_client.remove(&live.client);
         }
+        let mut acts = Vec::new();
         if let Some(hand) = &mut self.balancers[live.balancer].hand {
-            hand.over(flow);
+            hand.over(self.now, flow, &mut acts);
         }
+        acts.into_iter().for_each(|act| self.act(live.balancer, act));
     }
 
     // Connections end.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -533,9 +533,7 @@
         }
         ask.retain(|(server, _)| self.stale(now, server, FRESH));
         let [ask, among] = [ask, kin].map(|of| of.iter().map(|(s, _)| s.listed.rs).collect::<Vec<Rs>>());
-        if flow.connects.is_empty() && !returns {
-            self.least = (now, least);
-        }
+        self.least = if flow.connects.is_empty() && !returns { (now, least) } else { self.least };
         // When many wait the figures that there are must do: looking at all of them again costs too much.
         if !ask.is_empty() && !self.crowded() && now < flow.taken + target && left > 2 * LOOK_AGAIN {
             return self.ask(now, &ask);
@@ -547,7 +545,7 @@
         server.placed.push_back(now);
         self.book.enter(now, flow, rs, false);
         // All the time that is left: a connect that was given up has cost the store its call all the same.
-        Place::To(rs, left)
+        Place::To(rs, left, left.min(self.send_by(flow).saturating_sub(now + self.margin)))
     }
 
     /// What to do after this outcome.
@@ -562,13 +560,10 @@
                     if let Some(server) = self.servers.get_mut(&rs) {
                         server.failed.clear();
                         server.last_established = now;
-                        if warm {
-                            self.settled.push_back((now, server.listed.machine));
-                        }
-                    }
-                    while self.settled.front().is_some_and(|(at, _)| at + RATE_SPAN < now) {
-                        self.settled.pop_front();
+                        self.settled.extend(warm.then_some((now, server.listed.machine)));
                     }
+                    let old = self.settled.partition_point(|(at, _)| at + RATE_SPAN < now);
+                    self.settled.drain(..old);
                 }
             }
             Outcome::Ended { flow, rs, end, owed } => {
@@ -785,18 +780,24 @@
         match self.service_type(flow).repeat {
             Repeat::Repeatable => true,
             Repeat::OnceOnly => ran.next().is_none(),
-            Repeat::Referenced(scope, window) => ran.all(|c| {
-                let same = self.servers.get(&c.rs).is_some_and(|first| match scope {
-                    Scope::All => true,
-                    Scope::Hall => first.listed.hall == server.listed.hall,
-                    Scope::Cell => first.listed.cell == server.listed.cell,
-                });
+            Repeat::Referenced(scope, _) => {
+                let first = |c: &Connect| self.servers.get(&c.rs).map(|first| first.listed);
+                let same =
+                    |c| scope == Scope::All || first(c).is_some_and(|l| scope.same(&l, &server.listed));
                 // The margin covers the way to the server.
-                (same || scope == Scope::All) && now + self.margin < c.at + window
-            }),
+                now + self.margin < self.send_by(flow) && ran.all(same)
+            }
         }
     }
 
+    /// Until when a connect may be sent: a referenced flow's while servers know all that may have run. Guards
+    /// against a repeat that is placed in time and whose connection comes up late.
+    fn send_by(&self, flow: &Flow) -> Time {
+        let Repeat::Referenced(_, window) = self.service_type(flow).repeat else { return Time::MAX };
+        let ran = flow.connects.iter().filter(|c| !c.never_ran);
+        ran.map(|c| c.at.saturating_add(window)).min().unwrap_or(Time::MAX)
+    }
+
     /// Whether a server answers: not resting after failed connects, nor silent to probes and flows alike.
     fn healthy(&self, now: Time, server: &Server) -> bool {
         let resting =
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -17,6 +17,17 @@
     Cell,
 }
 
+impl Scope {
+    /// Whether these two drop each other's repeats.
+    pub fn same(self, one: &Listed, other: &Listed) -> bool {
+        match self {
+            Scope::All => true,
+            Scope::Hall => one.hall == other.hall,
+            Scope::Cell => one.cell == other.cell,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
     Repeatable,
@@ -156,8 +167,8 @@
 /// Where a flow goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
-    /// To this server, waiting for it so long.
-    To(Rs, Time),
+    /// To this server, waiting for it so long, and only if the connect is sent within the second span.
+    To(Rs, Time, Time),
     /// Hold the flow and ask again after the wait.
     NotYet,
     /// Never: rejected, with a time to come back where that may be told.
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -34,7 +34,7 @@
 /// Places a flow and tells where.
 pub fn take(policy: &mut Policy, now: Time, id: FlowId) -> Rs {
     match policy.place(now, &flow(now, id)) {
-        Place::To(rs, _) => rs,
+        Place::To(rs, ..) => rs,
         other => panic!("flow {id}: {other:?}"),
     }
 }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -153,7 +153,7 @@
     policy.inherit(&Flow { group: Some("piste".into()), ..flow(T0, 160) }, 4);
     for id in 0..2 {
         let one = Flow { group: Some("piste".into()), ..flow(T0, id) };
-        assert!(matches!(policy.place(T0, &one), Place::To(4, _)));
+        assert!(matches!(policy.place(T0, &one), Place::To(4, ..)));
     }
     // One that nobody holds finds no room, and is answered at once when its target has passed.
     let other = Flow { group: Some("lift".into()), taken: T0 - SEC, ..flow(T0, 9) };
@@ -173,8 +173,8 @@
         policy.list(T0, &[ready(0), ready(1)], true);
         let one = Flow { give_up: T0 + left, connects: connects.clone(), ..flow(T0, 1) };
         match policy.place(T0, &one) {
-            Place::To(rs, limit) => {
-                assert!(want_send && limit < left, "{connects:?}");
+            Place::To(rs, limit, by) => {
+                assert!(want_send && limit < left && by == limit, "{connects:?}");
                 assert!(connects.iter().all(|c| c.rs != rs), "another server than before");
             }
             other => assert!(!want_send, "{connects:?}: {other:?}"),
@@ -182,6 +182,29 @@
     }
 }
 
+/// Guards against a repeat that is placed in time and sent too late, since its connection comes up late.
+#[test]
+fn a_repeat_is_sent_while_it_is_known_or_not_at_all() {
+    let referenced = Repeat::Referenced(Scope::All, SEC);
+    // Kind, whether the earlier connects ran and their ages, the longest until it is sent: the margin is 10 ms.
+    for (kind, earlier, want) in [
+        (referenced, vec![], 1990),
+        (referenced, vec![(false, 300)], 690),
+        (referenced, vec![(true, 900), (false, 300)], 690),
+        (referenced, vec![(false, 300), (false, 980)], 10),
+        (Repeat::Repeatable, vec![(false, 980)], 1990),
+        (Repeat::OnceOnly, vec![(true, 980)], 1990),
+    ] {
+        let mut policy = balancer(kind).connects(5, 10 * MS, false, true);
+        policy.list(T0, &[ready(0), ready(1)], true);
+        let made = |(never_ran, age)| Connect { at: T0 - age * MS, ..connect(0, never_ran) };
+        let connects: Vec<Connect> = earlier.iter().copied().map(made).collect();
+        let one = Flow { connects, taken: T0 - SEC, give_up: T0 + 2 * SEC, ..flow(T0, 1) };
+        let Place::To(_, limit, by) = policy.place(T0, &one) else { panic!("{kind:?}: {earlier:?}") };
+        assert_eq!((limit / MS, by / MS), (1990, want), "{kind:?}: {earlier:?}");
+    }
+}
+
 #[test]
 fn no_effect_twice() {
     let referenced = |scope| Repeat::Referenced(scope, SEC);
@@ -209,7 +232,7 @@
         let earlier = Connect { at: T0 - age, ..connect(0, never_ran) };
         let one = Flow { connects: vec![earlier], taken: T0 - SEC, ..flow(T0, 1) };
         let got = match policy.place(T0, &one) {
-            Place::To(rs, _) if want == "to 0" => format!("to {rs}"),
+            Place::To(rs, ..) if want == "to 0" => format!("to {rs}"),
             Place::To(..) => "to".into(),
             Place::NotYet => "not yet".into(),
             Place::Reject(_) => "reject".into(),
@@ -307,7 +330,7 @@
             (0..40).for_each(|rs| drop(probe(&mut policy, now, rs, 0.7 + tick as f64 * 1e-3)));
             probe(&mut policy, now, 40, 0.0);
             // Only the cold one has room.
-            let Place::To(rs, _) = policy.place(now, &flow(now, 10 + tick)) else { continue };
+            let Place::To(rs, ..) = policy.place(now, &flow(now, 10 + tick)) else { continue };
             policy.after(now, Outcome::Established { flow: 10 + tick, took: MS });
             sent.extend((rs == 40).then_some(now));
         }
@@ -470,7 +493,7 @@
     let mut sent = 0;
     for id in 0..200 {
         let now = T0 + id * 100 * MS;
-        if let Place::To(rs, _) = policy.place(now, &flow(now, id)) {
+        if let Place::To(rs, ..) = policy.place(now, &flow(now, id)) {
             sent += 1;
             let tried = Flow { connects: vec![connect(rs, false)], ..flow(now, id) };
             let ended = Outcome::Ended { flow: id, rs, end: End::Error, owed: Some(&tried) };
@@ -565,7 +588,7 @@
             policy.inherit(&of(group, 1), rs);
         }
         match policy.place(T0, &of(group, 2)) {
-            Place::To(rs, _) => rs,
+            Place::To(rs, ..) => rs,
             other => panic!("{other:?}"),
         }
     };
@@ -612,7 +635,7 @@
         let mut on = [0; 5];
         for id in 0..30 {
             let now = T0 + SEC / 2 + id * 25 * MS;
-            if let Place::To(rs, _) = policy.place(now, &Flow { returning, ..flow(now, id) }) {
+            if let Place::To(rs, ..) = policy.place(now, &Flow { returning, ..flow(now, id) }) {
                 on[rs as usize] += 1;
                 policy.after(now, Outcome::Established { flow: id, took: MS });
             }
@@ -659,7 +682,7 @@
         now += policy.wait(now).expect("a look at the flow").min(5 * MS);
         policy.after(now, Outcome::Elapsed);
         match policy.place(now, &one) {
-            Place::To(rs, _) => assert!(goes && asked.contains(&rs), "{load:?}: {rs}"),
+            Place::To(rs, ..) => assert!(goes && asked.contains(&rs), "{load:?}: {rs}"),
             other => assert!(!goes, "{load:?}: {other:?}"),
         }
     }
@@ -680,7 +703,7 @@
         let mut words = Vec::new();
         for id in 0..5 {
             let one = Flow { group: group.clone(), ..flow(T0 + id * SEC, id) };
-            assert!(matches!(teller.place(one.taken, &one), Place::To(7, _)));
+            assert!(matches!(teller.place(one.taken, &one), Place::To(7, ..)));
             words.extend(teller.after(one.taken, Outcome::Established { flow: id, took: MS }).tell);
         }
         assert_eq!(words.len(), 1, "{words:?}");
@@ -689,7 +712,7 @@
         policy.heard(T0, words[0]);
         policy.heard(T0, Holds { rs: 99, ..words[0] });
         let now = T0 + age * SEC;
-        let Place::To(rs, _) = policy.place(now, &Flow { group, ..flow(now, 9) }) else { panic!("room") };
+        let Place::To(rs, ..) = policy.place(now, &Flow { group, ..flow(now, 9) }) else { panic!("room") };
         assert_eq!(rs == 7, follows, "telling {tells}, {age} s: {rs}");
     }
     for bad in [&b""[..], b"\x01", b"\x00\x01\x00\x07", b"\x00\x01123456789"] {
@@ -732,7 +755,7 @@
             let one = Flow { group: (!tells).then(|| "a".into()), ..flow(T0, id) };
             let placed = policy.place(T0, &one);
             assert!(
-                matches!(placed, Place::To(0 | 1, _)) && (tells || matches!(placed, Place::To(1, _))),
+                matches!(placed, Place::To(0 | 1, ..)) && (tells || matches!(placed, Place::To(1, ..))),
                 "{placed:?}"
             );
             policy.after(T0, Outcome::Ended { flow: id, rs: 1, end: End::Done, owed: None });
@@ -784,7 +807,7 @@
         for id in 0..20 {
             let group = Some(format!("group {}", id % 4));
             let one = Flow { group, ..flow(now, round * 100 + id) };
-            if let Place::To(rs, limit) = policy.place(now, &one) {
+            if let Place::To(rs, limit, _) = policy.place(now, &one) {
                 let listed = round * 250 + 500..round * 250 + 750;
                 assert!(listed.contains(&rs) && limit < 2 * SEC, "round {round}: {rs}");
                 policy.after(now, Outcome::Established { flow: one.id, took: MS });
