--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -14,10 +14,26 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
 use toy::{Agent, Toy};
 
 pub const EXAMPLE: &str = include_str!("../../../../examples/balancer.json");
 
+/// The example's settings with some of them changed: each path as `a/b/0`, and what stands there then; `null` takes it out.
+pub fn changed(config: &str, changes: &[(&str, Value)]) -> String {
+    let mut value: Value = serde_json::from_str(config).unwrap();
+    for (path, new) in changes {
+        let (inside, key) =
+            path.rsplit_once('/').map_or((String::new(), *path), |(a, b)| (format!("/{a}"), b));
+        match value["settings"].pointer_mut(&inside).unwrap() {
+            Value::Array(list) => list[key.parse::<usize>().unwrap()] = new.clone(),
+            parent if new.is_null() => drop(parent.as_object_mut().unwrap().remove(key)),
+            parent => parent[key] = new.clone(),
+        }
+    }
+    value.to_string()
+}
+
 /// A balancer with its servers. It is killed when dropped.
 pub struct Stand {
     pub child: Child,
@@ -45,7 +61,10 @@
         let file = std::env::temp_dir().join(format!("nettlemux-{}-{}.json", std::process::id(), at.ip()));
         std::fs::write(&file, &config).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
-        command.args(["serve", "--log", "debug", "--config"]).arg(&file).stderr(Stdio::null());
+        command
+            .args(["serve", "--log", "debug", "--config"])
+            .arg(&file)
+            .stderr(if std::env::var_os("SEE").is_some() { Stdio::inherit() } else { Stdio::null() });
         let stand = Stand { child: command.spawn().unwrap(), at, agent, toys, file, config };
         // Ready once it answers, and has had its list.
         soon("PONG", || TcpStream::connect(at).is_ok());
@@ -53,6 +72,16 @@
         stand
     }
 
+    /// The same balancer once more, with these settings changed.
+    pub fn restarted(&mut self, changes: &[(&str, Value)]) {
+        let _ = (self.child.kill(), self.child.wait());
+        std::fs::write(&self.file, changed(&self.config, changes)).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
+        command.args(["serve", "--log", "debug", "--config"]).arg(&self.file).stderr(Stdio::null());
+        self.child = command.spawn().unwrap();
+        soon("PONG", || TcpStream::connect(self.at).is_ok());
+    }
+
     pub fn client(&self, values: &str) -> Client {
         Client::open(self.at, values)
     }
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -21,8 +21,10 @@
     /// Served: the server's socket and all that it has sent, from its answer on.
     Up(Socket, (Buffer, usize)),
     Ended(Ended),
-    /// The client went away, and the connect with it.
-    Left,
+    /// The client went away, and the connect with it; whether its line was never written whole.
+    Left {
+        unsent: bool,
+    },
 }
 
 /// What a wait inside a connect was ended by.
@@ -47,7 +49,10 @@
     };
     let mut client = Client { book, gone: false };
 
-    let dialled_until = target.until.min(clock::now() + core.terms.now().dial_limit);
+    // Up to its line's last byte a connect has not been sent, so whoever is gone by then needs none, whether or not the
+    // settings allow connects to be called off. Guards against a flow that is sent on long after its client has left: while
+    // a connection comes up late, or since the client's end came in one with its line and rang no bell.
+    let dialled_until = target.by.min(clock::now() + core.terms.now().dial_limit);
     loop {
         server.looked_at();
         match server.connected() {
@@ -56,14 +61,23 @@
             Err(_) => return never(End::Unreachable),
         }
         match client.wait(dialled_until) {
+            Woken::Look if client.gone => return Sent::Left { unsent: true },
             Woken::Look => {}
+            // Too late for a repeat, which tells nothing of the server.
+            Woken::Ended(_) if target.by < target.until && clock::now() >= target.by => {
+                return never(End::NotSent);
+            }
             Woken::Ended(_) => return never(End::Unreachable),
-            Woken::Left => return Sent::Left,
+            Woken::Left => return Sent::Left { unsent: true },
         }
     }
+    if client.looks_gone() {
+        return Sent::Left { unsent: true };
+    }
 
-    // The list may have changed since the desk gave the order. What was open before the run goes where it was.
-    if !inherited && !target.server.ready() {
+    // The list may have changed since the desk gave the order, and a repeat that was in time may be so no more. What was
+    // open before the run goes where it was.
+    if !inherited && (!target.server.ready() || clock::now() >= target.by) {
         return never(End::NotSent);
     }
     let onward = match inherited {
@@ -79,34 +93,39 @@
             Err(_) => return never(End::Unreachable),
         }
         if written < onward.len() {
-            match client.wait(target.until) {
+            match client.wait(target.by) {
+                Woken::Look if client.gone => return Sent::Left { unsent: true },
                 Woken::Look => {}
                 Woken::Ended(_) => return never(End::Unreachable),
-                Woken::Left => return Sent::Left,
+                Woken::Left => return Sent::Left { unsent: true },
             }
         }
     }
 
     let mut bytes = core.buffers.take();
     let mut held = 0;
+    let mut over = None;
     loop {
         server.looked_at();
         match server.read(&mut bytes[held..]) {
             Ok(Some(0)) | Err(_) => return maybe(End::Cut),
             Ok(Some(count)) => held += count,
+            Ok(None) if let Some(end) = over => {
+                // Closed before it is told: nobody may be served by it any more.
+                drop(server);
+                return maybe(end);
+            }
             Ok(None) => match client.wait(target.until) {
                 Woken::Look => {}
-                Woken::Ended(end) => {
-                    // Closed before it is told: nobody may be served by it any more.
-                    drop(server);
-                    return maybe(end);
-                }
-                Woken::Left => return Sent::Left,
+                // Looked at once more: guards against an answer that has come by then, and a connection that is made and
+                // told as lost.
+                Woken::Ended(end) => over = Some(end),
+                Woken::Left => return Sent::Left { unsent: false },
             },
         }
         if let Some((length, _)) = wire::line_end(&bytes[..held]) {
             return match wire::answer(&bytes[..length], &core.terms.now().reports) {
-                Answer::Up if client.gone => Sent::Left,
+                Answer::Up if client.gone => Sent::Left { unsent: false },
                 Answer::Up => Sent::Up(server, (bytes, held)),
                 Answer::Ended(end, never_ran, report) => Sent::Ended(Ended { end, never_ran, report }),
             };
@@ -124,6 +143,16 @@
 }
 
 impl Client<'_> {
+    /// Whether it has left by now, also where nothing has rung for it.
+    fn looks_gone(&mut self) -> bool {
+        if !self.gone && self.book.client_left() {
+            self.gone = true;
+            // Where the line is out the module says whether the connect is called off.
+            self.book.left();
+        }
+        self.gone
+    }
+
     fn wait(&mut self, until: Time) -> Woken {
         match self.book.caller.mailbox.next(until) {
             None | Some(Event::Order(Order::TimeUp)) => Woken::Ended(End::TimedOut),
@@ -134,11 +163,7 @@
             }
             Some(Event::Order(_) | Event::Stop) => Woken::Look,
             Some(Event::Rung) => {
-                if !self.gone && self.book.client_left() {
-                    self.gone = true;
-                    // The module says whether the connect is called off.
-                    self.book.left();
-                }
+                self.looks_gone();
                 Woken::Look
             }
         }
@@ -146,7 +171,14 @@
 }
 
 /// Tells the desk of a connect that ended with its client.
-pub fn called_off(book: &Book, target: &Target) {
-    let (end, never_ran, report) = (End::CalledOff, false, Report::default());
-    book.tell(Ask::Ended { flow: book.id, rs: target.rs, number: target.number, end, never_ran, report });
+pub fn called_off(book: &Book, target: &Target, unsent: bool) {
+    let (end, report) = (if unsent { End::NotSent } else { End::CalledOff }, Report::default());
+    book.tell(Ask::Ended {
+        flow: book.id,
+        rs: target.rs,
+        number: target.number,
+        end,
+        never_ran: unsent,
+        report,
+    });
 }
