Move nobody before the front has let go of us, and pass on only what servers say

Seen by reading, forced over loopback (crossings.rs), each guard taken out and its test seen to fail: - With connect timeouts of 200 ms clients were told to move 100 ms after SIGTERM, while the front still sends us new ones for up to 0.4 s: they come straight back and are moved again. desk.rs ending() began at half the last answer's time; now not before COMING, and ends LAST_MOVES / 2 after it at the earliest. - `UP` followed by anything but one word, or ended by a bare LF, was passed on as served (wire.rs answer): no server says so, and it is now an error that may have run.

Checked and sound, with tests that fail when their guard is taken out: a server that drains, goes or returns at another address while it is dialled (send.rs ready() before the write); UP in one read with BYE, MOVE, LOAD or the end (relay.rs); UP as the time is up (mail.rs reads posts before the time).

--- a/crates/balancer/tests/crossings.rs
+++ b/crates/balancer/tests/crossings.rs
@@ -4,10 +4,12 @@
 
 mod common;
 
+use std::io::ErrorKind::WouldBlock;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -302,3 +304,143 @@
     thread::sleep(Duration::from_millis(50));
     assert_eq!(stand.client("c=chat,d=900").line(), "UP 1");
 }
+
+/// A server that drains, goes, or returns at another address while a connect to it comes up gets nothing; the flow goes to
+/// the next one.
+#[test]
+fn a_server_that_goes_while_it_is_dialled_gets_nothing() {
+    thread::scope(|scope| {
+        for how in ["Terminating", "Gone", "elsewhere"] {
+            scope.spawn(move || {
+                let late = Late::new();
+                let stand = with_only(&late, true);
+                soon("nobody dialling", || !late.dialled());
+                let mut client = stand.client("c=order,d=4000");
+                soon("a connection begun", || late.dialled());
+                let toy = stand.toys[0].address;
+                match how {
+                    "elsewhere" => stand.agent.tell("s-late", toy, "Ready"),
+                    how => {
+                        stand.agent.tell("s-0", toy, "Ready");
+                        stand.agent.tell("s-late", late.address, how);
+                    }
+                }
+                // Known once others are served there, one after the other.
+                let served = || stand.client("c=chat,d=60").says("UP 1");
+                soon("the new list", || (0..4).all(|_| served()));
+                assert_eq!(late.let_in(), "", "{how}");
+                assert_eq!(client.line(), "UP 1", "{how}");
+            });
+        }
+    });
+}
+
+/// A server that says this to each first line, and whether its caller has ended by then or ends within a second.
+fn says(text: &'static str, end: bool, when: impl Fn() + Send + 'static) -> (SocketAddr, Receiver<bool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (address, (ended, told)) = (listener.local_addr().unwrap(), channel());
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut lines = BufReader::new(stream.try_clone().unwrap()).lines();
+            if lines.next().is_none_or(|line| line.is_ok_and(|line| !line.starts_with("OPEN"))) {
+                continue;
+            }
+            when();
+            let _ = (&stream).write_all(text.as_bytes());
+            if end {
+                let _ = stream.shutdown(Shutdown::Write);
+            }
+            stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+            let _ = ended.send(lines.next().is_none_or(|line| line.is_err_and(|e| e.kind() != WouldBlock)));
+        }
+    });
+    (address, told)
+}
+
+/// A balancer that knows this server alone, without probes.
+fn with_one(address: SocketAddr) -> Stand {
+    let stand = Stand::with(1, |config| changed(&config, &[("limits/probes", json!(false))]));
+    // In this order: who is served by the second is so once the first is gone.
+    stand.agent.tell("s-0", stand.toys[0].address, "Gone");
+    stand.agent.tell("s-1", address, "Ready");
+    let seen = || stand.toys[0].seen().len();
+    soon("the new list", || {
+        let before = seen();
+        stand.client("c=chat,d=900").says("UP 1") && seen() == before
+    });
+    stand
+}
+
+/// `UP` in one read with what follows it: all of it is passed on, in order, and the end with it.
+#[test]
+fn what_comes_in_one_read_with_up_is_passed_on() {
+    for (text, end) in [
+        ("UP 1\r\nBYE\r\n", true),
+        ("UP 1\r\nMOVE\r\n", true),
+        ("UP 1\r\nLOAD 7\r\nok x\r\nBYE inflight=1,util=0.2\r\n", true),
+        ("UP 1\r\n", true),
+        ("UP 1\r\nLOAD 7\r\nok x\r\n", false),
+    ] {
+        let (address, _ended) = says(text, end, || {});
+        let stand = with_one(address);
+        let mut client = stand.client("c=chat,d=900");
+        for line in text.lines() {
+            assert_eq!(client.line(), line, "{text:?}");
+        }
+        if end {
+            assert_eq!(client.line(), "end", "{text:?}");
+        }
+    }
+}
+
+/// `UP` that comes with the client's leave: nobody is served, and the server hears of it.
+#[test]
+fn up_that_comes_with_the_clients_leave_is_given_back() {
+    for _ in 0..5 {
+        let stand = Stand::with(1, |config| changed(&config, &[("limits/may-cancel", json!(false))]));
+        stand.toys[0].set(Mood::Silent);
+        let client = stand.client("c=chat,d=3000");
+        soon("the connect", || stand.toys[0].seen().last().is_some_and(|line| line.contains("d=2")));
+        let (open, before) = (stand.toys[0].ended(), Instant::now());
+        at_one_go(&stand, || {
+            drop(client);
+            stand.toys[0].say("UP 1\r\n", false);
+        });
+        soon("the end at the server", || stand.toys[0].ended() > open);
+        assert!(before.elapsed() < Duration::from_millis(1500), "{:?}", before.elapsed());
+    }
+}
+
+/// `UP` that has come by the time a connect's time is up is the answer: the server holds the connection.
+#[test]
+fn up_that_has_come_as_the_time_is_up_is_passed_on() {
+    for _ in 0..5 {
+        let stand = Stand::new(1);
+        stand.toys[0].set(Mood::Silent);
+        let mut client = stand.client("c=order,d=900");
+        soon("the connect", || stand.toys[0].seen().last().is_some_and(|line| line.contains("c=order")));
+        at_one_go(&stand, || {
+            stand.toys[0].say("UP 1\r\n", false);
+            thread::sleep(Duration::from_millis(950));
+        });
+        assert_eq!(client.line(), "UP 1");
+    }
+}
+
+/// Clients that are moved while the front still sends us new ones would come straight back.
+#[test]
+fn nobody_is_moved_while_moved_clients_come_straight_back() {
+    let mut stand = Stand::new(1);
+    let limit = json!(200_000);
+    stand.restarted(&[("service-types/0/hard-limit", limit.clone()), ("service-types/1/hard-limit", limit)]);
+    soon("a list", || stand.client("c=chat,d=200").says("UP 1"));
+    let mut clients: Vec<Client> = (0..6).map(|_| stand.client("c=chat,d=200")).collect();
+    clients.iter_mut().for_each(|client| assert_eq!(client.line(), "UP 1"));
+    let since = Instant::now();
+    stand.terminate();
+    for client in &mut clients {
+        assert_eq!((client.line(), client.line()), ("MOVE".into(), "end".into()));
+        assert!(since.elapsed() >= Duration::from_millis(400), "{:?}", since.elapsed());
+    }
+    assert!(stand.child.wait().unwrap().success() && since.elapsed() < Duration::from_millis(900));
+}
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -74,9 +74,9 @@
 pub const LAST_ANSWER: Time = 3 * SEC;
 /// Then all has been said after so long.
 const EXIT: Time = 500 * MS;
-/// The front goes on sending us clients for up to 0.4 s after SIGTERM. Guards against an end that leaves them to a closed
-/// port where connect timeouts are so short that all has been said before.
-const COMING: Time = 500 * MS;
+/// The front goes on sending us clients for up to so long after SIGTERM. Guards, where connect timeouts are short, against
+/// moves that come straight back, and an end that leaves clients to a closed port since all has been said before.
+const COMING: Time = 400 * MS;
 
 /// What a module made from other settings is given, and what the end of the balancer waits for.
 pub struct Given {
@@ -379,8 +379,8 @@
         // Late, since the connections are sound and others may be restarting with us, and spread, so that clients
         // don't come to those all at once. Nor too early: the front sends us new ones for up to 0.4 s, and they
         // would come straight back.
-        let move_until = self.given.last_answer + LAST_MOVES;
-        if passed >= self.given.last_answer / 2 && now >= self.next_move {
+        let move_until = (self.given.last_answer + LAST_MOVES).max(COMING + LAST_MOVES / 2);
+        if passed >= (self.given.last_answer / 2).max(COMING) && now >= self.next_move {
             // Guards against one step for each thing that the desk is told: each move is told, and so moved the
             // next, and all clients went within 10 ms.
             self.next_move = now + STEP;
@@ -411,7 +411,7 @@
             waiting.for_each(|(_, client)| client.mail.send(Event::Order(Order::TimeUp)));
         }
         let all_said = self.clients.is_empty() && self.given.lobby.open() == 0;
-        passed >= self.given.last_answer + EXIT || passed >= move_until.max(COMING) && all_said
+        passed >= self.given.last_answer + EXIT || passed >= move_until && all_said
     }
 }
 
--- a/crates/core/src/net.rs
+++ b/crates/core/src/net.rs
@@ -198,19 +198,14 @@
         matches!(self.socket.read(&mut [0; 1]), Ok(None))
     }
 
-    /// The next bytes; 0 at the end. Looks once more when the time is up: what has come by then has come in time.
+    /// The next bytes; 0 at the end.
     pub fn read(&self, into: &mut [u8], until: Time) -> io::Result<usize> {
-        let mut waited = Ok(());
         loop {
             self.socket.looked_at();
             match self.socket.read(into)? {
                 Some(count) => return Ok(count),
-                None => waited?,
+                None => self.wait(until)?,
             }
-            waited = match self.wait(until) {
-                Err(e) if e.kind() != ErrorKind::TimedOut => return Err(e),
-                waited => waited,
-            };
         }
     }
 
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -104,27 +104,23 @@
 
     let mut bytes = core.buffers.take();
     let mut held = 0;
-    let mut over = None;
     loop {
         server.looked_at();
         match server.read(&mut bytes[held..]) {
             Ok(Some(0)) | Err(_) => return maybe(End::Cut),
             Ok(Some(count)) => held += count,
-            Ok(None) if let Some(end) = over => {
-                // Closed before it is told: nobody may be served by it any more.
-                drop(server);
-                return maybe(end);
-            }
             Ok(None) => match client.wait(target.until) {
                 Woken::Look => {}
-                // Looked at once more: guards against an answer that has come by then, and a connection that is made and
-                // told as lost.
-                Woken::Ended(end) => over = Some(end),
+                Woken::Ended(end) => {
+                    // Closed before it is told: nobody may be served by it any more.
+                    drop(server);
+                    return maybe(end);
+                }
                 Woken::Left => return Sent::Left { unsent: false },
             },
         }
-        if let Some((length, _)) = wire::line_end(&bytes[..held]) {
-            return match wire::answer(&bytes[..length], &core.terms.now().reports) {
+        if let Some((_, next)) = wire::line_end(&bytes[..held]) {
+            return match wire::answer(&bytes[..next], &core.terms.now().reports) {
                 Answer::Up if client.gone => Sent::Left { unsent: false },
                 Answer::Up => Sent::Up(server, (bytes, held)),
                 Answer::Ended(end, never_ran, report) => Sent::Ended(Ended { end, never_ran, report }),
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -35,14 +35,17 @@
     Ended(End, bool, Report),
 }
 
-/// Reads a server's answer, without its end.
+/// Reads a server's answer, with its end. Guards against a spoilt one that is passed on as served: what isn't ended by
+/// CRLF, or isn't one word with its receipt, no server has said.
 pub fn answer(line: &[u8], reports: &Reports) -> Answer {
+    let Some(line) = line.strip_suffix(b"\r\n") else {
+        return Answer::Ended(End::Error, false, Report::default());
+    };
     let line = String::from_utf8_lossy(line);
     let (word, rest) = line.split_once(' ').unwrap_or((&line, ""));
     let report = reports.read(rest, '=').unwrap_or_default();
     match word {
-        // Without its receipt it is no server's word.
-        "UP" if !rest.is_empty() => Answer::Up,
+        "UP" if !rest.is_empty() && rest.bytes().all(|byte| byte.is_ascii_graphic()) => Answer::Up,
         "BUSY" => Answer::Ended(End::Full, true, report),
         "BYE" => Answer::Ended(End::Done, false, report),
         "MOVE" => Answer::Ended(End::CalledOff, false, report),
@@ -150,6 +153,11 @@
             ("UP 12ab", Answer::Up),
             // Without a receipt it is no server's word; a figure that is no number is none.
             ("UP", Answer::Ended(End::Error, false, none)),
+            ("UP ", Answer::Ended(End::Error, false, none)),
+            ("UP 1 2", Answer::Ended(End::Error, false, none)),
+            ("UP 1\u{1}", Answer::Ended(End::Error, false, none)),
+            ("UP 1\r", Answer::Ended(End::Error, false, none)),
+            ("UP 1\u{fffd}", Answer::Ended(End::Error, false, none)),
             ("BUSY util=nan,inflight=-3", Answer::Ended(End::Full, true, none)),
             ("BUSY inflight=7,queue=inf,util=0.61", Answer::Ended(End::Full, true, busy)),
             ("BUSY inflight=7,queue=2,util=0.61", Answer::Ended(End::Full, true, busy)),
@@ -158,7 +166,9 @@
             ("MOVE", Answer::Ended(End::CalledOff, false, none)),
             ("SYNTAX", Answer::Ended(End::Error, false, none)),
         ] {
-            assert_eq!(answer(line.as_bytes(), &Reports::default()), expected, "{line}");
+            assert_eq!(answer(format!("{line}\r\n").as_bytes(), &Reports::default()), expected, "{line}");
+            let cut = Answer::Ended(End::Error, false, none);
+            assert_eq!(answer(format!("{line}\n").as_bytes(), &Reports::default()), cut, "{line} without CR");
         }
     }
 
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -33,6 +33,8 @@
     /// How often it was asked for its load.
     asked: Mutex<usize>,
     open: Mutex<Vec<TcpStream>>,
+    /// Connections that their callers have ended.
+    ended: Mutex<usize>,
 }
 
 impl Toy {
@@ -45,6 +47,7 @@
             seen: Mutex::default(),
             asked: Mutex::default(),
             open: Mutex::default(),
+            ended: Mutex::default(),
         });
         let serving = toy.clone();
         thread::spawn(move || {
@@ -72,6 +75,10 @@
         *self.asked.lock().unwrap()
     }
 
+    pub fn ended(&self) -> usize {
+        *self.ended.lock().unwrap()
+    }
+
     /// Says so on all open connections, and ends them unless told to stay.
     pub fn say(&self, text: &str, end: bool) {
         for mut stream in self.open.lock().unwrap().iter() {
@@ -114,6 +121,7 @@
                 Mood::Cut => return out.shutdown(Shutdown::Both).ok(),
             }
         }
+        *self.ended.lock().unwrap() += 1;
         // A silent one holds its side open, as a machine that has vanished does.
         while *self.mood.lock().unwrap() == Mood::Silent {
             thread::sleep(Duration::from_millis(100));
