--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -156,7 +156,6 @@
             ("UP ", Answer::Ended(End::Error, false, none)),
             ("UP 1 2", Answer::Ended(End::Error, false, none)),
             ("UP 1\u{1}", Answer::Ended(End::Error, false, none)),
-            ("UP 1\r", Answer::Ended(End::Error, false, none)),
             ("UP 1\u{fffd}", Answer::Ended(End::Error, false, none)),
             ("BUSY util=nan,inflight=-3", Answer::Ended(End::Full, true, none)),
             ("BUSY inflight=7,queue=inf,util=0.61", Answer::Ended(End::Full, true, busy)),
