Ask an agent that counts its versions anew for its whole list

Seen by reading, forced over loopback: an agent that is started again while we call it counts from one. A drain that it tells under a number below ours never came: the watch asked from 22, was answered with version 2 and no entries, and went on from 2 (discovery.rs watch, `version = Some(news.version)`). A lower number in an answer that isn't the whole list now has the whole list asked for.

Test an_agent_that_counts_anew_is_asked_for_its_whole_list: without the line, no drain within 8 s.

--- a/crates/balancer/tests/crossings.rs
+++ b/crates/balancer/tests/crossings.rs
@@ -427,6 +427,30 @@
     }
 }
 
+/// An agent that is started again counts from one: what it told before its new number reached ours must come all the same.
+#[test]
+fn an_agent_that_counts_anew_is_asked_for_its_whole_list() {
+    let stand = Stand::new(2);
+    for _ in 0..20 {
+        stand.agent.tell("s-0", stand.toys[0].address, "Ready");
+    }
+    soon("both", || {
+        let before = stand.toys[1].seen().len();
+        stand.client("c=chat,d=900").line();
+        stand.toys[1].seen().len() > before
+    });
+    // A drain under a number that is past, told by the new count alone.
+    stand.agent.hush(true);
+    thread::sleep(Duration::from_millis(1100));
+    stand.agent.tell("s-1", stand.toys[1].address, "Terminating");
+    stand.agent.count_anew();
+    stand.agent.hush(false);
+    soon("the drain", || {
+        let before = stand.toys[1].seen().len();
+        (0..6).all(|_| stand.client("c=chat,d=900").says("UP 1")) && stand.toys[1].seen().len() == before
+    });
+}
+
 /// Clients that are moved while the front still sends us new ones would come straight back.
 #[test]
 fn nobody_is_moved_while_moved_clients_come_straight_back() {
--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -153,7 +153,10 @@
                 failing = false;
                 debug!(news.version, news.whole, entries = news.entries.len(), "list");
                 let told = news.whole || !news.entries.is_empty();
-                version = Some(news.version);
+                // Guards against an agent that has begun to count anew: what it has told under numbers that we think are
+                // past would never come.
+                let anew = !news.whole && version.is_some_and(|asked| news.version < asked);
+                version = (!anew).then_some(news.version);
                 if told {
                     desk.send(Ask::List { entries: news.entries, whole: news.whole });
                 }
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -173,6 +173,14 @@
         self.changed.notify_all();
     }
 
+    /// Begins to count its versions anew, as one that was started again does; whoever waits is answered.
+    pub fn count_anew(&self) {
+        let mut list = self.list.lock().unwrap();
+        list.servers.values_mut().zip(1..).for_each(|(server, version)| server.0 = version);
+        list.version = list.servers.len() as u64;
+        self.changed.notify_all();
+    }
+
     /// Answers nothing while it is silent.
     pub fn hush(&self, silent: bool) {
         *self.silent.lock().unwrap() = silent;
