--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -286,7 +286,8 @@
             });
             let ready = entry.state == State::Ready;
             match self.servers.get(&rs) {
-                Some(server) if server.address == entry.address => {
+                // Without an address it is where it was.
+                Some(server) if server.address == entry.address || entry.address.port() == 0 => {
                     if server.ready.swap(ready, Ordering::AcqRel) != ready {
                         info!(server = server.name, state = ?entry.state, "list");
                     }
--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -63,10 +63,10 @@
         "Gone" => State::Gone,
         other => return Err(format!("{name}: 'lifecycle' is '{other}'")),
     };
-    // One that is gone may have lost its address with it.
+    // One that is going may have lost its address with it. Guards against a drain that is passed over.
     let address = match text("hostPort").parse() {
         Ok(address) => address,
-        Err(_) if state == State::Gone => SocketAddr::from(([0, 0, 0, 0], 0)),
+        Err(_) if state != State::Ready => SocketAddr::from(([0, 0, 0, 0], 0)),
         Err(_) => return Err(format!("{name}: 'hostPort' is no address")),
     };
     if name.is_empty() {
@@ -353,13 +353,15 @@
              "lifecycle":"Ready","weight":1.5,"startedAtMs":1700000000123},
             {"instanceId":"s-2","hostPort":"nowhere","lifecycle":"Ready"},
             {"instanceId":"s-3","lifecycle":"Gone"},
+            {"instanceId":"s-5","hostPort":null,"lifecycle":"Terminating"},
             {"instanceId":"s-4","hostPort":"127.1.0.18:8081","lifecycle":"Asleep"}]}"#;
         let read = news(&serde_json::from_str(text).unwrap()).unwrap();
-        assert_eq!((read.version, read.whole, read.entries.len()), (41, true, 2));
+        assert_eq!((read.version, read.whole, read.entries.len()), (41, true, 3));
         let first = &read.entries[0];
         assert_eq!((first.name.as_str(), first.cell.as_str(), first.state), ("s-1", "3", State::Ready));
         assert_eq!(first.started, 1_700_000_000_123 * MS);
         assert_eq!((read.entries[1].name.as_str(), read.entries[1].state), ("s-3", State::Gone));
+        assert_eq!((read.entries[2].name.as_str(), read.entries[2].state), ("s-5", State::Draining));
         for bad in [r#"{}"#, r#"{"generation":1,"reset":true}"#, r#"[]"#] {
             assert!(news(&serde_json::from_str(bad).unwrap()).is_err(), "{bad}");
         }
