--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -855,7 +855,7 @@
     fn credit(&self, now: Time, server: &Server, pace: &BTreeMap<u64, f64>) -> f64 {
         let pace = pace.get(&server.listed.machine).copied().unwrap_or(0.0);
         let pace = self.cold.2 * self.warmth(now, server) * pace;
-        let one_in = 2_u64.pow((2.0 * pace * SEC as f64).recip().log2().clamp(0.0, 20.0) as u32);
+        let one_in = 2_u64.pow((pace * SEC as f64).recip().log2().clamp(0.0, 20.0) as u32);
         let (left, at) = server.credit;
         let grown = (left + pace * now.saturating_sub(at) as f64).min(1.0);
         if ((now + server.phase) / SEC).is_multiple_of(one_in) { grown } else { grown.min(0.5) }
