Start the program in one place in the tests, without a leftover switch for its log

Found on reading the change once more: Stand::with and Stand::restarted each spelled the command out, and the first still had the SEE variable of a look at one test.

--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -8,6 +8,7 @@
 
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -44,6 +45,12 @@
     pub config: String,
 }
 
+fn serve(file: &Path) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
+    command.args(["serve", "--log", "debug", "--config"]).arg(file).stderr(Stdio::null());
+    command.spawn().unwrap()
+}
+
 impl Stand {
     pub fn new(servers: usize) -> Self {
         Stand::with(servers, |config| config)
@@ -60,12 +67,7 @@
         let config = change(config.replace("127.0.0.1:7100", &agent.address.to_string()));
         let file = std::env::temp_dir().join(format!("nettlemux-{}-{}.json", std::process::id(), at.ip()));
         std::fs::write(&file, &config).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
-        command
-            .args(["serve", "--log", "debug", "--config"])
-            .arg(&file)
-            .stderr(if std::env::var_os("SEE").is_some() { Stdio::inherit() } else { Stdio::null() });
-        let stand = Stand { child: command.spawn().unwrap(), at, agent, toys, file, config };
+        let stand = Stand { child: serve(&file), at, agent, toys, file, config };
         // Ready once it answers, and has had its list.
         soon("PONG", || TcpStream::connect(at).is_ok());
         soon("a list", || Client::open(at, "c=chat,d=1000").says("UP 1"));
@@ -76,9 +78,7 @@
     pub fn restarted(&mut self, changes: &[(&str, Value)]) {
         let _ = (self.child.kill(), self.child.wait());
         std::fs::write(&self.file, changed(&self.config, changes)).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
-        command.args(["serve", "--log", "debug", "--config"]).arg(&self.file).stderr(Stdio::null());
-        self.child = command.spawn().unwrap();
+        self.child = serve(&self.file);
         soon("PONG", || TcpStream::connect(self.at).is_ok());
     }
 
