Expect only our part of what servers hold when a fresh balancer pays for probes

Lines at fault: probe_every took eight flows (FEWEST) for any balancer that starts with nothing. With 12 servers that gives 2.85 s, just under SPARSE (3 s), so the sparse case never began within the 20 s that the guess holds, and all of 100 balancers probed for eight flows while they got one each. Harmless alone, harmful in all. Mended: the guess is our part of the fewest connections that all servers are taken to hold, eight at most. Few balancers on many servers go on as before.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -67,8 +67,7 @@
 const RATE_SPAN: Time = 20 * SEC;
 /// Connects that were made together fail together: the window narrows once in this span.
 const ROUND: Time = 250 * MS;
-/// A cold server takes so many times what fills it over the stated warm-up, the longest that there may be: it
-/// fell over at 105 connects in 3 s on sockets, and gets 25 by this.
+/// Times what fills a cold server over the longest warm-up: it fell at 105 connects in 3 s; this gives 25.
 const FILLS: f64 = 4.0;
 /// Connects in flight at once that trouble nobody, ours and all balancers' together; where the window starts.
 const CALM: f64 = 8.0;
@@ -668,10 +667,11 @@
     /// The probe interval: as long as keeps probes within their worth, by how many of our flows come to them.
     fn probe_every(&self, now: Time, servers: usize) -> Time {
         let settled = self.settled.iter().filter(|(at, _)| at + RATE_SPAN >= now).count();
-        // Until a span has passed, what was inherited tells: connections are taken to live for three of them.
-        // Where nothing was, guards against a restart whose first figures stand for 10 s while it fills.
+        // Until a span has passed, what was inherited tells: connections live for three. Where nothing was, our
+        // part of what servers hold: guards against figures that stand for 10 s, and hundreds that expect eight.
         let young = self.began.is_none_or(|began| now < began + RATE_SPAN);
-        let expected = if self.afresh(now) { FEWEST as usize } else { self.book.own.len() / 3 };
+        let part = (FEWEST * (self.servers.len() as f64 / self.balancers).min(1.0)) as usize;
+        let expected = if self.afresh(now) { part } else { self.book.own.len() / 3 };
         let flows = settled.max(if young { expected } else { 1 }).max(1);
         let probes = PROBES_WORTH * flows as f64 / self.probe_price.max(f64::MIN_POSITIVE);
         (RATE_SPAN as f64 * servers as f64 / probes) as Time
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -680,6 +680,25 @@
     assert!(count >= 3, "{count} probes in 8 s");
 }
 
+#[test]
+fn balancers_that_start_together_do_not_each_probe_for_flows_that_all_of_them_share() {
+    // Guards against 100 balancers that each probed 12 servers every 2.9 s for eight flows and got one. Balancers,
+    // probes of one of them in its first 10 s at least and at most.
+    for (balancers, least, most) in [(4.0, 36, 72), (12.0, 36, 72), (100.0, 0, 0), (300.0, 0, 0)] {
+        let mut policy = balancer(Repeat::Repeatable).probing(true, 0.0019).among(balancers, false);
+        policy.list(T0, &(0..12).map(ready).collect::<Vec<_>>(), true);
+        let (mut now, mut count) = (T0, 0);
+        while now < T0 + 10 * SEC {
+            now += policy.wait(now).expect("a probe is due").max(MS);
+            for rs in policy.after(now, Outcome::Elapsed).probe {
+                count += 1;
+                probe(&mut policy, now, rs, 0.5 + (now % 97) as f64 / 1e4);
+            }
+        }
+        assert!((least..=most).contains(&count), "{balancers} balancers: {count} probes");
+    }
+}
+
 #[test]
 fn flows_wait_for_a_figure_where_probes_are_scarce() {
     // Guards against 47 probes a flow for figures of 15 s (four balancers to a server). What the probe brings,
