Pause longer and by chance between failed calls for a list that balancers ask one service for

Ruled out: watches that go on (held 1 s or 10 s, as many balancers were told; they cost the service nothing), the agent being down (others were answered meanwhile). Lines at fault: AGAIN, a fixed 50 ms in watch(), and PATIENCE, 0.5 s past the hold, which gave up calls that still stood in line. Harmless in one balancer, harmful in all: their own calls keep the line longer than it is waited for. Mended: where the settings say that the list is asked for, the pause is drawn from up to four times what the failed call took, doubled with each further one, up to contract.ask-within; a call that begins a watch is waited for 3 s past its hold. Where lists are pushed nothing changes: what the agent has counts as told at once.

--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -41,6 +41,8 @@
     pub settings: Settings,
     /// A connection that isn't made by then can't be made.
     pub dial_limit: Time,
+    /// The longest pause between calls for the list, where it has to be asked for.
+    pub asked: Option<Time>,
     /// Keys that nothing reads, each with the known one that is nearest.
     pub unknown: Vec<Faulty>,
 }
@@ -50,7 +52,8 @@
     pub fn term(&self) -> Term {
         let how = self.settings.maybe("report/how").and_then(Value::as_str);
         let stats = how != Some("silent");
-        Term { reports: self.settings.reports(), stats, dial_limit: self.dial_limit }
+        let (reports, dial_limit, asked) = (self.settings.reports(), self.dial_limit, self.asked);
+        Term { reports, stats, dial_limit, asked }
     }
 
     /// Says in the log which keys nothing reads.
@@ -178,6 +181,7 @@
         memory,
         known,
         dial_limit: settings.dial_limit().map_err(faulty)?,
+        asked: settings.asked().map_err(faulty)?,
         settings,
         unknown,
     })
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -204,19 +204,20 @@
     let running = may::go!(move || whole_desk.run());
     let agent = Agent::new(config.discovery);
     let in_file = config.settings.clone();
+    let seed = config.seed;
     let reload = signals::Reload {
         file,
         operator: operator_file,
         door_seed,
         config,
         in_file,
-        terms,
+        terms: terms.clone(),
         front: front.clone(),
         peers,
     };
     signals::listen(signals, reload, desk.clone(), agent.clone())
         .map_err(|e| format!("can't listen for signals: {e}"))?;
-    let means = discovery::Means { agent, descriptors, buffers };
+    let means = discovery::Means { agent, terms, seed, descriptors, buffers };
     let told = desk.clone();
     may::go!(move || parts::keep_up("discovery", &told, || discovery::watch(version, &means, &told)));
     may::go!(move || parts::keep_up("the listener", &desk, || take_in::accept(&front, &listener)));
--- a/crates/balancer/tests/starts.rs
+++ b/crates/balancer/tests/starts.rs
@@ -201,12 +201,12 @@
 }
 
 /// An agent that answers each call at once with this; how often it was called.
-fn agent_that_says(body: String) -> (SocketAddr, Arc<AtomicUsize>) {
+fn agent_that_says(status: &str, body: String) -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (address, calls) = (listener.local_addr().unwrap(), Arc::new(AtomicUsize::new(0)));
     let counted = calls.clone();
+    let answer = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
     thread::spawn(move || {
-        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         for stream in listener.incoming().flatten() {
             let (calls, answer) = (counted.clone(), answer.clone());
             thread::spawn(move || {
@@ -243,7 +243,7 @@
         ("no text", "\u{0}\u{1}\u{2}".repeat(1000)),
         ("numbers that are none", r#"{"generation":-1,"reset":1e999,"instances":{}}"#.to_string()),
     ] {
-        let (address, calls) = agent_that_says(body);
+        let (address, calls) = agent_that_says("200 OK", body);
         config = config.replace(&now, &address.to_string());
         now = address.to_string();
         std::fs::write(&stand.file, &config).unwrap();
@@ -257,6 +257,25 @@
     }
 }
 
+/// Guards against a hundred balancers that call a service they share again at once, keep its line full and learn nothing for
+/// the rest of the day. An agent on the own machine costs nothing and is asked again at once: what it has counts as told.
+#[test]
+fn a_list_that_is_asked_for_is_called_for_less_and_less_while_calls_fail() {
+    let stand = Stand::new(1);
+    for (discovery, least, most) in [("push", 30, 80), ("ask", 2, 22)] {
+        let (address, calls) = agent_that_says("503 Busy", String::new());
+        let config = stand.config.replace(&stand.agent.address.to_string(), &address.to_string());
+        std::fs::write(&stand.file, changed(&config, &[("discovery", json!(discovery))])).unwrap();
+        stand.signal("-HUP");
+        soon(discovery, || calls.load(Ordering::Relaxed) > 0);
+        let before = calls.load(Ordering::Relaxed);
+        thread::sleep(Duration::from_secs(3));
+        let made = calls.load(Ordering::Relaxed) - before;
+        assert!((least..=most).contains(&made), "{discovery}: {made} calls in 3 s");
+        assert_eq!(stand.client("c=chat,d=900").line(), "UP 1", "{discovery}: the old list holds");
+    }
+}
+
 /// Guards against a balancer that stops or spins where nobody reads its log any more.
 #[test]
 fn a_log_that_nobody_reads_stops_nothing() {
--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use nanorand::{Rng, WyRand};
 use nettlemux_policy::{MS, SEC, State, Time};
 use serde_json::Value;
 use tracing::{debug, info, warn};
@@ -16,6 +17,7 @@
 use crate::net::Caller;
 use crate::orders::{Ask, Entry, Event};
 use crate::pool::{Buffers, Descriptors};
+use crate::shared::Terms;
 
 /// How long one call is held. Short, since a silent agent shows only once a hold is over: what it should have
 /// told counts as told 2 s after.
@@ -23,7 +25,16 @@
 /// How long past its hold a call is waited for.
 const PATIENCE: Time = 500 * MS;
 /// Until the next try after a call that failed; a watch goes on if the next call comes within 200 ms.
-const AGAIN: Duration = Duration::from_millis(50);
+const AGAIN: Time = 50 * MS;
+/// Where the list has to be asked for, one service answers all balancers' calls in turn: a call that begins a watch is
+/// waited for so long past its hold. Guards against calls that are given up in the line and answered for nobody; the
+/// service that was met turns them away after 2 s.
+const IN_LINE: Time = 3 * SEC;
+/// And the pause after one that failed there is drawn from up to so many times as long as it took, twice that after each
+/// further one, up to the settings' limit: the line was as long as we stood in it, and all who stood there call again.
+/// Guards against a hundred that call again at once, keep the line full and learn nothing for the rest of the day
+/// (herd+vast: 61 to 72 of 100 balancers). Drawn from the doubled time alone they still met in the line.
+const PAUSES: u64 = 4;
 /// Between the starts of two calls: guards against an agent that answers at once and without end, each time with nothing
 /// new or with all that it has. Well inside the 200 ms, and the shortest time in which a drain has to be kept.
 const APART: Duration = Duration::from_millis(20);
@@ -121,6 +132,9 @@
 /// What a call needs.
 pub struct Means {
     pub agent: Arc<Agent>,
+    pub terms: Arc<Terms>,
+    /// For random draws.
+    pub seed: u64,
     pub descriptors: Arc<Descriptors>,
     pub buffers: Arc<Buffers>,
 }
@@ -129,28 +143,33 @@
 pub fn watch(known: Option<u64>, means: &Means, desk: &Sender<Ask>) {
     let mut version = known;
     let mut caller: Option<Caller> = None;
-    let mut failing = false;
+    // Calls that failed since the last that was answered; the first of a watch has none before it either.
+    let (mut failed, mut begins) = (0_u32, true);
+    let mut rng = WyRand::new_seed(means.seed);
     let mut moves = 0;
     loop {
         let agent = means.agent.now().clone();
         if agent.moves != moves {
             // Another agent, another count of versions: asked for all that it has. Till then the old list holds.
             info!(agent = %agent.address, "discovery has moved");
-            (moves, version, caller) = (agent.moves, None, None);
+            (moves, version, caller, begins, failed) = (agent.moves, None, None, true, 0);
         }
         let (path, hold) = match version {
             Some(version) => (format!("/api/targets?from={version}&hold_ms={}", HOLD / MS), HOLD),
             None => ("/api/targets".to_string(), 0),
         };
         let since = clock::now();
-        let result = call(&mut caller, &agent, &path, means, since + hold + PATIENCE);
+        let asked = means.terms.now().asked;
+        let patience = if begins && asked.is_some() { IN_LINE } else { PATIENCE };
+        let result = call(&mut caller, &agent, &path, means, since + hold + patience);
+        begins = result.is_err();
         let early = clock::now() < since + APART.as_nanos() as Time;
         match result {
             Ok(news) => {
-                if failing {
-                    info!("discovery answers again");
+                if failed > 0 {
+                    info!(failed, "discovery answers again");
                 }
-                failing = false;
+                failed = 0;
                 debug!(news.version, news.whole, entries = news.entries.len(), "list");
                 let told = news.whole || !news.entries.is_empty();
                 // Guards against an agent that has begun to count anew: what it has told under numbers that we think are
@@ -168,17 +187,26 @@
             Err(e) if e.kind() == ErrorKind::Interrupted => caller = None,
             Err(e) => {
                 caller = None;
-                if !failing {
+                if failed == 0 {
                     warn!(error = %e, "discovery fails");
                     desk.send(Ask::ListFailed);
                 }
-                failing = true;
-                may::coroutine::sleep(AGAIN);
+                let took = clock::now() - since;
+                let pause = asked.map_or(AGAIN, |longest| pause(took, failed, longest, &mut rng));
+                debug!(error = %e, path, took_ms = took / MS, pause_ms = pause / MS, "no list");
+                failed = failed.saturating_add(1);
+                may::coroutine::sleep(Duration::from_nanos(pause));
             }
         }
     }
 }
 
+/// How long to wait after a call that failed, where all balancers share a service.
+fn pause(took: Time, failed: u32, longest: Time, rng: &mut WyRand) -> Time {
+    let most = took.saturating_mul(PAUSES << failed.min(16)).min(longest).max(AGAIN);
+    rng.generate_range(AGAIN..=most)
+}
+
 fn call(
     caller: &mut Option<Caller>,
     agent: &Whereabouts,
@@ -367,6 +395,25 @@
         }
     }
 
+    #[test]
+    fn a_shared_service_that_turns_calls_away_is_left_alone_for_longer_and_longer() {
+        let mut rng = WyRand::new_seed(7);
+        // What the call took, how many failed before it, the longest pause that may come of it.
+        for (took, failed, most) in [
+            (0, 0, AGAIN),
+            (2 * SEC, 0, 8 * SEC),
+            (2 * SEC, 1, 10 * SEC),
+            (MS, 9, 2048 * MS),
+            (Time::MAX, u32::MAX, 10 * SEC),
+        ] {
+            let drawn: Vec<Time> = (0..200).map(|_| pause(took, failed, 10 * SEC, &mut rng)).collect();
+            let (least, longest) = (drawn.iter().min().unwrap(), drawn.iter().max().unwrap());
+            assert!(*least >= AGAIN && *longest <= most, "{took}, {failed}: {least} to {longest}");
+            // Spread over the whole span, not all at its end.
+            assert!(most == AGAIN || *least < most / 10 && *longest > most / 10 * 9, "{least} to {longest}");
+        }
+    }
+
     #[test]
     fn depth_is_told_without_following_it() {
         assert!(deeper(b"[[[", 2) && deeper(br#"{"a":"]]]\"","b":[{"c":1}]}"#, 2));
--- a/crates/core/src/shared.rs
+++ b/crates/core/src/shared.rs
@@ -38,6 +38,8 @@
     pub stats: bool,
     /// A connection that isn't made by then can't be made.
     pub dial_limit: Time,
+    /// Where the list has to be asked for from a service that all balancers share: the longest pause between two calls.
+    pub asked: Option<Time>,
 }
 
 impl Terms {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,6 +15,8 @@
 /// Where a rule on cold servers says neither: colder and longer than any deployment's that was met (0.12, 24 s).
 const COLDEST: f64 = 0.1;
 const LONGEST_WARM_UP: Time = 30 * SEC;
+/// Where the settings name no time within which the list is to be asked for: as in all deployments that were met.
+const ASK_WITHIN: Time = 10 * SEC;
 /// No span in the settings is longer, whatever they say: guards against sums of times that run over. A year is no flow's.
 const LONGEST: Time = 365 * 24 * 3600 * SEC;
 
@@ -88,7 +90,7 @@
             .customers(self.shares()?, self.number_or("surplus-value", 1.0)?)
             .come_back(self.come_back()?)
             .probing(self.allowed("limits/probes")?, self.number_or("costs/probe", 0.0)?)
-            .told(self.or("discovery", "push".into(), Settings::text)? == "ask", warn)
+            .told(self.asked()?.is_some(), warn)
             .cold(start, warm_up, multiple))
     }
 
@@ -103,6 +105,14 @@
         Ok(self.allowed("limits/retry-after")?.then_some(longest))
     }
 
+    /// Where the list has to be asked for: the longest pause between two calls, the time after which whoever has not
+    /// asked counts as told.
+    pub fn asked(&self) -> Read<Option<Time>> {
+        let ask = self.or("discovery", "push".into(), Settings::text)? == "ask";
+        let within = self.time_or("contract/ask-within", ASK_WITHIN)?;
+        Ok(ask.then_some(within))
+    }
+
     /// A connection that isn't made by then can't be made; without a limit it is waited for as long as the flow is.
     pub fn dial_limit(&self) -> Read<Time> {
         self.time_or("limits/dial-timeout", LONGEST)
