Linger over a line that comes as its client is sent away for want of one

Seen, by reading (the issue's lead), then forced over loopback: next_line answered BUSY after 2.5 s and closed in the same instant. A line that comes just then meets a close over unread bytes, and the reset takes the answer with it. In the test the client's next write fails with a broken pipe. Ruled out: the other closes. Answers of flows (book.rs), moves (relay.rs) and refused lines (refuse) all linger; a server's connection that we give up owes nobody an answer. Line at fault: finish(clock::now()) in take_in.rs, which does not linger at all. Mended: the one lingering close that refused lines have. Not where its place is needed, in a full lobby or with flows at their limit: a first form lingered there too and failed silent_and_endless_clients_keep_nobody_out (300 silent clients on 32 places; good ones were answered nothing within their second). Test: a_line_that_comes_as_its_client_is_sent_away_does_not_reset_the_answer, seen to fail without.

--- a/crates/balancer/tests/crossings.rs
+++ b/crates/balancer/tests/crossings.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use std::io::ErrorKind::WouldBlock;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -468,3 +468,22 @@
     }
     assert!(stand.child.wait().unwrap().success() && since.elapsed() < Duration::from_millis(900));
 }
+
+/// Guards against a close over a line that comes in the moment of our `BUSY`: the reset takes the answer with it.
+#[test]
+fn a_line_that_comes_as_its_client_is_sent_away_does_not_reset_the_answer() {
+    let stand = Stand::new(1);
+    let mut resting = TcpStream::connect(stand.at).unwrap();
+    resting.set_read_timeout(Some(Duration::from_secs(4))).unwrap();
+    // Its answer has come, and isn't read yet.
+    assert!(resting.peek(&mut [0; 8]).unwrap() > 0);
+    resting.write_all(b"OPEN 9b1f03aa5c7e2d41 7f3a c=chat,d=900\r\n").unwrap();
+    // A reset would have come by now, and this would meet it.
+    thread::sleep(Duration::from_millis(100));
+    resting.write_all(b"hello\r\n").expect("no reset");
+    resting.shutdown(Shutdown::Write).expect("no reset");
+    let mut answer = String::new();
+    BufReader::new(resting).read_to_string(&mut answer).expect("no reset");
+    assert_eq!(answer, "BUSY\r\n", "one answer, and nothing after it");
+    assert!(!stand.toys[0].seen().iter().any(|line| line.contains("9b1f03aa5c7e2d41")), "never sent on");
+}
--- a/crates/front-lines/src/take_in.rs
+++ b/crates/front-lines/src/take_in.rs
@@ -104,7 +104,11 @@
 impl Taken {
     /// Answers what can't be used, and ends.
     pub fn refuse(self, answer: &[u8]) {
-        let until = clock::now() + LINGER;
+        self.refuse_within(answer, LINGER);
+    }
+
+    fn refuse_within(self, answer: &[u8], span: Time) {
+        let until = clock::now() + span;
         let _ = self.caller.write(answer, until);
         self.caller.finish(until);
     }
@@ -116,7 +120,8 @@
         let until = if full { clock::now() } else { self.until };
         let mut read = self.caller.line(&mut self.bytes[..], &mut self.held, until);
         // Told to give way: guards against a whole line that has come and is dropped.
-        if read.as_ref().is_err_and(|e| e.kind() == ErrorKind::Interrupted) {
+        let gives_way = read.as_ref().is_err_and(|e| e.kind() == ErrorKind::Interrupted);
+        if gives_way {
             read = self.caller.line(&mut self.bytes[..], &mut self.held, 0);
         }
         match read {
@@ -131,8 +136,10 @@
             // Never whole, or its place is needed: nothing has run.
             Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::Interrupted) => {
                 debug!(error = %e, held = self.held, "no first line");
-                let _ = self.caller.socket.write(wire::rejected(None).as_bytes());
-                self.caller.finish(clock::now());
+                // Guards against a line that comes just now: a close over it resets the connection, and the answer
+                // goes with the reset. Not where its place is needed: a flood of silent ones would keep the others out.
+                let span = if full || gives_way { 0 } else { LINGER };
+                self.refuse_within(wire::rejected(None).as_bytes(), span);
             }
             // Closed: there is nobody to answer.
             Err(e) => debug!(error = %e, held = self.held, "closed before a first line"),
