Look once more at the server before a connect is given up for want of time

The answer has come while the program is stopped and the clock's bell rings before the socket's when it goes on; then the connect is ended over an answer that lies in the socket. Line at fault: send.rs took Woken::Ended for the end without looking, though a bell only says when to look.

--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -104,18 +104,21 @@
 
     let mut bytes = core.buffers.take();
     let mut held = 0;
+    let mut over = None;
     loop {
         server.looked_at();
-        match server.read(&mut bytes[held..]) {
-            Ok(Some(0)) | Err(_) => return maybe(End::Cut),
-            Ok(Some(count)) => held += count,
-            Ok(None) => match client.wait(target.until) {
+        match (server.read(&mut bytes[held..]), over) {
+            (Ok(Some(0)) | Err(_), _) => return maybe(End::Cut),
+            (Ok(Some(count)), _) => held += count,
+            (Ok(None), Some(end)) => {
+                // Closed before it is told: nobody may be served by it any more.
+                drop(server);
+                return maybe(end);
+            }
+            (Ok(None), None) => match client.wait(target.until) {
                 Woken::Look => {}
-                Woken::Ended(end) => {
-                    // Closed before it is told: nobody may be served by it any more.
-                    drop(server);
-                    return maybe(end);
-                }
+                // Looked at once more: guards against an answer that has come and whose bell rings after the clock's.
+                Woken::Ended(end) => over = Some(end),
                 Woken::Left => return Sent::Left { unsent: false },
             },
         }
