--- a/crates/balancer/tests/starts.rs
+++ b/crates/balancer/tests/starts.rs
@@ -111,6 +111,7 @@
         ("accounts", json!([{"fraction": "half"}]), "'settings.fraction'"),
         ("contract/warm-up", json!([1, 2]), "'settings.contract.warm-up'"),
         ("contract/fall-multiple", json!(false), "'settings.contract.fall-multiple'"),
+        ("contract/ask-within", json!("soon"), "'settings.contract.ask-within'"),
         ("limits/probes", json!("yes"), "'settings.limits.probes'"),
         ("limits/max-retry-after", json!({}), "'settings.limits.max-retry-after'"),
         ("limits/dial-timeout", json!(true), "'settings.limits.dial-timeout'"),
@@ -200,6 +201,12 @@
     );
 }
 
+/// The balancer is told to read this configuration.
+fn reloaded(stand: &Stand, config: &str) {
+    std::fs::write(&stand.file, config).unwrap();
+    stand.signal("-HUP");
+}
+
 /// An agent that answers each call at once with this; how often it was called.
 fn agent_that_says(status: &str, body: String) -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -246,8 +253,7 @@
         let (address, calls) = agent_that_says("200 OK", body);
         config = config.replace(&now, &address.to_string());
         now = address.to_string();
-        std::fs::write(&stand.file, &config).unwrap();
-        stand.signal("-HUP");
+        reloaded(&stand, &config);
         soon(what, || calls.load(Ordering::Relaxed) > 3);
         let before = calls.load(Ordering::Relaxed);
         thread::sleep(Duration::from_millis(500));
@@ -265,8 +271,7 @@
     for (discovery, least, most) in [("push", 30, 80), ("ask", 2, 22)] {
         let (address, calls) = agent_that_says("503 Busy", String::new());
         let config = stand.config.replace(&stand.agent.address.to_string(), &address.to_string());
-        std::fs::write(&stand.file, changed(&config, &[("discovery", json!(discovery))])).unwrap();
-        stand.signal("-HUP");
+        reloaded(&stand, &changed(&config, &[("discovery", json!(discovery))]));
         soon(discovery, || calls.load(Ordering::Relaxed) > 0);
         let before = calls.load(Ordering::Relaxed);
         thread::sleep(Duration::from_secs(3));
--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -143,7 +143,7 @@
 pub fn watch(known: Option<u64>, means: &Means, desk: &Sender<Ask>) {
     let mut version = known;
     let mut caller: Option<Caller> = None;
-    // Calls that failed since the last that was answered; the first of a watch has none before it either.
+    // Calls that failed since the last that was answered, and whether the next one begins a watch, or is the first.
     let (mut failed, mut begins) = (0_u32, true);
     let mut rng = WyRand::new_seed(means.seed);
     let mut moves = 0;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,7 +15,7 @@
 /// Where a rule on cold servers says neither: colder and longer than any deployment's that was met (0.12, 24 s).
 const COLDEST: f64 = 0.1;
 const LONGEST_WARM_UP: Time = 30 * SEC;
-/// Where the settings name no time within which the list is to be asked for: as in all deployments that were met.
+/// Where the settings name no time within which the list is to be asked for: the platform's own example; two deployments have 5 s.
 const ASK_WITHIN: Time = 10 * SEC;
 /// No span in the settings is longer, whatever they say: guards against sums of times that run over. A year is no flow's.
 const LONGEST: Time = 365 * 24 * 3600 * SEC;
