--- a/crates/lab/src/simulate/answers.rs
+++ b/crates/lab/src/simulate/answers.rs
@@ -1,68 +1,56 @@
-//! Answers.
+//! A balancer's answers to clients, and the close of a flow.
 
-use super::event::*;
-use super::run::Run;
-use super::state::*;
-use super::*;
+use nettlemux_policy::{FlowId, Time};
+use nettlemux_world::scenario::seconds;
+use nettlemux_world::seen::{Final, Seen};
 
-impl Run<'_> {
-    /// The hand's last word on a flow, unless mischief has its way with it.
-    pub(super) fn say(&mut self, flow: FlowId, with: Final, come_back: Option<Time>) {
-        let Who::Mischief(mischief) = self.who else { return self.answer(flow, with, come_back) };
-        let Some(live) = self.flows.get(&flow).filter(|live| live.phase == Phase::Owed) else { return };
-        let client = live.client;
-        match mischief {
-            Mischief::LosesAnswers => {}
-            Mischief::AnswersLate => {
-                let wait = self.crowd.get(client).map(|c| self.world.scenario.types[c.service_type].wait);
-                let late = live.taken + seconds(wait.unwrap_or(0.0)) + PATIENCE / 2;
-                self.plan(late, What::Answer(flow, with, come_back));
-            }
-            Mischief::AnswersTwice => {
-                self.answer(flow, with, come_back);
-                self.plan(self.now + 10 * MS, What::Answer(flow, with, come_back));
-            }
-            _ => self.answer(flow, with, come_back),
-        }
-    }
+use super::flow::FlowPhase;
+use super::simulation::Simulation;
 
-    /// Answers the client of a flow that comes to nothing, and gives the flow back.
-    pub(super) fn answer(&mut self, flow: FlowId, with: Final, come_back: Option<Time>) {
-        let Some(live) = self.flows.get_mut(&flow).filter(|live| live.phase == Phase::Owed) else { return };
-        live.phase = Phase::Settled;
-        let (client, taken, out) = (live.client, live.taken, live.at.is_some());
-        self.of_client.remove(&client);
-        self.answered(flow, with, taken);
-        let wait = match with {
-            Final::Rejected => self.crowd.rejected(client, come_back, &self.world.scenario),
-            _ => self.crowd.aborted(client, &self.world.scenario),
+impl Simulation<'_> {
+    /// Answers a waiting client whose flow was rejected or has failed; the client decides whether to try again.
+    pub(super) fn answer(&mut self, flow: FlowId, answer: Final, retry_after: Option<Time>) {
+        if self.waiting_flow(flow).is_none() {
+            return;
+        }
+        let state = self.flows.get_mut(&flow).expect("it is waiting");
+        state.phase = FlowPhase::Settled;
+        let (client, in_flight) = (state.client, state.attempt.is_some());
+        self.flow_of_client.remove(&client);
+        self.observe_answer(flow, answer);
+        let wait = match answer {
+            Final::Rejected => self.clients.rejected(client, retry_after, &self.model.scenario),
+            _ => self.clients.aborted(client, &self.model.scenario),
         };
-        self.come_again(client, wait);
-        if !out {
+        self.retry_after(client, wait);
+        if !in_flight {
             self.close(flow);
         }
     }
 
-    pub(super) fn answered(&mut self, flow: FlowId, with: Final, taken: Time) {
-        let client = self.flows.get(&flow).map_or(0, |live| live.client);
-        let target = self.crowd.get(client).map(|c| self.world.scenario.types[c.service_type].target);
-        if let Some(client) = self.crowd.get(client) {
-            self.gather.of_client(self.now, client, with);
+    /// Records an answer and counts it in the figures.
+    pub(super) fn observe_answer(&mut self, flow: FlowId, answer: Final) {
+        let Some(state) = self.flows.get(&flow) else { return };
+        let took = self.now - state.accepted;
+        let known = self.clients.get(state.client);
+        if let Some(client) = known {
+            self.figures.of_client(self.now, client, answer);
         }
-        self.gather.answered(self.now, with, self.now - taken, seconds(target.unwrap_or(0.0)));
-        self.see(Seen::Answered { at: self.now, flow, with });
+        let target = known.map_or(0.0, |client| self.model.scenario.types[client.service_type].target);
+        self.figures.answered(self.now, answer, took, seconds(target));
+        self.observe(Seen::Answered { at: self.now, flow, with: answer });
     }
 
-    /// Nothing more comes of a flow: the one place where it is given back.
+    /// Removes a flow of which nothing more comes. Every flow ends here, except those of a run that ends first.
     pub(super) fn close(&mut self, flow: FlowId) {
-        let Some(live) = self.flows.remove(&flow) else { return };
-        if self.of_client.get(&live.client) == Some(&flow) {
-            self.of_client.remove(&live.client);
+        let Some(state) = self.flows.remove(&flow) else { return };
+        if self.flow_of_client.get(&state.client) == Some(&flow) {
+            self.flow_of_client.remove(&state.client);
         }
-        let mut acts = Vec::new();
-        if let Some(hand) = &mut self.balancers[live.balancer].hand {
-            hand.over(self.now, flow, &mut acts);
+        let mut actions = Vec::new();
+        if let Some(flow_table) = &mut self.balancers[state.balancer].flow_table {
+            flow_table.over(self.now, flow, &mut actions);
         }
-        acts.into_iter().for_each(|act| self.act(live.balancer, act));
+        self.execute_all(state.balancer, actions);
     }
 }
--- a/crates/lab/src/simulate/attempts.rs
+++ b/crates/lab/src/simulate/attempts.rs
@@ -1,148 +1,181 @@
-//! Attempts.
-
-use super::event::*;
-use super::run::Run;
-use super::state::*;
-use super::*;
-
-impl Run<'_> {
-    pub(super) fn connect(&mut self, flow: FlowId, (number, server): (usize, usize), limit: Time) {
-        let Some(live) = self.flows.get_mut(&flow) else { return };
-        live.at = Some((number, server));
-        self.gather.connects += 1;
-        let way = self.way(flow, server);
-        self.plan(self.now + way, What::Reaches(flow, number));
-        self.plan(self.now + limit.max(1), What::TimeUp(flow, number));
-    }
+//! Attempts to connect a flow to a server, from the dial to their end.
+
+use nettlemux_policy::{End, FlowId, Report, Time};
+use nettlemux_world::scenario::seconds;
+use nettlemux_world::seen::{Final, Seen};
+use nettlemux_world::server::Offer;
 
-    pub(super) fn way(&self, flow: FlowId, server: usize) -> Time {
-        let hall = self.flows.get(&flow).map_or(0, |live| self.balancers[live.balancer].hall);
-        self.world.way(hall, self.world.servers[server].hall)
+use super::event::{Ending, Event, ServerResponse};
+use super::flow::{Attempt, FlowPhase};
+use super::simulation::Simulation;
+use crate::file;
+
+impl Simulation<'_> {
+    /// A balancer dials a server and waits so long.
+    pub(super) fn start_attempt(&mut self, flow: FlowId, attempt: Attempt, timeout: Time) {
+        let Some(state) = self.flows.get_mut(&flow) else { return };
+        state.attempt = Some(attempt);
+        self.figures.connects += 1;
+        let number = attempt.number;
+        let arrival = self.now + self.latency(flow, attempt.server);
+        self.schedule(arrival, Event::AttemptArrives { flow, number });
+        self.schedule(self.now + timeout.max(1), Event::AttemptDeadline { flow, number });
     }
 
-    pub(super) fn reaches(&mut self, flow: FlowId, number: usize) {
-        let Some(live) = self.flows.get(&flow) else { return };
-        let Some((_, server)) = live.at.filter(|at| at.0 == number) else { return };
-        if live.phase == Phase::Open {
+    /// An attempt arrives at its server, which takes it or not.
+    pub(super) fn attempt_arrives(&mut self, flow: FlowId, number: usize) {
+        let Some(state) = self.flows.get(&flow) else { return };
+        let Some(attempt) = state.current_attempt(number) else { return };
+        if state.phase == FlowPhase::Connected {
             return;
         }
-        let (b, client) = (live.balancer, live.client);
-        let hall = self.balancers[b].hall;
-        let way = self.way(flow, server);
-        let (offer, happened) = self.world.offer(self.now, hall, server);
-        let back = match offer {
-            // Nothing answers the dial: the balancer finds out by itself.
-            Offer::Silence => {
-                self.plan(self.now + seconds(file::DIAL), What::ComesBack(flow, number, Back::Unreachable));
-                return;
-            }
-            Offer::Refused => Back::Refused,
-            Offer::Busy => Back::Busy,
-            Offer::Error => Back::Error,
-            Offer::Up(_) => Back::Up,
+        let (balancer, client) = (state.balancer, state.client);
+        let zone = self.balancers[balancer].zone;
+        let (offer, happened) = self.model.offer(self.now, zone, attempt.server);
+        let Some(response) = immediate_response(offer) else {
+            return self.schedule_dial_timeout(flow, number);
         };
-        if back != Back::Refused {
-            self.see(Seen::Connect { at: self.now, balancer: b, flow, number, server });
+        if response != ServerResponse::Refused {
+            self.observe_attempt(balancer, flow, attempt);
         }
-        self.count += 1;
-        if self.who == Who::Mischief(Mischief::ConnectsTwice) && self.count.is_multiple_of(10) {
-            let other = (server + 1) % self.world.servers.len();
-            self.see(Seen::Connect { at: self.now, balancer: b, flow, number: number + 1, server: other });
+        self.duplicate_attempt(balancer, flow, attempt);
+        let mut answered = self.now + self.latency(flow, attempt.server);
+        if let Offer::Up(setup) = offer {
+            self.attach(flow, client, attempt.server);
+            answered += seconds(setup);
         }
-        let took = match offer {
-            Offer::Up(took) => {
-                self.seat(flow, client, server);
-                seconds(took)
-            }
-            _ => 0,
-        };
-        self.plan(self.now + took + way, What::ComesBack(flow, number, back));
-        self.happen(happened);
+        self.schedule(answered, Event::ResponseArrives { flow, number, response });
+        self.carry_out(happened);
     }
 
-    pub(super) fn comes_back(&mut self, flow: FlowId, number: usize, back: Back) {
-        let Some(live) = self.flows.get(&flow) else { return };
-        let Some((_, server)) = live.at.filter(|at| at.0 == number) else { return };
-        if live.phase == Phase::Open {
-            // Its server has ended the connection.
-            return if matches!(back, Back::Cut | Back::SentAway) {
-                self.ended_by_server(flow, back)
-            };
-        }
-        // A server that dies while it sets a connection up cuts it; its answer is lost with it.
-        if back == Back::Up && !self.world.servers[server].guests.contains_key(&flow) {
+    /// Nothing answers the dial, and the balancer has to find out by itself.
+    fn schedule_dial_timeout(&mut self, flow: FlowId, number: usize) {
+        let response = ServerResponse::Unreachable;
+        self.schedule(self.now + seconds(file::DIAL), Event::ResponseArrives { flow, number, response });
+    }
+
+    /// Records an attempt whose last byte has come to a server.
+    pub(super) fn observe_attempt(&mut self, balancer: usize, flow: FlowId, attempt: Attempt) {
+        let Attempt { number, server } = attempt;
+        self.observe(Seen::Connect { at: self.now, balancer, flow, number, server });
+    }
+
+    /// The balancer learns what a server did with an attempt, or with the connection that came of it.
+    pub(super) fn response_arrives(&mut self, flow: FlowId, number: usize, response: ServerResponse) {
+        let Some(state) = self.flows.get(&flow) else { return };
+        let Some(attempt) = state.current_attempt(number) else { return };
+        if state.phase == FlowPhase::Connected {
+            if matches!(response, ServerResponse::Reset | ServerResponse::Redirected) {
+                self.closed_by_server(flow, response);
+            }
             return;
         }
-        if !self.world.reaches(self.balancers[live.balancer].hall, self.world.servers[server].hall)
-            && back != Back::Unreachable
-        {
+        if self.is_response_lost(flow, attempt.server, response) {
             return;
         }
-        let (end, never_ran) = back.end();
-        if back == Back::Up {
-            return self.up(flow, server);
+        match response {
+            ServerResponse::Connected => self.attempt_succeeded(flow, attempt),
+            _ => self.attempt_ended(flow, attempt, response.ending()),
         }
-        self.connect_ended(flow, (number, server), (end, never_ran));
     }
 
-    pub(super) fn up(&mut self, flow: FlowId, server: usize) {
-        let live = self.flows.get_mut(&flow).expect("looked at");
-        let (b, client, owed) = (live.balancer, live.client, live.phase == Phase::Owed);
-        let number = live.at.map_or(0, |at| at.0);
-        if !owed {
-            // Nobody is there any more: closed at once.
-            return self.connect_ended(flow, (number, server), (End::CalledOff, false));
+    /// Whether a response never arrives: its server has died since, or its zone is cut off.
+    fn is_response_lost(&self, flow: FlowId, server: usize, response: ServerResponse) -> bool {
+        let connected = response == ServerResponse::Connected;
+        if connected && !self.model.servers[server].guests.contains_key(&flow) {
+            return true;
+        }
+        let from_balancer = response == ServerResponse::Unreachable;
+        !from_balancer && !self.is_reachable(flow, server)
+    }
+
+    /// Whether messages get from a flow's balancer to a server.
+    pub(super) fn is_reachable(&self, flow: FlowId, server: usize) -> bool {
+        let zone = self.balancers[self.flows[&flow].balancer].zone;
+        self.model.reaches(zone, self.server_zone(server))
+    }
+
+    fn attempt_succeeded(&mut self, flow: FlowId, attempt: Attempt) {
+        let state = self.flows.get_mut(&flow).expect("looked up by the caller");
+        if state.phase != FlowPhase::Waiting {
+            // The client has left meanwhile.
+            return self.attempt_ended(flow, attempt, Ending::may_have_run(End::CalledOff));
+        }
+        state.phase = FlowPhase::Connected;
+        let (client, moving) = (state.client, state.moving);
+        let number = attempt.number;
+        self.observe(Seen::ConnectEnded { at: self.now, flow, number, never_ran: false });
+        self.observe_answer(flow, Final::Established);
+        self.clients.established(client);
+        self.report_connected(flow);
+        self.connection_opened(flow, client);
+        if moving {
+            self.move_client(flow);
         }
-        live.phase = Phase::Open;
-        let (taken, moving) = (live.taken, live.moving);
-        self.see(Seen::ConnectEnded { at: self.now, flow, number, never_ran: false });
-        self.answered(flow, Final::Established, taken);
-        self.crowd.established(client);
-        let load = self.crowd.get(client).map(|known| known.load);
-        self.ask(b, |hand, now, acts| {
-            hand.established(now, flow, now - taken, acts);
+    }
+
+    /// Tells the flow table that a flow is connected, and the load that it brings.
+    fn report_connected(&mut self, flow: FlowId) {
+        let state = &self.flows[&flow];
+        let (balancer, accepted) = (state.balancer, state.accepted);
+        let load = self.clients.get(state.client).map(|known| known.load);
+        self.ask(balancer, |flow_table, now, actions| {
+            flow_table.established(now, flow, now - accepted, actions);
             if let Some(load) = load {
-                hand.told_load(flow, load);
+                flow_table.told_load(flow, load);
             }
         });
-        self.opened(flow, client);
-        if moving {
-            self.send_away(flow);
-        }
     }
 
-    pub(super) fn time_up(&mut self, flow: FlowId, number: usize) {
-        let out = self.flows.get(&flow).filter(|live| live.phase != Phase::Open).and_then(|live| live.at);
-        if let Some((_, server)) = out.filter(|at| at.0 == number) {
-            self.connect_ended(flow, (number, server), (End::TimedOut, false));
+    /// The balancer stops waiting for an attempt that is still in flight.
+    pub(super) fn attempt_deadline(&mut self, flow: FlowId, number: usize) {
+        let pending = self.flows.get(&flow).filter(|state| state.phase != FlowPhase::Connected);
+        if let Some(attempt) = pending.and_then(|state| state.current_attempt(number)) {
+            self.attempt_ended(flow, attempt, Ending::may_have_run(End::TimedOut));
         }
     }
 
-    pub(super) fn call_off(&mut self, flow: FlowId) {
-        let out = self.flows.get(&flow).filter(|live| live.phase == Phase::Settled).and_then(|live| live.at);
-        if let Some((number, server)) = out {
-            self.connect_ended(flow, (number, server), (End::CalledOff, false));
+    /// The balancer cancels the attempt of a client that has left.
+    pub(super) fn cancel_attempt(&mut self, flow: FlowId) {
+        let settled = self.flows.get(&flow).filter(|state| state.phase == FlowPhase::Settled);
+        if let Some(attempt) = settled.and_then(|state| state.attempt) {
+            self.attempt_ended(flow, attempt, Ending::may_have_run(End::CalledOff));
         }
     }
 
-    /// A connect is out no more: its server is let go before the hand is told.
-    pub(super) fn connect_ended(
-        &mut self,
-        flow: FlowId,
-        (number, server): (usize, usize),
-        (end, never_ran): (End, bool),
-    ) {
-        let Some(live) = self.flows.get_mut(&flow) else { return };
-        live.at = None;
-        let (b, settled) = (live.balancer, live.phase == Phase::Settled);
-        self.gone_from(flow, server);
-        self.see(Seen::ConnectEnded { at: self.now, flow, number, never_ran });
-        self.ask(b, |hand, now, acts| {
-            let report = Report::default();
-            hand.ended(now, (flow, number), server as u64, (end, never_ran), report, acts);
-        });
+    /// An attempt is no longer in flight. Its server is released before the flow table is told.
+    fn attempt_ended(&mut self, flow: FlowId, attempt: Attempt, ending: Ending) {
+        let Some(state) = self.flows.get_mut(&flow) else { return };
+        state.attempt = None;
+        let settled = state.phase == FlowPhase::Settled;
+        self.detach(flow, attempt.server);
+        let (number, never_ran) = (attempt.number, ending.never_ran);
+        self.observe(Seen::ConnectEnded { at: self.now, flow, number, never_ran });
+        self.report_ended(flow, attempt, ending);
         if settled {
             self.close(flow);
         }
     }
+
+    /// Tells the flow table that an attempt or a connection has ended.
+    pub(super) fn report_ended(&mut self, flow: FlowId, attempt: Attempt, ending: Ending) {
+        let Some(balancer) = self.flows.get(&flow).map(|state| state.balancer) else { return };
+        let Attempt { number, server } = attempt;
+        let Ending { end, never_ran } = ending;
+        self.ask(balancer, |flow_table, now, actions| {
+            let report = Report::default();
+            flow_table.ended(now, (flow, number), server as u64, (end, never_ran), report, actions);
+        });
+    }
+}
+
+/// What a server answers to an attempt; none where nothing answers.
+fn immediate_response(offer: Offer) -> Option<ServerResponse> {
+    match offer {
+        Offer::Silence => None,
+        Offer::Refused => Some(ServerResponse::Refused),
+        Offer::Busy => Some(ServerResponse::Busy),
+        Offer::Error => Some(ServerResponse::Error),
+        Offer::Up(_) => Some(ServerResponse::Connected),
+    }
 }
--- /dev/null
+++ b/crates/lab/src/simulate/balancer.rs
@@ -0,0 +1,39 @@
+//! The state of one simulated balancer.
+
+use nettlemux_hand::{Brain, Hand};
+use nettlemux_policy::Time;
+
+/// The flow table of a simulated balancer, with any policy.
+pub(super) type FlowTable = Hand<Box<dyn Brain>>;
+
+/// One run of a balancer's process. Events for an earlier run are dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Incarnation {
+    pub(super) balancer: usize,
+    pub(super) epoch: u32,
+}
+
+/// A balancer, running or not.
+pub(super) struct Balancer {
+    /// None while the process is down.
+    pub(super) flow_table: Option<FlowTable>,
+    /// How often the process has ended.
+    pub(super) epoch: u32,
+    pub(super) zone: usize,
+    /// The version of the list that it has; 0 for none.
+    pub(super) list_version: u64,
+    /// When the flow table is to be called next.
+    pub(super) wakeup: Option<Time>,
+}
+
+impl Balancer {
+    /// A balancer whose process has not been started.
+    pub(super) fn new(zone: usize) -> Self {
+        Balancer { flow_table: None, epoch: 0, zone, list_version: 0, wakeup: None }
+    }
+
+    /// Whether the process runs.
+    pub(super) fn is_running(&self) -> bool {
+        self.flow_table.is_some()
+    }
+}
--- a/crates/lab/src/simulate/clients.rs
+++ b/crates/lab/src/simulate/clients.rs
@@ -1,55 +1,81 @@
-//! Clients.
+//! What clients do: arrive, try to be served, give up, leave, and change their load.
 
-use super::event::*;
-use super::run::Run;
-use super::state::*;
-use super::*;
+use nettlemux_hand::Who as Requester;
+use nettlemux_policy::{End, Flow, FlowId, MS, Time};
+use nettlemux_settings::operator::By;
+use nettlemux_world::crowd::Client;
+use nettlemux_world::scenario::seconds;
+use nettlemux_world::seen::{Ender, Seen};
 
-impl Run<'_> {
-    pub(super) fn try_once(&mut self, client: u64) {
-        let Some(known) = self.crowd.get(client).cloned() else { return };
-        if self.of_client.contains_key(&client) || known.gone {
+use super::connections::Closure;
+use super::event::{Ending, Event};
+use super::flow::{ClientId, FlowPhase, FlowState};
+use super::simulation::Simulation;
+
+/// How long past its deadline a client waits before it takes its flow for lost.
+pub(super) const PATIENCE: Time = 100 * MS;
+
+impl Simulation<'_> {
+    /// A new client arrives and tries at once; the next arrival is scheduled.
+    pub(super) fn client_arrives(&mut self) {
+        let client = self.clients.arrive(self.now, &self.model);
+        self.schedule_client_done(client);
+        self.client_tries(client);
+        let wait = self.clients.next_arrival(&self.model);
+        self.schedule(self.now + wait, Event::ClientArrives);
+    }
+
+    /// Schedules the time at which a client will have had what it wanted.
+    pub(super) fn schedule_client_done(&mut self, client: ClientId) {
+        let done = self.clients.get(client).expect("it has just arrived").ends;
+        self.schedule(done, Event::ClientDone { client });
+    }
+
+    /// A client without a flow tries to be served.
+    pub(super) fn client_tries(&mut self, client: ClientId) {
+        let Some(known) = self.clients.get(client).cloned() else { return };
+        if self.flow_of_client.contains_key(&client) || known.gone {
             return;
         }
-        let b = self.front.deal(self.now, known.hall).filter(|b| self.balancers[*b].hand.is_some());
-        let Some(b) = b else {
-            let wait = self.crowd.refused();
-            return self.plan(self.now + wait, What::Try(client));
-        };
-        if known.returning {
-            self.gather.returned(self.now);
-        }
-        let wait = seconds(self.world.scenario.types[known.service_type].wait);
-        let flow = self.flow(client, self.now + wait);
-        let (id, give_up) = (flow.id, flow.give_up);
-        let kind = self.crowd.kind(client, &self.world.scenario);
-        let (phase, at) = (Phase::Owed, None);
-        self.flows.insert(id, Live { client, balancer: b, taken: self.now, phase, at, moving: false });
-        self.of_client.insert(client, id);
-        self.gather.flows += 1;
-        self.see(Seen::Taken { at: self.now, balancer: b, flow: id, kind, give_up });
-        self.plan(give_up + PATIENCE, What::GivesUp(id));
-        if known.told {
-            self.gather.came_when_told(self.now);
+        let dealt = self.front.deal(self.now, known.hall);
+        match dealt.filter(|balancer| self.balancers[*balancer].is_running()) {
+            Some(balancer) => self.accept(client, &known, balancer),
+            None => {
+                let wait = self.clients.refused();
+                self.schedule(self.now + wait, Event::ClientTries { client });
+            }
         }
-        let target = self.now + seconds(self.world.scenario.types[known.service_type].target);
-        let key = self.key(client, &known);
-        let who = nettlemux_hand::Who { key, client, retry: known.tries > 0, target };
-        self.ask(b, |hand, now, acts| hand.take(now, flow, who, acts));
     }
 
-    /// Whose turn a client's flow takes at the door.
-    pub(super) fn key(&self, id: u64, client: &Client) -> u64 {
-        match self.world.scenario.door.as_ref().map(|door| door.by) {
-            Some(By::Customer) => client.customer as u64,
-            _ => id,
+    /// A balancer accepts a client's flow and is asked to place it.
+    fn accept(&mut self, client: ClientId, known: &Client, balancer: usize) {
+        if known.returning {
+            self.figures.returned(self.now);
+        }
+        let service_type = &self.model.scenario.types[known.service_type];
+        let deadline = self.now + seconds(service_type.wait);
+        let target = self.now + seconds(service_type.target);
+        let flow = self.new_flow(client, deadline);
+        let id = flow.id;
+        self.flows.insert(id, FlowState::waiting(client, balancer, self.now));
+        self.flow_of_client.insert(client, id);
+        self.figures.flows += 1;
+        let kind = self.clients.kind(client, &self.model.scenario);
+        self.observe(Seen::Taken { at: self.now, balancer, flow: id, kind, give_up: deadline });
+        self.schedule(deadline + PATIENCE, Event::PatienceOver { flow: id });
+        if known.told {
+            self.figures.came_when_told(self.now);
         }
+        let key = self.admission_key(client, known);
+        let requester = Requester { key, client, retry: known.tries > 0, target };
+        self.ask(balancer, |flow_table, now, actions| flow_table.take(now, flow, requester, actions));
     }
 
-    pub(super) fn flow(&mut self, client: u64, give_up: Time) -> Flow {
+    /// A flow of a client, under a number of its own.
+    pub(super) fn new_flow(&mut self, client: ClientId, deadline: Time) -> Flow {
         let id = self.next_flow;
         self.next_flow += 1;
-        let known = self.crowd.get(client).expect("it wants something");
+        let known = self.clients.get(client).expect("it wants to be served");
         Flow {
             id,
             service_type: known.service_type,
@@ -57,69 +83,71 @@
             group: known.group.map(|group| format!("g{group}")),
             returning: known.returning,
             taken: self.now,
-            give_up,
+            give_up: deadline,
             connects: Vec::new(),
         }
     }
 
-    pub(super) fn gives_up(&mut self, flow: FlowId) {
-        let Some(live) = self.flows.get(&flow).filter(|live| live.phase == Phase::Owed) else { return };
-        let client = live.client;
-        self.gather.unanswered += 1;
-        self.leaves(flow);
-        let again = self.crowd.aborted(client, &self.world.scenario);
-        self.come_again(client, again);
+    /// The key that admission control counts a flow under.
+    fn admission_key(&self, id: ClientId, client: &Client) -> u64 {
+        match self.model.scenario.door.as_ref().map(|door| door.by) {
+            Some(By::Customer) => client.customer as u64,
+            _ => id,
+        }
+    }
+
+    /// A client that is still without an answer takes its flow for lost.
+    pub(super) fn patience_over(&mut self, flow: FlowId) {
+        let Some(client) = self.waiting_flow(flow).map(|state| state.client) else { return };
+        self.figures.unanswered += 1;
+        self.client_leaves(flow);
+        let wait = self.clients.aborted(client, &self.model.scenario);
+        self.retry_after(client, wait);
     }
 
-    /// The client of a flow that is owed an answer goes away.
-    pub(super) fn leaves(&mut self, flow: FlowId) {
-        let Some(live) = self.flows.get_mut(&flow) else { return };
-        live.phase = Phase::Settled;
-        let (b, client, out) = (live.balancer, live.client, live.at.is_some());
-        self.of_client.remove(&client);
-        self.see(Seen::Left { at: self.now, flow });
-        self.ask(b, |hand, now, acts| hand.left(now, flow, acts));
-        if !out {
+    /// The client of a flow goes away before it is connected.
+    fn client_leaves(&mut self, flow: FlowId) {
+        let Some(state) = self.flows.get_mut(&flow) else { return };
+        state.phase = FlowPhase::Settled;
+        let (balancer, client, in_flight) = (state.balancer, state.client, state.attempt.is_some());
+        self.flow_of_client.remove(&client);
+        self.observe(Seen::Left { at: self.now, flow });
+        self.ask(balancer, |flow_table, now, actions| flow_table.left(now, flow, actions));
+        if !in_flight {
             self.close(flow);
         }
     }
 
-    pub(super) fn life_over(&mut self, client: u64) {
-        if let Some(flow) = self.of_client.get(&client).copied() {
-            let live = &self.flows[&flow];
-            let (phase, b) = (live.phase, live.balancer);
-            match (phase, live.at) {
-                (Phase::Open, Some((number, server))) => {
-                    self.see(Seen::Ended { at: self.now, flow, by: Ender::Client, told: false, sound: true });
-                    self.gone_from(flow, server);
-                    let end = (End::Done, false);
-                    self.ask(b, |hand, now, acts| {
-                        let report = Report::default();
-                        hand.ended(now, (flow, number), server as u64, end, report, acts);
-                    });
-                    self.close(flow);
-                }
-                _ => self.leaves(flow),
+    /// A client has had what it wanted: it closes its connection, or stops waiting for one.
+    pub(super) fn client_done(&mut self, client: ClientId) {
+        if let Some(flow) = self.flow_of_client.get(&client).copied() {
+            if self.connected_flow(flow).is_some() {
+                let closure = Closure { by: Ender::Client, told: false, sound: true };
+                self.close_connection(flow, closure, Ending::may_have_run(End::Done));
+            } else {
+                self.client_leaves(flow);
             }
         }
-        self.crowd.over(client);
+        self.clients.over(client);
     }
 
-    pub(super) fn load_change(&mut self, flow: FlowId) {
-        let Some(live) = self.flows.get(&flow).filter(|live| live.phase == Phase::Open) else { return };
-        let (client, b, Some((_, server))) = (live.client, live.balancer, live.at) else { return };
-        let Some((load, wait)) = self.crowd.change_load(client, &self.world.scenario) else { return };
-        self.world.servers[server].set_load(flow, load);
-        if let Some(hand) = &mut self.balancers[b].hand {
-            hand.told_load(flow, load);
+    /// The load of a connection changes; the next change is scheduled.
+    pub(super) fn load_changes(&mut self, flow: FlowId) {
+        let Some(state) = self.connected_flow(flow) else { return };
+        let (client, balancer, Some(attempt)) = (state.client, state.balancer, state.attempt) else { return };
+        let Some((load, wait)) = self.clients.change_load(client, &self.model.scenario) else { return };
+        self.model.servers[attempt.server].set_load(flow, load);
+        if let Some(flow_table) = &mut self.balancers[balancer].flow_table {
+            flow_table.told_load(flow, load);
         }
-        self.plan(self.now + wait, What::LoadChange(flow));
+        self.schedule(self.now + wait, Event::LoadChanges { flow });
     }
 
-    pub(super) fn come_again(&mut self, client: u64, wait: Option<Time>) {
+    /// A client tries again after a wait, or has given up for good.
+    pub(super) fn retry_after(&mut self, client: ClientId, wait: Option<Time>) {
         match wait {
-            Some(wait) => self.plan(self.now + wait, What::Try(client)),
-            None => self.gather.clients_lost += 1,
+            Some(wait) => self.schedule(self.now + wait, Event::ClientTries { client }),
+            None => self.figures.clients_lost += 1,
         }
     }
 }
--- a/crates/lab/src/simulate/commands.rs
+++ b/crates/lab/src/simulate/commands.rs
@@ -1,45 +1,66 @@
-//! Acts.
+//! Calls into a balancer's flow table, and the actions that it answers with.
 
-use super::event::*;
-use super::run::Run;
-use super::*;
+use nettlemux_hand::Act;
+use nettlemux_policy::{MS, Time};
+use nettlemux_world::seen::Final;
 
-impl Run<'_> {
-    /// Asks a balancer's hand and carries out what it says.
-    pub(super) fn ask(&mut self, b: usize, ask: impl FnOnce(&mut Hand<Box<dyn Brain>>, Time, &mut Vec<Act>)) {
-        let now = self.now;
-        let Some(hand) = &mut self.balancers[b].hand else { return };
-        let mut acts = Vec::new();
-        ask(hand, now, &mut acts);
-        for act in acts {
-            self.act(b, act);
-        }
-        let one = &mut self.balancers[b];
-        let Some(wait) = one.hand.as_ref().and_then(|hand| hand.wait(now)) else { return };
-        let at = now + wait.max(MS);
-        if one.due.is_none_or(|due| at < due) {
-            one.due = Some(at);
-            let epoch = one.epoch;
-            self.plan(at, What::Due(b, epoch));
+use super::balancer::{FlowTable, Incarnation};
+use super::event::Event;
+use super::flow::Attempt;
+use super::simulation::Simulation;
+
+impl Simulation<'_> {
+    /// Calls a running balancer's flow table, executes its actions and schedules its next wakeup.
+    pub(super) fn ask(&mut self, balancer: usize, call: impl FnOnce(&mut FlowTable, Time, &mut Vec<Act>)) {
+        let Some(flow_table) = &mut self.balancers[balancer].flow_table else { return };
+        let mut actions = Vec::new();
+        call(flow_table, self.now, &mut actions);
+        self.execute_all(balancer, actions);
+        self.schedule_wakeup(balancer);
+    }
+
+    /// Executes a flow table's actions in order.
+    pub(super) fn execute_all(&mut self, balancer: usize, actions: Vec<Act>) {
+        for action in actions {
+            self.execute(balancer, action);
         }
     }
 
-    pub(super) fn act(&mut self, b: usize, act: Act) {
-        match act {
-            Act::Connect { flow, rs, number, limit, .. } => self.connect(flow, (number, rs as usize), limit),
-            Act::Reject { flow, come_back } => self.say(flow, Final::Rejected, come_back),
-            Act::Abort { flow } => self.say(flow, Final::Aborted, None),
-            Act::Move { flow } => self.send_away(flow),
-            Act::CallOff { flow, .. } => self.call_off(flow),
-            Act::Probe { rs } => {
-                let server = rs as usize;
-                let (hall, epoch) = (self.balancers[b].hall, self.balancers[b].epoch);
-                self.gather.probes += 1;
-                let way = self.world.way(hall, self.world.servers[server].hall);
-                self.plan(self.now + way, What::Probe(b, epoch, server));
+    fn execute(&mut self, balancer: usize, action: Act) {
+        match action {
+            Act::Connect { flow, rs, number, limit, .. } => {
+                let attempt = Attempt { number, server: rs as usize };
+                self.start_attempt(flow, attempt, limit);
             }
-            // The list is told whenever it changes.
+            Act::Reject { flow, come_back } => self.send_answer(flow, Final::Rejected, come_back),
+            Act::Abort { flow } => self.send_answer(flow, Final::Aborted, None),
+            Act::Move { flow } => self.move_client(flow),
+            Act::CallOff { flow, .. } => self.cancel_attempt(flow),
+            Act::Probe { rs } => self.start_probe(balancer, rs as usize),
+            // The list is delivered whenever it changes, and nothing is simulated between balancers.
             Act::AskList | Act::Tell(_) => {}
         }
     }
+
+    /// Schedules a wakeup where the flow table wants one earlier than is scheduled.
+    fn schedule_wakeup(&mut self, balancer: usize) {
+        let incarnation = self.incarnation(balancer);
+        let state = &mut self.balancers[balancer];
+        let wait = state.flow_table.as_ref().and_then(|flow_table| flow_table.wait(self.now));
+        let Some(wait) = wait else { return };
+        let at = self.now + wait.max(MS);
+        if state.wakeup.is_none_or(|scheduled| at < scheduled) {
+            state.wakeup = Some(at);
+            self.schedule(at, Event::Wakeup { balancer: incarnation });
+        }
+    }
+
+    /// Calls the flow table at the time that it asked for, unless an earlier wakeup has replaced this one.
+    pub(super) fn wake_up(&mut self, incarnation: Incarnation) {
+        let balancer = incarnation.balancer;
+        if self.is_current(incarnation) && self.balancers[balancer].wakeup == Some(self.now) {
+            self.balancers[balancer].wakeup = None;
+            self.ask(balancer, |flow_table, now, actions| flow_table.elapsed(now, actions));
+        }
+    }
 }
--- a/crates/lab/src/simulate/connections.rs
+++ b/crates/lab/src/simulate/connections.rs
@@ -1,82 +1,105 @@
-//! Connections.
+//! Established connections: how they begin, and how a client, a server or a balancer ends them.
 
-use super::event::*;
-use super::run::Run;
-use super::state::*;
-use super::*;
+use nettlemux_policy::{End, FlowId};
+use nettlemux_world::seen::{Ender, Seen};
 
-impl Run<'_> {
-    pub(super) fn seat(&mut self, flow: FlowId, client: u64, server: usize) {
-        let Some(known) = self.crowd.get(client) else { return };
-        self.world.servers[server].seat(flow, known.guest());
+use super::event::{Ending, Event, ServerResponse};
+use super::flow::ClientId;
+use super::simulation::Simulation;
+
+/// How a connection was closed, as the record has it.
+pub(super) struct Closure {
+    pub(super) by: Ender,
+    /// The client was told to move.
+    pub(super) told: bool,
+    /// The server still answered.
+    pub(super) sound: bool,
+}
+
+impl Simulation<'_> {
+    /// Puts a client's load on a server.
+    pub(super) fn attach(&mut self, flow: FlowId, client: ClientId, server: usize) {
+        let Some(known) = self.clients.get(client) else { return };
+        self.model.servers[server].seat(flow, known.guest());
+    }
+
+    /// Takes a flow's load off a server.
+    pub(super) fn detach(&mut self, flow: FlowId, server: usize) {
+        self.model.servers[server].rise(flow);
     }
 
-    /// A connection is up: it lasts until its client has had what it wanted, and its load changes.
-    pub(super) fn opened(&mut self, flow: FlowId, client: u64) {
-        let first_time = self.crowd.get(client).is_some_and(|c| !c.returning && c.tries == 0);
-        if first_time && self.now == 0 {
-            let ends = self.crowd.get(client).expect("there").ends;
-            self.plan(ends, What::LifeOver(client));
+    /// Schedules what happens to a new connection. A connection that stands when the run starts also gets its end here;
+    /// other clients got theirs when they arrived.
+    pub(super) fn connection_opened(&mut self, flow: FlowId, client: ClientId) {
+        let known = self.clients.get(client);
+        let first_try = known.is_some_and(|client| !client.returning && client.tries == 0);
+        if first_try && self.now == 0 {
+            self.schedule_client_done(client);
         }
-        if let Some(wait) = self.crowd.first_change(&self.world.scenario) {
-            self.plan(self.now + wait, What::LoadChange(flow));
+        if let Some(wait) = self.clients.first_change(&self.model.scenario) {
+            self.schedule(self.now + wait, Event::LoadChanges { flow });
         }
     }
 
-    pub(super) fn gone_from(&mut self, flow: FlowId, server: usize) {
-        self.world.servers[server].rise(flow);
+    /// A server has reset a connection or told its client to move.
+    pub(super) fn closed_by_server(&mut self, flow: FlowId, response: ServerResponse) {
+        let told = response == ServerResponse::Redirected;
+        let closure = Closure { by: Ender::Server, told, sound: false };
+        let Some(client) = self.close_connection(flow, closure, response.ending()) else { return };
+        self.figures.lost += u64::from(!told);
+        self.reconnect(client, told);
     }
 
-    pub(super) fn ended_by_server(&mut self, flow: FlowId, back: Back) {
-        let live = &self.flows[&flow];
-        let (b, client, Some((number, server))) = (live.balancer, live.client, live.at) else { return };
-        let moved = back == Back::SentAway;
-        self.see(Seen::Ended { at: self.now, flow, by: Ender::Server, told: moved, sound: false });
-        self.gone_from(flow, server);
-        let end = back.end();
-        self.ask(b, |hand, now, acts| {
-            hand.ended(now, (flow, number), server as u64, end, Report::default(), acts);
-        });
-        self.close(flow);
-        self.gather.lost += u64::from(!moved);
-        let wait = self.crowd.comes_again(self.now, client, moved);
-        self.come_again(client, wait);
+    /// The balancer tells a client to move to another server by connecting again, as soon as it is connected.
+    pub(super) fn move_client(&mut self, flow: FlowId) {
+        if self.connected_flow(flow).is_some() {
+            let told = self.announces_moves();
+            self.closed_by_balancer(flow, Closure { by: Ender::Balancer, told, sound: true }, End::CalledOff);
+            self.figures.moves += 1;
+        } else if let Some(state) = self.flows.get_mut(&flow) {
+            state.moving = true;
+        }
     }
 
-    /// A balancer's word to a client: it goes to another server by way of the front.
-    pub(super) fn send_away(&mut self, flow: FlowId) {
-        let Some(live) = self.flows.get_mut(&flow) else { return };
-        if live.phase != Phase::Open {
-            live.moving = true;
+    /// The balancer has heard nothing from a connection's server for too long.
+    pub(super) fn server_silent(&mut self, flow: FlowId) {
+        let Some(state) = self.connected_flow(flow) else { return };
+        let Some(attempt) = state.attempt else { return };
+        let still_attached = self.model.servers[attempt.server].guests.contains_key(&flow);
+        if still_attached && self.is_reachable(flow, attempt.server) {
+            // A zone was cut off and is back: the server was there all the time.
             return;
         }
-        let told = self.who != Who::Mischief(Mischief::CutsWithoutMove);
-        self.ended_by_balancer(flow, told, true, End::CalledOff);
-        self.gather.moves += 1;
+        self.closed_by_balancer(flow, Closure { by: Ender::Balancer, told: true, sound: false }, End::Cut);
+        self.figures.lost += 1;
     }
 
-    pub(super) fn silent(&mut self, flow: FlowId) {
-        let Some(live) = self.flows.get(&flow).filter(|live| live.phase == Phase::Open) else { return };
-        let Some((_, server)) = live.at else { return };
-        let (hall, to) = (self.balancers[live.balancer].hall, &self.world.servers[server]);
-        // It may have come back meanwhile: a cut that is over, not a machine that was lost.
-        if to.guests.contains_key(&flow) && self.world.reaches(hall, to.hall) {
-            return;
+    fn closed_by_balancer(&mut self, flow: FlowId, closure: Closure, end: End) {
+        if let Some(client) = self.close_connection(flow, closure, Ending::may_have_run(end)) {
+            self.reconnect(client, true);
         }
-        self.ended_by_balancer(flow, true, false, End::Cut);
-        self.gather.lost += 1;
     }
 
-    pub(super) fn ended_by_balancer(&mut self, flow: FlowId, told: bool, sound: bool, end: End) {
-        let live = &self.flows[&flow];
-        let (b, client, Some((number, server))) = (live.balancer, live.client, live.at) else { return };
-        self.see(Seen::Ended { at: self.now, flow, by: Ender::Balancer, told, sound });
-        self.gone_from(flow, server);
-        self.ask(b, |hand, now, acts| {
-            hand.ended(now, (flow, number), server as u64, (end, false), Report::default(), acts);
-        });
+    /// Closes a connection: its server is released, the flow table is told, the flow ends. Returns its client.
+    pub(super) fn close_connection(
+        &mut self,
+        flow: FlowId,
+        closure: Closure,
+        ending: Ending,
+    ) -> Option<ClientId> {
+        let state = self.flows.get(&flow)?;
+        let (client, attempt) = (state.client, state.attempt?);
+        let Closure { by, told, sound } = closure;
+        self.observe(Seen::Ended { at: self.now, flow, by, told, sound });
+        self.detach(flow, attempt.server);
+        self.report_ended(flow, attempt, ending);
         self.close(flow);
-        let wait = self.crowd.comes_again(self.now, client, true);
-        self.come_again(client, wait);
+        Some(client)
+    }
+
+    /// A client whose connection has ended comes again, the sooner where it was told to move.
+    pub(super) fn reconnect(&mut self, client: ClientId, told_to_move: bool) {
+        let wait = self.clients.comes_again(self.now, client, told_to_move);
+        self.retry_after(client, wait);
     }
 }
--- a/crates/lab/src/simulate/discovery.rs
+++ b/crates/lab/src/simulate/discovery.rs
@@ -1,33 +1,46 @@
-//! The list.
+//! Delivery of the list of servers from discovery to the balancers.
 
-use super::event::*;
-use super::run::Run;
-use super::*;
+use nettlemux_policy::State;
+use nettlemux_world::seen::Seen;
 
-impl Run<'_> {
-    pub(super) fn spread_list(&mut self) {
-        for b in 0..self.balancers.len() {
-            if self.balancers[b].hand.is_some()
-                && let Some(delay) = self.world.discovery()
+use super::balancer::Incarnation;
+use super::event::Event;
+use super::simulation::Simulation;
+
+impl Simulation<'_> {
+    /// Sends word of a changed list to every running balancer, each with its own delay.
+    pub(super) fn announce_list(&mut self) {
+        for balancer in 0..self.balancers.len() {
+            if self.balancers[balancer].is_running()
+                && let Some(delay) = self.model.discovery()
             {
-                let epoch = self.balancers[b].epoch;
-                self.plan(self.now + delay, What::Told(b, epoch));
+                let balancer = self.incarnation(balancer);
+                self.schedule(self.now + delay, Event::ListArrives { balancer });
             }
         }
     }
 
-    /// A balancer is told what has changed since it was told last.
-    pub(super) fn tell(&mut self, b: usize) {
-        let version = self.balancers[b].version;
-        let entries = self.world.since(version);
-        if self.balancers[b].hand.is_none() || version > 0 && entries.is_empty() {
+    /// A changed list arrives, unless the balancer has restarted or discovery is down now.
+    pub(super) fn list_arrives(&mut self, balancer: Incarnation) {
+        if self.is_current(balancer) && self.model.discovery().is_some() {
+            self.deliver_list(balancer.balancer);
+        }
+    }
+
+    /// Gives a balancer what has changed since its last version, or the whole list where it has none.
+    pub(super) fn deliver_list(&mut self, balancer: usize) {
+        let known_version = self.balancers[balancer].list_version;
+        let entries = self.model.since(known_version);
+        let nothing_new = known_version > 0 && entries.is_empty();
+        if !self.balancers[balancer].is_running() || nothing_new {
             return;
         }
-        self.balancers[b].version = self.world.version();
+        self.balancers[balancer].list_version = self.model.version();
         for entry in &entries {
             let (server, ready) = (entry.rs as usize, entry.state == State::Ready);
-            self.see(Seen::Told { at: self.now, balancer: b, server, ready });
+            self.observe(Seen::Told { at: self.now, balancer, server, ready });
         }
-        self.ask(b, |hand, now, _| hand.list(now, &entries, version == 0));
+        let whole = known_version == 0;
+        self.ask(balancer, |flow_table, now, _| flow_table.list(now, &entries, whole));
     }
 }
--- a/crates/lab/src/simulate/event.rs
+++ b/crates/lab/src/simulate/event.rs
@@ -1,58 +1,94 @@
-//! The events of virtual time.
+//! The events of the simulation and the values that they carry.
 
 use nettlemux_policy::{End, FlowId, Time};
 use nettlemux_world::seen::Final;
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum What {
-    Tick,
+use super::balancer::Incarnation;
+use super::flow::ClientId;
+
+/// Something that takes effect at a scheduled time.
+#[derive(Clone, Debug)]
+pub(super) enum Event {
+    /// The model advances by one step.
+    ModelTick,
+    /// The figures that look at every server are taken.
     Sample,
-    Arrival,
-    Try(u64),
-    LifeOver(u64),
-    LoadChange(FlowId),
-    /// The client's patience is at its end.
-    GivesUp(FlowId),
-    Due(usize, u32),
-    /// A connect comes to its server.
-    Reaches(FlowId, usize),
-    /// What came of it comes back.
-    ComesBack(FlowId, usize, Back),
-    /// The balancer waits for it no longer.
-    TimeUp(FlowId, usize),
-    /// A server was seen to be silent under a connection.
-    Silent(FlowId),
-    Probe(usize, u32, usize),
-    Told(usize, u32),
-    Restart(usize, Time),
-    MoveSome(usize, u32, Time),
-    Dies(usize, u32, bool, Time),
-    Back(usize),
-    /// An answer that mischief has held back.
-    Answer(FlowId, Final, Option<Time>),
+    /// A new client arrives.
+    ClientArrives,
+    /// A client tries to be served, for the first time or again.
+    ClientTries { client: ClientId },
+    /// A client has had what it wanted.
+    ClientDone { client: ClientId },
+    /// The load of a connection changes.
+    LoadChanges { flow: FlowId },
+    /// The client of a flow stops waiting for an answer.
+    PatienceOver { flow: FlowId },
+    /// A balancer's flow table asked to be called now.
+    Wakeup { balancer: Incarnation },
+    /// An attempt arrives at its server.
+    AttemptArrives { flow: FlowId, number: usize },
+    /// The balancer learns what the server did with an attempt or its connection.
+    ResponseArrives { flow: FlowId, number: usize, response: ServerResponse },
+    /// The balancer stops waiting for an attempt.
+    AttemptDeadline { flow: FlowId, number: usize },
+    /// The balancer notices that the server of a connection no longer answers.
+    ServerSilent { flow: FlowId },
+    /// A probe is answered, or fails.
+    ProbeReturns { balancer: Incarnation, server: usize },
+    /// A change of the list arrives at a balancer.
+    ListArrives { balancer: Incarnation },
+    /// A balancer is asked to shut down.
+    ShutdownBegins { balancer: usize, downtime: Time },
+    /// A balancer that shuts down moves another part of its clients.
+    DrainStep { balancer: Incarnation, since: Time },
+    /// A balancer's process ends.
+    BalancerEnds { balancer: Incarnation, planned: bool, downtime: Time },
+    /// A balancer's process starts again.
+    BalancerStarts { balancer: usize },
+    /// A mutant sends an answer that it has held back.
+    DelayedAnswer { flow: FlowId, answer: Final, retry_after: Option<Time> },
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Back {
-    Up,
+/// What a balancer learns from, or about, a server that it sent an attempt to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ServerResponse {
+    Connected,
     Busy,
     Error,
     Refused,
     Unreachable,
-    Cut,
-    SentAway,
+    /// The connection was reset.
+    Reset,
+    /// The server told the client to go elsewhere.
+    Redirected,
+}
+
+impl ServerResponse {
+    /// How the attempt or connection ended with this response.
+    pub(super) fn ending(self) -> Ending {
+        let (end, never_ran) = match self {
+            ServerResponse::Connected => (End::Done, false),
+            ServerResponse::Busy => (End::Full, true),
+            ServerResponse::Error => (End::Error, false),
+            ServerResponse::Refused | ServerResponse::Unreachable => (End::Unreachable, true),
+            ServerResponse::Reset => (End::Cut, false),
+            ServerResponse::Redirected => (End::CalledOff, false),
+        };
+        Ending { end, never_ran }
+    }
+}
+
+/// How an attempt or a connection ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ending {
+    pub(super) end: End,
+    /// It is certain that the server has not acted on it.
+    pub(super) never_ran: bool,
 }
 
-impl Back {
-    /// How the connect ended, and whether that proves that it never ran.
-    pub(super) fn end(self) -> (End, bool) {
-        match self {
-            Back::Up => (End::Done, false),
-            Back::Busy => (End::Full, true),
-            Back::Error => (End::Error, false),
-            Back::Refused | Back::Unreachable => (End::Unreachable, true),
-            Back::Cut => (End::Cut, false),
-            Back::SentAway => (End::CalledOff, false),
-        }
+impl Ending {
+    /// An ending after which the server may have acted.
+    pub(super) fn may_have_run(end: End) -> Self {
+        Ending { end, never_ran: false }
     }
 }
--- /dev/null
+++ b/crates/lab/src/simulate/faults.rs
@@ -0,0 +1,92 @@
+//! What happens in the model, faults above all, carried out on connections and balancers.
+
+use nettlemux_policy::{FlowId, SEC, Time};
+use nettlemux_world::fleet::Happening;
+use nettlemux_world::seen::Seen;
+
+use super::event::{Event, ServerResponse};
+use super::flow::{FlowPhase, FlowState};
+use super::restarts::{RESTART_GAP, SHUTDOWN_TIME};
+use super::simulation::Simulation;
+
+/// After how long, at least and at most, a balancer notices that the server of a connection has fallen silent: 5 s without
+/// an answer to a message, and clients send one every 2 s.
+const SILENCE_TIMEOUT: [Time; 2] = [5 * SEC, 7 * SEC];
+
+impl Simulation<'_> {
+    /// Carries out what happened in the model. Restarts that begin together are done one after another.
+    pub(super) fn carry_out(&mut self, happened: Vec<Happening>) {
+        let mut restarts = 0;
+        for happening in happened {
+            match happening {
+                Happening::Reset { ids, .. } => self.send_responses(ids, ServerResponse::Reset),
+                Happening::SentAway { ids, .. } => self.send_responses(ids, ServerResponse::Redirected),
+                Happening::Silenced { ids, .. } => self.schedule_silence(ids),
+                Happening::Started { server } => self.server_started(server),
+                Happening::Fell { server } => self.server_fell(server),
+                Happening::Listed | Happening::Heard => self.announce_list(),
+                Happening::Hall { cut: false, .. } => {}
+                Happening::Hall { hall, .. } => self.zone_cut_off(hall),
+                Happening::Restart { balancer, away } => {
+                    self.schedule_restart(balancer, away, restarts);
+                    restarts += 1;
+                }
+                Happening::Kill { balancer, away } => self.schedule_kill(balancer, away),
+            }
+        }
+    }
+
+    /// Sends word of a server's end of these connections to their balancers.
+    fn send_responses(&mut self, flows: Vec<FlowId>, response: ServerResponse) {
+        for flow in flows {
+            let Some(attempt) = self.flows.get(&flow).and_then(|state| state.attempt) else { continue };
+            let at = self.now + self.latency(flow, attempt.server);
+            self.schedule(at, Event::ResponseArrives { flow, number: attempt.number, response });
+        }
+    }
+
+    fn schedule_silence(&mut self, flows: Vec<FlowId>) {
+        for flow in flows {
+            let [least, most] = SILENCE_TIMEOUT;
+            let wait = self.rng.between(least as f64, most as f64) as Time;
+            self.schedule(self.now + wait, Event::ServerSilent { flow });
+        }
+    }
+
+    fn server_started(&mut self, server: usize) {
+        self.observe_server(server);
+        self.observe(Seen::Started { at: self.now, server });
+    }
+
+    fn server_fell(&mut self, server: usize) {
+        self.figures.fell += 1;
+        self.observe(Seen::Fell { at: self.now, server });
+    }
+
+    /// Connections between a zone that was cut off and the others fall silent.
+    fn zone_cut_off(&mut self, zone: usize) {
+        let crossing = self.flows.iter().filter(|(_, state)| self.crosses_border(state, zone));
+        let flows = crossing.map(|(flow, _)| *flow).collect();
+        self.schedule_silence(flows);
+    }
+
+    /// Whether a flow is connected from inside a zone to outside of it, or the reverse.
+    fn crosses_border(&self, state: &FlowState, zone: usize) -> bool {
+        let Some(attempt) = state.attempt.filter(|_| state.phase == FlowPhase::Connected) else {
+            return false;
+        };
+        let balancer_zone = self.balancers[state.balancer].zone;
+        let server_zone = self.server_zone(attempt.server);
+        balancer_zone != server_zone && (balancer_zone == zone || server_zone == zone)
+    }
+
+    fn schedule_restart(&mut self, balancer: usize, downtime: Time, earlier: u64) {
+        let wait = earlier * (SHUTDOWN_TIME + downtime + RESTART_GAP);
+        self.schedule(self.now + wait, Event::ShutdownBegins { balancer, downtime });
+    }
+
+    fn schedule_kill(&mut self, balancer: usize, downtime: Time) {
+        let balancer = self.incarnation(balancer);
+        self.schedule(self.now, Event::BalancerEnds { balancer, planned: false, downtime });
+    }
+}
--- a/crates/lab/src/simulate/probes.rs
+++ b/crates/lab/src/simulate/probes.rs
@@ -1,32 +1,52 @@
-//! Probes.
+//! Probes of servers by balancers.
 
-use super::run::Run;
-use super::*;
+use nettlemux_policy::{MS, Report, Time};
+use nettlemux_world::scenario::seconds;
+use nettlemux_world::server::Life;
 
-impl Run<'_> {
-    pub(super) fn probe(&mut self, b: usize, epoch: u32, server: usize) {
-        let hall = self.balancers[b].hall;
-        if self.balancers[b].epoch != epoch || self.balancers[b].hand.is_none() {
+use super::balancer::Incarnation;
+use super::event::Event;
+use super::simulation::Simulation;
+
+/// A probe that is not answered by then has failed.
+const PROBE_TIMEOUT: Time = 500 * MS;
+/// A server whose messages take longer than this on average fails its probes.
+const MESSAGE_TIME_MAX: Time = 3 * PROBE_TIMEOUT;
+
+impl Simulation<'_> {
+    /// A balancer sends a probe.
+    pub(super) fn start_probe(&mut self, balancer: usize, server: usize) {
+        let zone = self.balancers[balancer].zone;
+        self.figures.probes += 1;
+        let latency = self.model.way(zone, self.server_zone(server));
+        let balancer = self.incarnation(balancer);
+        self.schedule(self.now + latency, Event::ProbeReturns { balancer, server });
+    }
+
+    /// A probe is answered or fails. The way back and the probe's timeout are left out, since reports are older than
+    /// that in any case.
+    pub(super) fn probe_returns(&mut self, incarnation: Incarnation, server: usize) {
+        let balancer = incarnation.balancer;
+        if !self.is_current(incarnation) || !self.balancers[balancer].is_running() {
             return;
         }
-        let to = self.world.servers[server].hall;
-        let report = match self.world.reaches(hall, to) {
-            true => self.report(server),
-            false => None,
-        };
-        // What a probe brings is there a way later, or not within its time: told at once, since figures are old by
-        // more than that anyhow.
-        self.ask(b, |hand, now, acts| {
+        let zone = self.balancers[balancer].zone;
+        let reachable = self.model.reaches(zone, self.server_zone(server));
+        let report = if reachable { self.load_report(server) } else { None };
+        self.ask(balancer, |flow_table, now, actions| {
             let (passed, report) = (report.is_some(), report.unwrap_or_default());
-            hand.probed(now, server as u64, passed, report, acts);
+            flow_table.probed(now, server as u64, passed, report, actions);
         });
     }
 
-    pub(super) fn report(&mut self, server: usize) -> Option<Report> {
-        let fleet = &self.world.scenario.fleet;
-        let one = &mut self.world.servers[server];
-        // One that takes longer than a probe waits doesn't pass it.
-        let slow = one.life == Life::Up && seconds(one.message(fleet, self.now)) > 3 * PROBE;
-        if slow { None } else { one.report(fleet, self.now, &mut self.dice) }
+    /// A server's load report; none where it does not answer in time.
+    fn load_report(&mut self, server: usize) -> Option<Report> {
+        let fleet = &self.model.scenario.fleet;
+        let state = &mut self.model.servers[server];
+        let message_time = seconds(state.message(fleet, self.now));
+        if state.life == Life::Up && message_time > MESSAGE_TIME_MAX {
+            return None;
+        }
+        state.report(fleet, self.now, &mut self.rng)
     }
 }
--- /dev/null
+++ b/crates/lab/src/simulate/sampling.rs
@@ -0,0 +1,37 @@
+//! The model's regular step, and the figures that are taken at regular times.
+
+use nettlemux_policy::{MS, SEC, Time};
+use nettlemux_world::server::Life;
+
+use super::event::Event;
+use super::simulation::Simulation;
+
+/// How often the model advances.
+pub(super) const TICK_INTERVAL: Time = 100 * MS;
+/// How often the figures that look at every server are taken.
+pub(super) const SAMPLE_INTERVAL: Time = 500 * MS;
+
+impl Simulation<'_> {
+    /// Advances the model, accounts for the worth served since, and carries out what happened.
+    pub(super) fn tick_model(&mut self) {
+        let happened = self.model.tick(self.now);
+        let seconds = TICK_INTERVAL as f64 / SEC as f64;
+        let wanted = self.clients.wanted * seconds;
+        let served = self.model.served(self.now) * seconds;
+        self.figures.worth(self.now, (wanted, served), seconds);
+        self.carry_out(happened);
+        self.schedule(self.now + TICK_INTERVAL, Event::ModelTick);
+    }
+
+    /// Takes the utilization and the message times of all servers.
+    pub(super) fn sample(&mut self) {
+        let utilizations: Vec<f64> = self.model.betas(self.now).collect();
+        self.figures.load(self.now, &utilizations);
+        let fleet = &self.model.scenario.fleet;
+        for server in self.model.servers.iter().filter(|server| server.life == Life::Up) {
+            let seconds = server.message(fleet, self.now);
+            self.figures.message(self.now, seconds, server.guests.len() as u64);
+        }
+        self.schedule(self.now + SAMPLE_INTERVAL, Event::Sample);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulate/simulation.rs
@@ -0,0 +1,183 @@
+//! The state of a run, its main loop, and the dispatch of each event to the code that handles it.
+
+use std::collections::BTreeMap;
+use std::io;
+
+use nettlemux_policy::{FlowId, MS, Time};
+use nettlemux_world::crowd::{Crowd, Front};
+use nettlemux_world::dice::Dice;
+use nettlemux_world::fleet::World;
+use nettlemux_world::scenario::{Scenario, seconds};
+use nettlemux_world::seen::Seen;
+use serde_json::Value;
+
+use super::balancer::{Balancer, Incarnation};
+use super::event::Event;
+use super::flow::{ClientId, FlowPhase, FlowState};
+use super::queue::EventQueue;
+use super::{Outcome, Who};
+use crate::figures::Gather;
+use crate::file;
+use crate::record::Writer;
+use crate::rules::Rules;
+
+/// The random stream of the simulation itself; the model and the clients have streams of their own.
+const RNG_STREAM: u64 = 3;
+
+/// One run. Its methods are spread over the modules beside this one, by the kind of event.
+pub(super) struct Simulation<'a> {
+    pub(super) now: Time,
+    end: Time,
+    queue: EventQueue,
+    pub(super) model: World,
+    pub(super) clients: Crowd,
+    pub(super) front: Front,
+    pub(super) balancers: Vec<Balancer>,
+    pub(super) flows: BTreeMap<FlowId, FlowState>,
+    /// The flow of each client that has one.
+    pub(super) flow_of_client: BTreeMap<ClientId, FlowId>,
+    pub(super) next_flow: FlowId,
+    /// The balancers' settings by zone.
+    pub(super) settings: Vec<Value>,
+    pub(super) policy: Who,
+    pub(super) seed: u64,
+    pub(super) rng: Dice,
+    judge: Rules,
+    pub(super) figures: Gather,
+    record: Option<&'a mut Writer>,
+    record_error: Option<io::Error>,
+    /// Attempts that have arrived at servers, for mutants that misbehave now and then.
+    pub(super) attempts_arrived: u64,
+}
+
+impl<'a> Simulation<'a> {
+    /// A run that has not begun.
+    pub(super) fn new(scenario: Scenario, seed: u64, policy: Who, record: Option<&'a mut Writer>) -> Self {
+        let zones = scenario.halls.number;
+        // Balancers act on news that took this long to arrive; the judge allows for it.
+        let slack = seconds(scenario.halls.between.max(scenario.halls.inside)) + MS;
+        Simulation {
+            now: 0,
+            end: scenario.end(),
+            queue: EventQueue::default(),
+            clients: Crowd::new(seed),
+            front: Front::new(scenario.balancers.number, zones),
+            balancers: (0..scenario.balancers.number).map(|b| Balancer::new(b % zones)).collect(),
+            flows: BTreeMap::new(),
+            flow_of_client: BTreeMap::new(),
+            next_flow: 1,
+            settings: (0..zones).map(|zone| file::settings(&scenario, zone)).collect(),
+            policy,
+            seed,
+            rng: Dice::new(seed, RNG_STREAM),
+            judge: Rules::new(&scenario, slack),
+            figures: Gather::new(seconds(scenario.settle)),
+            record,
+            record_error: None,
+            attempts_arrived: 0,
+            model: World::new(scenario, seed),
+        }
+    }
+
+    /// Runs until the scenario's end.
+    ///
+    /// # Errors
+    /// The record can't be written.
+    pub(super) fn run(mut self) -> io::Result<Outcome> {
+        self.begin();
+        while let Some((at, event)) = self.queue.pop()
+            && at <= self.end
+        {
+            self.now = at;
+            self.figures.steps += 1;
+            self.handle(event);
+        }
+        self.finish()
+    }
+
+    fn finish(self) -> io::Result<Outcome> {
+        if let Some(error) = self.record_error {
+            return Err(error);
+        }
+        let connected = self.flows.values().filter(|flow| flow.phase == FlowPhase::Connected);
+        let standing = connected.count();
+        let verdict = self.judge.finish(self.end);
+        Ok(Outcome { figures: self.figures.finish(standing, &verdict), verdict })
+    }
+
+    /// Schedules an event.
+    pub(super) fn schedule(&mut self, at: Time, event: Event) {
+        self.queue.schedule(at, event);
+    }
+
+    /// Shows a fact to the judge and writes it to the record. The first failure to write is kept for the end.
+    pub(super) fn observe(&mut self, fact: Seen) {
+        self.judge.see(&fact);
+        if let Some(record) = &mut self.record
+            && let Err(error) = record.write(&fact)
+        {
+            self.record_error.get_or_insert(error);
+        }
+    }
+
+    /// The run of a balancer's process that is current now.
+    pub(super) fn incarnation(&self, balancer: usize) -> Incarnation {
+        Incarnation { balancer, epoch: self.balancers[balancer].epoch }
+    }
+
+    /// Whether a balancer's process has not ended since.
+    pub(super) fn is_current(&self, incarnation: Incarnation) -> bool {
+        self.balancers[incarnation.balancer].epoch == incarnation.epoch
+    }
+
+    /// The state of a flow whose client waits for an answer.
+    pub(super) fn waiting_flow(&self, flow: FlowId) -> Option<&FlowState> {
+        self.flows.get(&flow).filter(|state| state.phase == FlowPhase::Waiting)
+    }
+
+    /// The state of a flow whose client is connected.
+    pub(super) fn connected_flow(&self, flow: FlowId) -> Option<&FlowState> {
+        self.flows.get(&flow).filter(|state| state.phase == FlowPhase::Connected)
+    }
+
+    /// The zone of a server.
+    pub(super) fn server_zone(&self, server: usize) -> usize {
+        self.model.servers[server].hall
+    }
+
+    /// How long a message takes between a flow's balancer and a server.
+    pub(super) fn latency(&self, flow: FlowId, server: usize) -> Time {
+        let zone = self.flows.get(&flow).map_or(0, |state| self.balancers[state.balancer].zone);
+        self.model.way(zone, self.server_zone(server))
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::ModelTick => self.tick_model(),
+            Event::Sample => self.sample(),
+            Event::ClientArrives => self.client_arrives(),
+            Event::ClientTries { client } => self.client_tries(client),
+            Event::ClientDone { client } => self.client_done(client),
+            Event::LoadChanges { flow } => self.load_changes(flow),
+            Event::PatienceOver { flow } => self.patience_over(flow),
+            Event::Wakeup { balancer } => self.wake_up(balancer),
+            Event::AttemptArrives { flow, number } => self.attempt_arrives(flow, number),
+            Event::ResponseArrives { flow, number, response } => {
+                self.response_arrives(flow, number, response);
+            }
+            Event::AttemptDeadline { flow, number } => self.attempt_deadline(flow, number),
+            Event::ServerSilent { flow } => self.server_silent(flow),
+            Event::ProbeReturns { balancer, server } => self.probe_returns(balancer, server),
+            Event::ListArrives { balancer } => self.list_arrives(balancer),
+            Event::ShutdownBegins { balancer, downtime } => self.shutdown_begins(balancer, downtime),
+            Event::DrainStep { balancer, since } => self.drain_step(balancer, since),
+            Event::BalancerEnds { balancer, planned, downtime } => {
+                self.balancer_ends(balancer, planned, downtime);
+            }
+            Event::BalancerStarts { balancer } => self.balancer_returns(balancer),
+            Event::DelayedAnswer { flow, answer, retry_after } => {
+                self.delayed_answer(flow, answer, retry_after);
+            }
+        }
+    }
+}
--- a/crates/lab/src/simulate/startup.rs
+++ b/crates/lab/src/simulate/startup.rs
@@ -1,74 +1,108 @@
-//! Start of the run and of balancers.
+//! The state at time 0, and the start of a balancer's process.
 
-use super::event::*;
-use super::run::Run;
-use super::state::*;
-use super::*;
+use nettlemux_door::Door;
+use nettlemux_hand::{Brain, Hand};
+use nettlemux_policy::Time;
+use nettlemux_settings::Settings;
+use nettlemux_world::scenario::seconds;
+use nettlemux_world::seen::{Seen, VERSION};
 
-impl Run<'_> {
+use super::Who;
+use super::balancer::FlowTable;
+use super::event::Event;
+use super::flow::FlowState;
+use super::sampling::{SAMPLE_INTERVAL, TICK_INTERVAL};
+use super::simulation::Simulation;
+use crate::file;
+
+/// Mixed with a balancer's number, so that balancers draw differently (the golden ratio in 64 bits).
+const BALANCER_SEED: u64 = 0x9e37_79b9_7f4a_7c15;
+
+impl Simulation<'_> {
+    /// Sets the run up and schedules the first events.
     pub(super) fn begin(&mut self) {
-        let scenario = &self.world.scenario;
-        let (name, standing) = (scenario.name.clone(), scenario.clients.standing);
-        let program = format!("{} in virtual time", self.who.name());
-        self.see(Seen::Header { version: VERSION, scenario: name, seed: self.seed, program });
-        for server in 0..self.world.servers.len() {
-            self.see_server(server);
+        self.observe_header();
+        for server in 0..self.model.servers.len() {
+            self.observe_server(server);
         }
         for balancer in 0..self.balancers.len() {
-            self.start(balancer);
+            self.start_balancer(balancer);
         }
-        for _ in 0..standing {
-            self.stand();
+        for _ in 0..self.model.scenario.clients.standing {
+            self.add_standing_connection();
         }
-        self.plan(TICK, What::Tick);
-        self.plan(SAMPLE, What::Sample);
-        let wait = self.crowd.next_arrival(&self.world);
-        self.plan(wait, What::Arrival);
+        self.schedule(TICK_INTERVAL, Event::ModelTick);
+        self.schedule(SAMPLE_INTERVAL, Event::Sample);
+        let wait = self.clients.next_arrival(&self.model);
+        self.schedule(wait, Event::ClientArrives);
+    }
+
+    fn observe_header(&mut self) {
+        let scenario = self.model.scenario.name.clone();
+        let program = format!("{} in virtual time", self.policy.name());
+        self.observe(Seen::Header { version: VERSION, scenario, seed: self.seed, program });
+    }
+
+    /// Records where a server is.
+    pub(super) fn observe_server(&mut self, server: usize) {
+        let state = &self.model.servers[server];
+        let (hall, cell, machine) = (state.hall, state.cell, state.machine);
+        self.observe(Seen::Server { at: self.now, server, hall, cell, machine });
     }
 
-    pub(super) fn see_server(&mut self, server: usize) {
-        let one = &self.world.servers[server];
-        let (hall, cell, machine) = (one.hall, one.cell, one.machine);
-        self.see(Seen::Server { at: self.now, server, hall, cell, machine });
+    /// Starts a balancer's process without any state and gives it the current list.
+    pub(super) fn start_balancer(&mut self, balancer: usize) {
+        let flow_table = self.new_flow_table(balancer);
+        let state = &mut self.balancers[balancer];
+        state.flow_table = Some(flow_table);
+        state.list_version = 0;
+        state.wakeup = None;
+        self.deliver_list(balancer);
     }
 
-    /// A balancer starts from nothing, with the list as it stands.
-    pub(super) fn start(&mut self, b: usize) {
-        let (hall, epoch) = (self.balancers[b].hall, self.balancers[b].epoch);
-        let seed = self.seed ^ (b as u64 + 1).wrapping_mul(EPOCH_SEED) ^ u64::from(epoch);
-        let settings = &self.settings[hall];
-        let brain = match self.who {
+    fn new_flow_table(&self, balancer: usize) -> FlowTable {
+        let seed = self.balancer_seed(balancer);
+        let flow_table = Hand::new(self.new_policy(balancer, seed));
+        match &self.model.scenario.door {
+            None => flow_table,
+            Some(keys) => {
+                let retry_after_max = seconds(self.model.scenario.limits.come_back);
+                let admission = Door::new(file::door(keys, retry_after_max), seed);
+                flow_table.with_door(admission, retry_after_max > 0)
+            }
+        }
+    }
+
+    fn new_policy(&self, balancer: usize, seed: u64) -> Box<dyn Brain> {
+        let settings = &self.settings[self.balancers[balancer].zone];
+        match self.policy {
             Who::Brain(kind) => kind.brain(&Settings::within(settings).expect("an object"), seed),
             Who::Mischief(mischief) => mischief.brain(settings, seed),
-        };
-        let mut hand = Hand::new(brain);
-        if let Some(keys) = &self.world.scenario.door {
-            let longest = seconds(self.world.scenario.limits.come_back);
-            hand = hand.with_door(Door::new(file::door(keys, longest), seed), longest > 0);
         }
-        let one = &mut self.balancers[b];
-        (one.hand, one.version, one.due) = (Some(hand), 0, None);
-        self.tell(b);
     }
 
-    /// A connection that stood before the run: where the load was least of two.
-    pub(super) fn stand(&mut self) {
-        let client = self.crowd.arrive(0, &self.world);
-        let hall = self.crowd.get(client).expect("it has just come").hall;
-        let Some(b) = self.front.deal(0, hall) else { return };
-        let server = self.world.stood_at(self.balancers[b].hall, &mut self.dice);
-        let flow = self.flow(client, Time::MAX);
+    /// A seed that differs by balancer and by run of its process.
+    fn balancer_seed(&self, balancer: usize) -> u64 {
+        let epoch = self.balancers[balancer].epoch;
+        self.seed ^ (balancer as u64 + 1).wrapping_mul(BALANCER_SEED) ^ u64::from(epoch)
+    }
+
+    /// Adds a connection that stands when the run starts.
+    fn add_standing_connection(&mut self) {
+        let client = self.clients.arrive(0, &self.model);
+        let known = self.clients.get(client).expect("it has just arrived");
+        let (client_zone, load) = (known.hall, known.load);
+        let Some(balancer) = self.front.deal(0, client_zone) else { return };
+        let server = self.model.stood_at(self.balancers[balancer].zone, &mut self.rng);
+        let flow = self.new_flow(client, Time::MAX);
         let id = flow.id;
-        let load = self.crowd.get(client).expect("it has just come").load;
-        if let Some(hand) = &mut self.balancers[b].hand {
-            hand.inherit(flow, server as u64);
-            hand.told_load(id, load);
+        if let Some(flow_table) = &mut self.balancers[balancer].flow_table {
+            flow_table.inherit(flow, server as u64);
+            flow_table.told_load(id, load);
         }
-        let at = Some((0, server));
-        let live = Live { client, balancer: b, taken: 0, phase: Phase::Open, at, moving: false };
-        self.flows.insert(id, live);
-        self.of_client.insert(client, id);
-        self.seat(id, client, server);
-        self.opened(id, client);
+        self.flows.insert(id, FlowState::standing(client, balancer, server));
+        self.flow_of_client.insert(client, id);
+        self.attach(id, client, server);
+        self.connection_opened(id, client);
     }
 }
