--- a/crates/lab/src/simulate/queue.rs
+++ b/crates/lab/src/simulate/queue.rs
@@ -60,3 +60,6 @@
 }
 
 impl Eq for Scheduled {}
+
+#[cfg(test)]
+mod tests;
