--- /dev/null
+++ b/crates/world/src/fleet/network.rs
@@ -0,0 +1,56 @@
+//! The network between zones, and attempts that arrive at servers over it.
+
+use nettlemux_policy::Time;
+
+use super::lifecycle::CRASH_NOTICE;
+use super::schedule::Task;
+use super::{Happening, World};
+use crate::scenario::seconds;
+use crate::server::{Life, Offer};
+
+impl World {
+    /// Whether messages get from one zone to another.
+    pub fn reaches(&self, from: usize, to: usize) -> bool {
+        from == to || self.cuts[from] == 0 && self.cuts[to] == 0
+    }
+
+    /// How long a message takes from one zone to another.
+    pub fn way(&self, from: usize, to: usize) -> Time {
+        let zones = &self.scenario.halls;
+        seconds(if from == to { zones.inside } else { zones.between })
+    }
+
+    /// An attempt arrives at a server, from a balancer in that zone. Returns what the server makes of it, and what has
+    /// happened with it.
+    pub fn offer(&mut self, now: Time, hall: usize, server: usize) -> (Offer, Vec<Happening>) {
+        if !self.reaches(hall, self.servers[server].hall) {
+            return (Offer::Silence, Vec::new());
+        }
+        let (offer, fell) = self.servers[server].offer(&self.scenario.fleet, now);
+        if fell {
+            self.fall(now, server);
+        }
+        let offer = match offer {
+            Offer::Up(took) => Offer::Up(took + self.store.call(now)),
+            other => other,
+        };
+        (offer, std::mem::take(&mut self.happened))
+    }
+
+    /// A cold server has been asked for more than it can bear, and crashes.
+    fn fall(&mut self, now: Time, server: usize) {
+        self.happened.push(Happening::Fell { server });
+        self.kill(server, Life::Down);
+        self.schedule.add(now + CRASH_NOTICE, Task::ListDeath { server });
+    }
+
+    /// One more fault, or one fault less, cuts a zone off. Drivers are told when that makes a difference.
+    pub(super) fn set_zone_cut(&mut self, zone: usize, cut: bool) {
+        let cuts = &mut self.cuts[zone];
+        let was_cut = *cuts > 0;
+        *cuts = if cut { *cuts + 1 } else { cuts.saturating_sub(1) };
+        if was_cut != (*cuts > 0) {
+            self.happened.push(Happening::Hall { hall: zone, cut });
+        }
+    }
+}
--- /dev/null
+++ b/crates/world/src/fleet/tests.rs
@@ -0,0 +1,85 @@
+//! Faults on the fleet: what each does, what it takes back, and what discovery then lists.
+
+use nettlemux_policy::{MS, SEC, State};
+
+use super::*;
+
+fn world(faults: &str) -> World {
+    let text = format!(
+        r#"{{"name": "t", "seconds": 60, "balancers": {{"number": 1}}, "halls": {{"number": 2}},
+        "fleet": {{"servers": 4, "capacity": 10}}, "clients": {{"rate": 1, "life": 9}},
+        "types": [{{"name": "chat"}}], "faults": {faults}}}"#
+    );
+    World::new(serde_json::from_str(&text).unwrap(), 1)
+}
+
+fn until(world: &mut World, end: f64) -> Vec<Happening> {
+    (0..=(end * 10.0) as u64).flat_map(|k| world.tick(k * 100 * MS)).collect()
+}
+
+#[test]
+fn a_restart_that_discovery_misses_is_listed_with_its_start() {
+    let mut world = world(r#"[{"what": "crash", "at": 5, "for": 1, "who": [2]}]"#);
+    until(&mut world, 10.0);
+    let told = world.since(1);
+    assert_eq!((told.len(), told[0].rs, told[0].state, told[0].started), (1, 2, State::Ready, 6 * SEC));
+}
+
+#[test]
+fn a_server_that_dies_is_listed_gone_late_and_comes_back_cold() {
+    let mut world = world(r#"[{"what": "vanish", "at": 5, "for": 10, "who": [1]}]"#);
+    until(&mut world, 8.0);
+    assert!(world.since(1).is_empty() && world.servers[1].life == Life::Silent);
+    until(&mut world, 9.0);
+    assert_eq!(world.since(1)[0].state, State::Gone);
+    assert_eq!(world.since(0).len(), 3, "a whole list leaves it out");
+    until(&mut world, 15.0);
+    assert_eq!((world.since(1)[0].state, world.servers[1].life), (State::Ready, Life::Up));
+}
+
+#[test]
+fn faults_overlap_and_each_takes_back_its_own() {
+    let mut world = world(
+        r#"[{"what": "slow", "at": 2, "for": 8, "who": [0], "amount": 0.5},
+        {"what": "decay", "at": 4, "for": 10, "who": [0], "amount": 0.2},
+        {"what": "store-slow", "at": 2, "for": 4, "amount": 0.1},
+        {"what": "store-slow", "at": 3, "for": 10, "amount": 0.5},
+        {"what": "list-wrong", "at": 2, "for": 3, "who": [3]},
+        {"what": "list-wrong", "at": 3, "for": 4, "who": [3]},
+        {"what": "hall-cut", "at": 1, "for": 4, "hall": 1},
+        {"what": "hall-flaps", "at": 2, "for": 9, "hall": 1, "amount": 1}]"#,
+    );
+    until(&mut world, 5.5);
+    assert!((world.store.health - 0.05).abs() < 1e-9 && world.servers[0].speed < 0.5);
+    assert_eq!(world.since(1)[0].state, State::Gone);
+    assert_eq!(world.reaches(0, 1), world.cuts[1] == 0);
+    until(&mut world, 20.0);
+    assert!((world.store.health - 1.0).abs() < 1e-9 && (world.servers[0].speed - 1.0).abs() < 1e-9);
+    assert!(world.reaches(0, 1) && world.since(1)[0].state == State::Ready);
+}
+
+#[test]
+fn drains_are_of_three_kinds() {
+    for (leaving, sent_away, cut) in [("keeps", 0, 6), ("bit-by-bit", 6, 0), ("all-at-once", 6, 0)] {
+        let fault = format!(
+            r#"[{{"what": "shrink", "at": 2, "for": 1, "who": [0], "amount": 4, "leaving": "{leaving}"}}]"#
+        );
+        let mut world = world(&fault);
+        for id in 0..6 {
+            let guest = crate::server::Guest { load: 0.1, group: None, service_type: 0, value: 1.0 };
+            world.servers[0].seat(id, guest);
+        }
+        let happened = until(&mut world, 10.0);
+        let count = |pick: fn(&Happening) -> Option<usize>| happened.iter().filter_map(pick).sum::<usize>();
+        let away = count(|h| match h {
+            Happening::SentAway { ids, .. } => Some(ids.len()),
+            _ => None,
+        });
+        let reset = count(|h| match h {
+            Happening::Reset { ids, .. } => Some(ids.len()),
+            _ => None,
+        });
+        assert_eq!((away, reset), (sent_away, cut), "{leaving}");
+        assert_eq!(world.since(1)[0].state, State::Gone);
+    }
+}
