--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -179,7 +179,7 @@
         What::AbsurdReports,
         What::FastErrors,
         What::ProbesFail,
-        What::HallCut,
+        What::ZoneCut,
         What::StoreSlow,
         What::ListSilent,
         What::ListWrong,
@@ -211,7 +211,7 @@
             (dice.between(0.05, 0.4) * 20.0).round() / 20.0
         },
         who: Vec::new(),
-        hall: dice.below(scenario.halls.number),
+        zone: dice.below(scenario.zones.number),
         amount: (amount * 100.0).round() / 100.0,
         leaving: [Leaving::Keeps, Leaving::BitByBit, Leaving::AllAtOnce][dice.below(3)],
     }
--- a/crates/lab/src/file.rs
+++ b/crates/lab/src/file.rs
@@ -101,8 +101,8 @@
     }
 }
 
-/// The settings that a balancer of that hall gets: the platform's form, times in microseconds.
-pub fn settings(scenario: &Scenario, hall: usize) -> Value {
+/// The settings that a balancer of that zone gets: the platform's form, times in microseconds.
+pub fn settings(scenario: &Scenario, zone: usize) -> Value {
     let us = |s: f64| (s * 1e6).round() as u64;
     let names = |letter: &str, count: usize| (0..count).map(|i| format!("{letter}{i}")).collect::<Vec<_>>();
     let types: Vec<Value> = (scenario.types.iter())
@@ -111,7 +111,7 @@
                 Repeat::Repeatable => ("free", "all"),
                 Repeat::OnceOnly => ("single_shot", "all"),
                 Repeat::ReferencedAll => ("guarded", "all"),
-                Repeat::ReferencedHall => ("guarded", "zone"),
+                Repeat::ReferencedZone => ("guarded", "zone"),
                 Repeat::ReferencedCell => ("guarded", "cell"),
             };
             json!({"name": t.name, "setup-target": us(t.target), "value": t.value, "repeat": repeat,
@@ -123,8 +123,8 @@
         .collect();
     let (limits, fleet) = (&scenario.limits, &scenario.fleet);
     json!({
-        "zone": hall,
-        "areas": names("h", scenario.halls.number),
+        "zone": zone,
+        "areas": names("h", scenario.zones.number),
         "models": ["m0"],
         "discovery": "push",
         "weights": if scenario.discovery.weights == Weights::Live { "live" } else { "nominal" },
--- a/crates/lab/src/rules.rs
+++ b/crates/lab/src/rules.rs
@@ -83,7 +83,7 @@
 
 #[derive(Default)]
 struct Place {
-    hall: usize,
+    zone: usize,
     cell: usize,
     started: Option<Time>,
     /// Connects since it started, while it is cold.
@@ -147,9 +147,9 @@
         }
         match *seen {
             Seen::Header { .. } => {}
-            Seen::Server { server, hall, cell, .. } => {
+            Seen::Server { server, zone, cell, .. } => {
                 let place = self.servers.entry(server).or_default();
-                (place.hall, place.cell) = (hall, cell);
+                (place.zone, place.cell) = (zone, cell);
             }
             Seen::Started { at, server } => {
                 let place = self.servers.entry(server).or_default();
@@ -278,7 +278,7 @@
                 let (first, now) = (self.servers.get(&made.server), self.servers.get(&server));
                 let same = first.zip(now).is_some_and(|(first, now)| match scope {
                     Scope::All => true,
-                    Scope::Hall => first.hall == now.hall,
+                    Scope::Zone => first.zone == now.zone,
                     Scope::Cell => first.cell == now.cell,
                 });
                 !same || at > made.at + window + slack
@@ -358,14 +358,14 @@
     fn judge(seen: &[Seen]) -> Vec<Rule> {
         let mut rules = Rules::new(&scenario(), 0);
         let servers =
-            [(0, 0), (1, 1)].map(|(server, hall)| Seen::Server { at: 0, server, hall, cell: 0, machine: 0 });
+            [(0, 0), (1, 1)].map(|(server, zone)| Seen::Server { at: 0, server, zone, cell: 0, machine: 0 });
         servers.iter().chain(seen).for_each(|one| rules.see(one));
         rules.finish(9 * SEC).broken.into_keys().collect()
     }
 
     #[test]
     fn each_rule_is_judged_by_what_was_seen() {
-        let hall = Kind::Referenced { scope: Scope::Hall, window: 50 };
+        let zone = Kind::Referenced { scope: Scope::Zone, window: 50 };
         let up = answered(5, Final::Established);
         let cut = |told, sound| Seen::Ended { at: 7, flow: 1, by: Ender::Balancer, told, sound };
         let told = Seen::Told { at: 0, balancer: 0, server: 0, ready: false };
@@ -413,13 +413,13 @@
                 ],
                 vec![Rule::Twice],
             ),
-            (vec![taken(1, hall), connect(1, 0, 0), ended(0, false), connect(3, 1, 0), up.clone()], vec![]),
+            (vec![taken(1, zone), connect(1, 0, 0), ended(0, false), connect(3, 1, 0), up.clone()], vec![]),
             (
-                vec![taken(1, hall), connect(1, 0, 0), ended(0, false), connect(3, 1, 1), up.clone()],
+                vec![taken(1, zone), connect(1, 0, 0), ended(0, false), connect(3, 1, 1), up.clone()],
                 vec![Rule::Twice],
             ),
             (
-                vec![taken(1, hall), connect(1, 0, 0), ended(0, false), connect(60, 1, 0), up.clone()],
+                vec![taken(1, zone), connect(1, 0, 0), ended(0, false), connect(60, 1, 0), up.clone()],
                 vec![Rule::Twice],
             ),
             (vec![free.clone(), told.clone(), connect(400 * MS, 0, 0), up.clone()], vec![]),
--- a/crates/lab/src/simulate/clients.rs
+++ b/crates/lab/src/simulate/clients.rs
@@ -37,7 +37,7 @@
         if self.flow_of_client.contains_key(&client) || known.gone {
             return;
         }
-        let dealt = self.front.deal(self.now, known.hall);
+        let dealt = self.front.deal(self.now, known.zone);
         match dealt.filter(|balancer| self.balancers[*balancer].is_running()) {
             Some(balancer) => self.accept(client, &known, balancer),
             None => {
--- a/crates/lab/src/simulate/faults.rs
+++ b/crates/lab/src/simulate/faults.rs
@@ -25,8 +25,8 @@
                 Happening::Started { server } => self.server_started(server),
                 Happening::Fell { server } => self.server_fell(server),
                 Happening::Listed | Happening::Heard => self.announce_list(),
-                Happening::Hall { cut: false, .. } => {}
-                Happening::Hall { hall, .. } => self.zone_cut_off(hall),
+                Happening::Zone { cut: false, .. } => {}
+                Happening::Zone { zone, .. } => self.zone_cut_off(zone),
                 Happening::Restart { balancer, away } => {
                     self.schedule_restart(balancer, away, restarts);
                     restarts += 1;
--- a/crates/lab/src/simulate/simulation.rs
+++ b/crates/lab/src/simulate/simulation.rs
@@ -53,9 +53,9 @@
 impl<'a> Simulation<'a> {
     /// A run that has not begun.
     pub(super) fn new(scenario: Scenario, seed: u64, policy: Who, record: Option<&'a mut Writer>) -> Self {
-        let zones = scenario.halls.number;
+        let zones = scenario.zones.number;
         // Balancers act on news that took this long to arrive; the judge allows for it.
-        let slack = seconds(scenario.halls.between.max(scenario.halls.inside)) + MS;
+        let slack = seconds(scenario.zones.between.max(scenario.zones.inside)) + MS;
         Simulation {
             now: 0,
             end: scenario.end(),
@@ -142,7 +142,7 @@
 
     /// The zone of a server.
     pub(super) fn server_zone(&self, server: usize) -> usize {
-        self.model.servers[server].hall
+        self.model.servers[server].zone
     }
 
     /// How long a message takes between a flow's balancer and a server.
--- a/crates/lab/src/simulate/startup.rs
+++ b/crates/lab/src/simulate/startup.rs
@@ -46,8 +46,8 @@
     /// Records where a server is.
     pub(super) fn observe_server(&mut self, server: usize) {
         let state = &self.model.servers[server];
-        let (hall, cell, machine) = (state.hall, state.cell, state.machine);
-        self.observe(Seen::Server { at: self.now, server, hall, cell, machine });
+        let (zone, cell, machine) = (state.zone, state.cell, state.machine);
+        self.observe(Seen::Server { at: self.now, server, zone, cell, machine });
     }
 
     /// Starts a balancer's process without any state and gives it the current list.
@@ -91,7 +91,7 @@
     fn add_standing_connection(&mut self) {
         let client = self.clients.arrive(0, &self.model);
         let known = self.clients.get(client).expect("it has just arrived");
-        let (client_zone, load) = (known.hall, known.load);
+        let (client_zone, load) = (known.zone, known.load);
         let Some(balancer) = self.front.deal(0, client_zone) else { return };
         let server = self.model.stood_at(self.balancers[balancer].zone, &mut self.rng);
         let flow = self.new_flow(client, Time::MAX);
--- a/crates/lab/src/sockets/client.rs
+++ b/crates/lab/src/sockets/client.rs
@@ -54,8 +54,8 @@
     let (id, server) = {
         let inner = &mut *stage.lock();
         let id = inner.crowd.arrive(0, &inner.world);
-        let hall = inner.crowd.get(id).map_or(0, |client| client.hall);
-        (id, inner.world.stood_at(hall, &mut inner.dice))
+        let zone = inner.crowd.get(id).map_or(0, |client| client.zone);
+        (id, inner.world.stood_at(zone, &mut inner.dice))
     };
     tokio::spawn(live(stage.clone(), id, Some(server)));
 }
@@ -96,7 +96,7 @@
 async fn once(stage: &Arc<Stage>, id: u64, client: &Client, standing: Option<usize>) -> Came {
     let dealt = {
         let inner = &mut *stage.lock();
-        inner.front.deal(stage.now(), client.hall)
+        inner.front.deal(stage.now(), client.zone)
     };
     let refused = || Came::Again(Some(stage.lock().crowd.refused()));
     let Some(balancer) = dealt else { return refused() };
--- a/crates/lab/src/sockets/processes.rs
+++ b/crates/lab/src/sockets/processes.rs
@@ -115,7 +115,7 @@
             "seed": format!("{:016x}", (b as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ scenario.seed ^ again),
             "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": sockets},
             "known": stage.list(b, None),
-            "settings": file::settings(scenario, stage.hall(b)),
+            "settings": file::settings(scenario, stage.zone(b)),
         });
         let at = |name: String| self.folder.join(name);
         let (path, log) = (at(format!("b{b}.json")), at(format!("b{b}.log")));
--- a/crates/lab/src/sockets/server.rs
+++ b/crates/lab/src/sockets/server.rs
@@ -1,4 +1,4 @@
-//! A stand-in server: listens at one address for each hall, answers probes, takes connects as the model says and answers lines in
+//! A stand-in server: listens at one address for each zone, answers probes, takes connects as the model says and answers lines in
 //! the time that the model takes. It owns each connection's end at the server and gives its place in the model back when
 //! that ends, in [`Seat`]. It never says more than the model does.
 
@@ -26,14 +26,14 @@
 const LONGEST: usize = 4096 + 2;
 
 /// Listens for as long as the run lasts, but for while the server's process is down.
-pub async fn listen(stage: Arc<Stage>, server: usize, hall: usize, mut life: watch::Receiver<Life>) {
+pub async fn listen(stage: Arc<Stage>, server: usize, zone: usize, mut life: watch::Receiver<Life>) {
     loop {
         while *life.borrow_and_update() == Life::Down {
             if life.changed().await.is_err() {
                 return;
             }
         }
-        let Ok(listener) = bind(stage.server(server, hall)) else {
+        let Ok(listener) = bind(stage.server(server, zone)) else {
             tokio::time::sleep(AGAIN).await;
             continue;
         };
@@ -45,7 +45,7 @@
                     Err(_) => return,
                 },
                 accepted = listener.accept() => if let Ok((stream, _)) = accepted {
-                    tokio::spawn(talk(stage.clone(), server, hall, stream));
+                    tokio::spawn(talk(stage.clone(), server, zone, stream));
                 },
             }
         }
@@ -150,12 +150,12 @@
     }
 }
 
-async fn talk(stage: Arc<Stage>, server: usize, hall: usize, stream: TcpStream) {
+async fn talk(stage: Arc<Stage>, server: usize, zone: usize, stream: TcpStream) {
     let mut wire = Wire::new(stream);
     let way = {
         let inner = stage.lock();
-        let to = inner.world.servers[server].hall;
-        inner.world.way(hall, to)
+        let to = inner.world.servers[server].zone;
+        inner.world.way(zone, to)
     };
     loop {
         let Some(line) = wire.line().await else { return };
@@ -165,13 +165,13 @@
         let reaches = {
             let inner = stage.lock();
             let one = &inner.world.servers[server];
-            one.life != Life::Silent && inner.world.reaches(hall, one.hall)
+            one.life != Life::Silent && inner.world.reaches(zone, one.zone)
         };
         if !reaches {
             return wire.mute(&stage, server).await;
         }
         if line.starts_with("OPEN ") {
-            return open(&stage, (server, hall), wire, &line, way).await;
+            return open(&stage, (server, zone), wire, &line, way).await;
         }
         let answer = match line.as_str() {
             "PING" => Some("PONG\r\n".to_string()),
@@ -200,7 +200,7 @@
 }
 
 /// Serves one connection from its first line on.
-async fn open(stage: &Arc<Stage>, (server, hall): (usize, usize), mut wire: Wire, line: &str, way: Time) {
+async fn open(stage: &Arc<Stage>, (server, zone): (usize, usize), mut wire: Wire, line: &str, way: Time) {
     let flow = line.split(' ').nth(1).and_then(|id| u64::from_str_radix(id, 16).ok());
     let Some(flow) = flow.filter(|flow| stage.lock().flows.contains_key(flow)) else {
         // No client of ours sent it.
@@ -222,7 +222,7 @@
                 let number = inner.gather.connects as usize;
                 inner.see(Seen::Connect { at: now, balancer, flow, number, server });
                 seat.out = Some(number);
-                let (offer, more) = inner.world.offer(now, hall, server);
+                let (offer, more) = inner.world.offer(now, zone, server);
                 happened = more;
                 offer
             }
@@ -269,7 +269,7 @@
     if !wire.say(&format!("UP {flow:x}\r\nLOAD {load:.4}\r\n")).await {
         return;
     }
-    serve(stage, (server, hall), wire, &mut told, flow, way).await;
+    serve(stage, (server, zone), wire, &mut told, flow, way).await;
 }
 
 fn sit(inner: &mut super::stage::Inner, flow: u64, server: usize) -> bool {
@@ -282,7 +282,7 @@
 /// Answers an open connection's lines, each in the time that the server takes now, until one side ends.
 async fn serve(
     stage: &Stage,
-    (server, hall): (usize, usize),
+    (server, zone): (usize, usize),
     mut wire: Wire,
     told: &mut mpsc::UnboundedReceiver<Tell>,
     flow: u64,
@@ -299,7 +299,7 @@
                     let mut inner = stage.lock();
                     let one = &inner.world.servers[server];
                     let mean = one.message(&stage.scenario.fleet, now);
-                    let reaches = inner.world.reaches(hall, one.hall) && one.life == Life::Up;
+                    let reaches = inner.world.reaches(zone, one.zone) && one.life == Life::Up;
                     (inner.dice.exponential(mean).min(10.0 * mean), reaches)
                 };
                 if !reaches {
--- a/crates/lab/src/sockets/stage.rs
+++ b/crates/lab/src/sockets/stage.rs
@@ -93,10 +93,10 @@
     /// A client sees its connection end without having been told to move.
     pub fn broken(&mut self, at: Time, flow: u64, told: bool) {
         let Some(known) = self.flows.get(&flow) else { return };
-        let hall = known.balancer % self.world.scenario.halls.number;
+        let zone = known.balancer % self.world.scenario.zones.number;
         let sound = known.server.is_some_and(|server| {
             let one = &self.world.servers[server];
-            one.life == Life::Up && self.world.reaches(hall, one.hall)
+            one.life == Life::Up && self.world.reaches(zone, one.zone)
         });
         let (by, told) = match known.by_server {
             Some(told) => (Ender::Server, told),
@@ -124,10 +124,10 @@
         let (block, claim) = claim()?;
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         // Word takes its way: what is judged at its arrival may be so late.
-        let slack = SLACK + seconds(scenario.halls.between.max(scenario.halls.inside));
+        let slack = SLACK + seconds(scenario.zones.between.max(scenario.zones.inside));
         let inner = Inner {
             crowd: Crowd::new(seed),
-            front: Front::new(scenario.balancers.number, scenario.halls.number),
+            front: Front::new(scenario.balancers.number, scenario.zones.number),
             gather: Gather::new(seconds(scenario.settle)),
             dice: Dice::new(seed, 3),
             flows: HashMap::new(),
@@ -192,26 +192,26 @@
         self.address(251, balancer, DISCOVERY)
     }
 
-    /// A server as balancers of that hall reach it: what comes over it is delayed by the way between the halls.
-    pub fn server(&self, server: usize, hall: usize) -> SocketAddr {
-        self.address(1 + hall, server, SERVERS)
+    /// A server as balancers of that zone reach it: what comes over it is delayed by the way between the zones.
+    pub fn server(&self, server: usize, zone: usize) -> SocketAddr {
+        self.address(1 + zone, server, SERVERS)
     }
 
-    pub fn hall(&self, balancer: usize) -> usize {
-        balancer % self.scenario.halls.number
+    pub fn zone(&self, balancer: usize) -> usize {
+        balancer % self.scenario.zones.number
     }
 
-    /// A server's stand-in begins to listen, at one address for each hall.
+    /// A server's stand-in begins to listen, at one address for each zone.
     pub fn joins(self: &Arc<Self>, server: usize) {
         let mut inner = self.lock();
         let one = &inner.world.servers[server];
-        let (hall, cell, machine) = (one.hall, one.cell, one.machine);
+        let (zone, cell, machine) = (one.zone, one.cell, one.machine);
         let at = self.now();
-        inner.see(Seen::Server { at, server, hall, cell, machine });
+        inner.see(Seen::Server { at, server, zone, cell, machine });
         if inner.lives.len() <= server {
             let life = watch::Sender::new(Life::Up);
-            for hall in 0..self.scenario.halls.number {
-                tokio::spawn(server::listen(self.clone(), server, hall, life.subscribe()));
+            for zone in 0..self.scenario.zones.number {
+                tokio::spawn(server::listen(self.clone(), server, zone, life.subscribe()));
             }
             inner.lives.push(life);
         }
@@ -252,7 +252,7 @@
                 }
                 Happening::Listed | Happening::Heard => self.spread_list(),
                 // Whoever talks across the cut finds out for itself.
-                Happening::Hall { .. } => {}
+                Happening::Zone { .. } => {}
                 Happening::Restart { .. } | Happening::Kill { .. } => rest.push(one),
             }
         }
@@ -302,7 +302,7 @@
     /// The list as one balancer gets it, in discovery's form; what it tells is noted as told.
     pub fn list(&self, balancer: usize, from: Option<u64>) -> Value {
         let mut inner = self.lock();
-        let hall = self.hall(balancer);
+        let zone = self.zone(balancer);
         let (version, entries) = match from {
             Some(from) => (inner.visible[balancer], inner.world.between(from, inner.visible[balancer])),
             None => (inner.world.version(), inner.world.since(0)),
@@ -314,7 +314,7 @@
             inner.see(Seen::Told { at, balancer, server, ready: entry.state == State::Ready });
             instances.push(json!({
                 "instanceId": format!("s{server}"),
-                "hostPort": self.server(server, hall).to_string(),
+                "hostPort": self.server(server, zone).to_string(),
                 "zone": format!("h{}", entry.hall),
                 "machineType": "m0",
                 "cell": entry.cell,
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -90,7 +90,7 @@
 #[test]
 fn every_fault_acts_and_breaks_no_rule() {
     let mut scenario = load("calm");
-    (scenario.seconds, scenario.halls.number) = (45.0, 2);
+    (scenario.seconds, scenario.zones.number) = (45.0, 2);
     scenario.clients.customers = vec![0.5, 0.5];
     scenario.expect.clear();
     let calm = module(&scenario, 1).figures;
@@ -104,8 +104,8 @@
         (What::AbsurdReports, 0.5, 9.0),
         (What::FastErrors, 0.4, 0.0),
         (What::ProbesFail, 0.4, 0.0),
-        (What::HallCut, 0.0, 0.0),
-        (What::HallFlaps, 0.0, 1.0),
+        (What::ZoneCut, 0.0, 0.0),
+        (What::ZoneFlaps, 0.0, 1.0),
         (What::StoreSlow, 0.0, 0.05),
         (What::ListWrong, 0.3, 0.0),
         (What::Grow, 0.5, 0.0),
--- a/crates/world/src/crowd.rs
+++ b/crates/world/src/crowd.rs
@@ -23,7 +23,7 @@
     pub service_type: usize,
     pub customer: usize,
     pub group: Option<u32>,
-    pub hall: usize,
+    pub zone: usize,
     pub load: f64,
     /// Worth of a second of good service to it.
     pub value: f64,
@@ -97,7 +97,7 @@
             service_type,
             customer,
             group,
-            hall: self.dice.below(scenario.halls.number),
+            zone: self.dice.below(scenario.zones.number),
             load: self.dice.around(of.load, scenario.clients.spread),
             value: of.value * if surplus { scenario.clients.surplus } else { 1.0 },
             ends: now + seconds(self.dice.exponential(scenario.clients.life)).max(50 * MS),
@@ -183,29 +183,29 @@
     }
 }
 
-/// The front: deals clients out in turn among the balancers of their hall that it takes for alive.
+/// The front: deals clients out in turn among the balancers of their zone that it takes for alive.
 pub struct Front {
-    halls: Vec<Vec<usize>>,
+    zones: Vec<Vec<usize>>,
     /// When it notices that a balancer has died; none while it is well.
     notices: Vec<Option<Time>>,
     turns: Vec<usize>,
 }
 
 impl Front {
-    pub fn new(balancers: usize, halls: usize) -> Self {
-        let of = |hall: usize| (0..balancers).filter(|b| b % halls == hall).collect();
-        Front { halls: (0..halls).map(of).collect(), notices: vec![None; balancers], turns: vec![0; halls] }
+    pub fn new(balancers: usize, zones: usize) -> Self {
+        let of = |zone: usize| (0..balancers).filter(|b| b % zones == zone).collect();
+        Front { zones: (0..zones).map(of).collect(), notices: vec![None; balancers], turns: vec![0; zones] }
     }
 
-    /// The balancer for a client of that hall; another hall's where its own has none; none where there is none at all.
-    pub fn deal(&mut self, now: Time, hall: usize) -> Option<usize> {
-        let halls = self.halls.len();
-        for other in 0..halls {
-            let hall = (hall + other) % halls;
-            let among = &self.halls[hall];
+    /// The balancer for a client of that zone; another zone's where its own has none; none where there is none at all.
+    pub fn deal(&mut self, now: Time, zone: usize) -> Option<usize> {
+        let zones = self.zones.len();
+        for other in 0..zones {
+            let zone = (zone + other) % zones;
+            let among = &self.zones[zone];
             for _ in 0..among.len() {
-                self.turns[hall] = (self.turns[hall] + 1) % among.len();
-                let balancer = among[self.turns[hall]];
+                self.turns[zone] = (self.turns[zone] + 1) % among.len();
+                let balancer = among[self.turns[zone]];
                 if self.notices[balancer].is_none_or(|at| now < at) {
                     return Some(balancer);
                 }
@@ -228,7 +228,7 @@
     use super::*;
 
     #[test]
-    fn the_front_deals_in_turn_notices_late_and_goes_to_another_hall() {
+    fn the_front_deals_in_turn_notices_late_and_goes_to_another_zone() {
         let mut front = Front::new(4, 2);
         let dealt: Vec<_> = (0..4).map(|_| front.deal(0, 0)).collect();
         assert_eq!(dealt, [Some(2), Some(0), Some(2), Some(0)]);
--- a/crates/world/src/fault.rs
+++ b/crates/world/src/fault.rs
@@ -28,10 +28,12 @@
     FastErrors,
     /// Probes of servers fail; all else works.
     ProbesFail,
-    /// A hall (`hall`) can't be reached from other halls, nor reach them.
-    HallCut,
+    /// A zone (key `hall`) can't be reached from other zones, nor reach them.
+    #[serde(rename = "hall-cut")]
+    ZoneCut,
     /// The same, on and off every `amount` seconds.
-    HallFlaps,
+    #[serde(rename = "hall-flaps")]
+    ZoneFlaps,
     /// The store serves only `amount` of its calls.
     StoreSlow,
     /// Discovery tells nothing.
@@ -84,8 +86,8 @@
     /// Those that it meets, by number, in place of a share.
     #[serde(default)]
     pub who: Vec<usize>,
-    #[serde(default)]
-    pub hall: usize,
+    #[serde(default, rename = "hall")]
+    pub zone: usize,
     #[serde(default)]
     pub amount: f64,
     #[serde(default)]
@@ -112,8 +114,8 @@
         if self.share > 1.0 && self.what != What::Grow {
             return bad("share", format!("{} is over 1", self.share));
         }
-        if self.hall >= scenario.halls.number {
-            return bad("hall", format!("there are {} halls", scenario.halls.number));
+        if self.zone >= scenario.zones.number {
+            return bad("hall", format!("there are {} halls", scenario.zones.number));
         }
         let number = match self.of_balancers() {
             true => scenario.balancers.number,
@@ -123,7 +125,7 @@
             return bad("who", format!("there is no number {who}"));
         }
         let needs_amount =
-            [What::Slow, What::Neighbour, What::HallFlaps, What::StoreSlow, What::Surge, What::CustomerSurge];
+            [What::Slow, What::Neighbour, What::ZoneFlaps, What::StoreSlow, What::Surge, What::CustomerSurge];
         if needs_amount.contains(&self.what) && self.amount <= 0.0 {
             return bad("amount", "this kind of fault needs one above 0".into());
         }
--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -45,7 +45,7 @@
     /// Discovery answers again.
     Heard,
     /// A zone has been cut off from the others, or is reachable again.
-    Hall { hall: usize, cut: bool },
+    Zone { zone: usize, cut: bool },
     /// A balancer is asked to shut down, and is to start again after so long.
     Restart { balancer: usize, away: Time },
     /// A balancer is killed, and is to start again after so long.
@@ -84,7 +84,7 @@
             faults: Vec::new(),
             schedule: Schedule::default(),
             list: ServerList::new(count),
-            cuts: vec![0; scenario.halls.number],
+            cuts: vec![0; scenario.zones.number],
             servers,
             rng,
             happened: Vec::new(),
@@ -139,9 +139,9 @@
 
     /// The server for a connection that stands when the run starts: of two random ones in that zone, or in all zones where
     /// it has none, the one with the lower utilization.
-    pub fn stood_at(&self, hall: usize, dice: &mut Dice) -> usize {
+    pub fn stood_at(&self, zone: usize, dice: &mut Dice) -> usize {
         let all = 0..self.servers.len();
-        let local: Vec<usize> = all.clone().filter(|server| self.servers[*server].hall == hall).collect();
+        let local: Vec<usize> = all.clone().filter(|server| self.servers[*server].zone == zone).collect();
         let candidates = if local.is_empty() { all.collect() } else { local };
         let first = candidates[dice.below(candidates.len())];
         let second = candidates[dice.below(candidates.len())];
@@ -173,7 +173,7 @@
 
 /// A warm server; zones are filled in turn, cells one after another.
 fn new_server(scenario: &Scenario, index: usize, rng: &mut Dice) -> Server {
-    let zone = index % scenario.halls.number;
+    let zone = index % scenario.zones.number;
     let place = (zone, index / CELL_SIZE, 0);
     Server::new(&scenario.fleet, scenario.types.len(), place, rng)
 }
--- a/crates/world/src/fleet/degradation.rs
+++ b/crates/world/src/fleet/degradation.rs
@@ -52,7 +52,7 @@
             return;
         }
         active.acting = cut;
-        let (zone, period) = (active.fault.hall, seconds(active.fault.amount));
+        let (zone, period) = (active.fault.zone, seconds(active.fault.amount));
         self.set_zone_cut(zone, cut);
         self.schedule.add(now + period, Task::FlapZone { fault, cut: !cut });
     }
--- a/crates/world/src/fleet/faults.rs
+++ b/crates/world/src/fleet/faults.rs
@@ -58,8 +58,8 @@
             What::AbsurdReports => self.change_targets(index, |server| server.absurd = Some(amount)),
             What::FastErrors => self.change_targets(index, |server| server.fast_errors = true),
             What::ProbesFail => self.change_targets(index, |server| server.probes_fail = true),
-            What::HallCut => self.set_zone_cut(fault.hall, true),
-            What::HallFlaps => self.flap_zone(now, index, true),
+            What::ZoneCut => self.set_zone_cut(fault.zone, true),
+            What::ZoneFlaps => self.flap_zone(now, index, true),
             What::StoreSlow => self.store.health *= amount,
             What::ListSilent => self.list.outages += 1,
             What::ListLate => self.list.extra_delay += amount,
@@ -88,15 +88,15 @@
             What::AbsurdReports => self.change_targets(index, |server| server.absurd = None),
             What::FastErrors => self.change_targets(index, |server| server.fast_errors = false),
             What::ProbesFail => self.change_targets(index, |server| server.probes_fail = false),
-            What::HallCut => self.set_zone_cut(fault.hall, false),
-            What::HallFlaps if was_acting => self.set_zone_cut(fault.hall, false),
+            What::ZoneCut => self.set_zone_cut(fault.zone, false),
+            What::ZoneFlaps if was_acting => self.set_zone_cut(fault.zone, false),
             What::StoreSlow => self.store.health /= amount,
             What::ListSilent => self.end_discovery_outage(),
             What::ListLate => self.list.extra_delay -= amount,
             What::ListWrong => self.unhide_targets(index),
             What::Surge => self.surge /= amount,
             What::CustomerSurge => self.customer_surge /= amount,
-            What::HallFlaps
+            What::ZoneFlaps
             | What::Grow
             | What::Shrink
             | What::Roll
--- a/crates/world/src/fleet/listing.rs
+++ b/crates/world/src/fleet/listing.rs
@@ -42,7 +42,7 @@
         let server = &self.servers[index];
         Listed {
             rs: index as u64,
-            hall: server.hall as u64,
+            hall: server.zone as u64,
             machine: server.machine as u64,
             cell: server.cell as u64,
             state: self.list.visible_state(index),
--- a/crates/world/src/fleet/network.rs
+++ b/crates/world/src/fleet/network.rs
@@ -16,14 +16,14 @@
 
     /// How long a message takes from one zone to another.
     pub fn way(&self, from: usize, to: usize) -> Time {
-        let zones = &self.scenario.halls;
+        let zones = &self.scenario.zones;
         seconds(if from == to { zones.inside } else { zones.between })
     }
 
     /// An attempt arrives at a server, from a balancer in that zone. Returns what the server makes of it, and what has
     /// happened with it.
-    pub fn offer(&mut self, now: Time, hall: usize, server: usize) -> (Offer, Vec<Happening>) {
-        if !self.reaches(hall, self.servers[server].hall) {
+    pub fn offer(&mut self, now: Time, zone: usize, server: usize) -> (Offer, Vec<Happening>) {
+        if !self.reaches(zone, self.servers[server].zone) {
             return (Offer::Silence, Vec::new());
         }
         let (offer, fell) = self.servers[server].offer(&self.scenario.fleet, now);
@@ -50,7 +50,7 @@
         let was_cut = *cuts > 0;
         *cuts = if cut { *cuts + 1 } else { cuts.saturating_sub(1) };
         if was_cut != (*cuts > 0) {
-            self.happened.push(Happening::Hall { hall: zone, cut });
+            self.happened.push(Happening::Zone { zone, cut });
         }
     }
 }
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -32,8 +32,8 @@
     pub store: StoreKeys,
     #[serde(default)]
     pub discovery: Discovery,
-    #[serde(default)]
-    pub halls: Halls,
+    #[serde(default, rename = "halls")]
+    pub zones: Zones,
     pub clients: Clients,
     pub types: Vec<Type>,
     #[serde(default)]
@@ -136,16 +136,16 @@
 
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct Halls {
+pub struct Zones {
     pub number: usize,
-    /// Seconds one way within a hall, and between two.
+    /// Seconds one way within a zone, and between two.
     pub inside: f64,
     pub between: f64,
 }
 
-impl Default for Halls {
+impl Default for Zones {
     fn default() -> Self {
-        Halls { number: 1, inside: 0.0005, between: 0.005 }
+        Zones { number: 1, inside: 0.0005, between: 0.005 }
     }
 }
 
@@ -222,7 +222,8 @@
 pub enum Repeat {
     Repeatable,
     ReferencedAll,
-    ReferencedHall,
+    #[serde(rename = "referenced-hall")]
+    ReferencedZone,
     ReferencedCell,
     OnceOnly,
 }
@@ -233,7 +234,7 @@
         match self.repeat {
             Repeat::Repeatable => Kind::Repeatable,
             Repeat::ReferencedAll => Kind::Referenced { scope: Scope::All, window },
-            Repeat::ReferencedHall => Kind::Referenced { scope: Scope::Hall, window },
+            Repeat::ReferencedZone => Kind::Referenced { scope: Scope::Zone, window },
             Repeat::ReferencedCell => Kind::Referenced { scope: Scope::Cell, window },
             Repeat::OnceOnly => Kind::OnceOnly,
         }
@@ -375,7 +376,7 @@
         count("balancers.number", self.balancers.number)?;
         count("fleet.servers", self.fleet.servers)?;
         count("fleet.slots", self.fleet.slots)?;
-        count("halls.number", self.halls.number)?;
+        count("halls.number", self.zones.number)?;
         count("limits.connects", self.limits.connects)?;
         if self.clients.standing > MOST {
             return Err(("clients.standing".into(), format!("{} is over {MOST}", self.clients.standing)));
@@ -406,8 +407,8 @@
             ("clients.again", self.clients.again),
             ("fleet.group_load", self.fleet.group_load),
             ("discovery.delay", self.discovery.delay),
-            ("halls.inside", self.halls.inside),
-            ("halls.between", self.halls.between),
+            ("halls.inside", self.zones.inside),
+            ("halls.between", self.zones.between),
             ("limits.grace", self.limits.grace),
         ] {
             if !value.is_finite() || value < 0.0 {
--- a/crates/world/src/seen.rs
+++ b/crates/world/src/seen.rs
@@ -12,7 +12,7 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Kind {
     Repeatable,
-    /// Repeats are dropped everywhere, in the first one's hall, or in its cell, for so long after the first may have run.
+    /// Repeats are dropped everywhere, in the first one's zone, or in its cell, for so long after the first may have run.
     Referenced {
         scope: Scope,
         window: Time,
@@ -24,7 +24,8 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Scope {
     All,
-    Hall,
+    #[serde(rename = "hall")]
+    Zone,
     Cell,
 }
 
@@ -59,7 +60,8 @@
     Server {
         at: Time,
         server: usize,
-        hall: usize,
+        #[serde(rename = "hall")]
+        zone: usize,
         cell: usize,
         machine: usize,
     },
--- a/crates/world/src/server.rs
+++ b/crates/world/src/server.rs
@@ -54,7 +54,7 @@
 }
 
 pub struct Server {
-    pub hall: usize,
+    pub zone: usize,
     pub cell: usize,
     pub machine: usize,
     pub life: Life,
@@ -90,12 +90,12 @@
     pub fn new(
         fleet: &Fleet,
         types: usize,
-        (hall, cell, machine): (usize, usize, usize),
+        (zone, cell, machine): (usize, usize, usize),
         dice: &mut Dice,
     ) -> Self {
         let full = fleet.capacity * (1.0 + dice.between(-fleet.differ, fleet.differ));
         Server {
-            hall,
+            zone,
             cell,
             machine,
             life: Life::Up,
