--- a/crates/world/src/crowd.rs
+++ b/crates/world/src/crowd.rs
@@ -224,22 +224,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_front_deals_in_turn_notices_late_and_goes_to_another_zone() {
-        let mut front = Front::new(4, 2);
-        let dealt: Vec<_> = (0..4).map(|_| front.deal(0, 0)).collect();
-        assert_eq!(dealt, [Some(2), Some(0), Some(2), Some(0)]);
-        front.dies(0, 2 * SEC);
-        front.dies(2, 2 * SEC);
-        assert!(matches!(front.deal(SEC, 0), Some(0 | 2)), "not noticed yet");
-        assert!(matches!(front.deal(2 * SEC, 0), Some(1 | 3)));
-        front.dies(1, 0);
-        front.dies(3, 0);
-        assert_eq!(front.deal(2 * SEC, 0), None);
-        front.back(2);
-        assert_eq!(front.deal(2 * SEC, 1), Some(2));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/world/src/server/tests.rs
@@ -0,0 +1,73 @@
+//! A server's load, overload, cold start and reports.
+
+use super::*;
+
+fn fleet() -> Fleet {
+    serde_json::from_str(r#"{"servers": 1, "capacity": 10, "newcomers": 4, "group_load": 2}"#).unwrap()
+}
+
+fn server() -> (Fleet, Server, Dice) {
+    let (fleet, mut dice) = (fleet(), Dice::new(1, 1));
+    let server = Server::new(&fleet, 1, (0, 0, 0), &mut dice);
+    (fleet, server, dice)
+}
+
+fn guest(load: f64, group: Option<u32>) -> Guest {
+    Guest { load, group, service_type: 0, value: 1.0 }
+}
+
+#[test]
+fn load_and_common_work_come_and_go() {
+    let (fleet, mut server, _) = server();
+    server.seat(1, guest(2.0, Some(5)));
+    server.seat(2, guest(1.0, Some(5)));
+    server.seat(3, guest(1.0, None));
+    assert_eq!(server.beta(&fleet, 0), 0.6);
+    server.set_load(3, 3.0);
+    assert!(server.rise(1) && !server.rise(1));
+    assert_eq!(server.beta(&fleet, 0), 0.6);
+    server.rise(2);
+    server.rise(3);
+    assert_eq!((server.beta(&fleet, 0), server.worth[0]), (0.0, 0.0));
+}
+
+#[test]
+fn one_that_is_asked_for_too_much_slows_and_drops_its_heaviest() {
+    let (fleet, mut server, _) = server();
+    (1..=40).for_each(|id| server.seat(id, guest(0.5 + id as f64 / 100.0, None)));
+    assert!(server.in_time(&fleet, 0, 0.2) < 0.5);
+    assert!(server.advance(&fleet, SEC).is_empty() && server.message(&fleet, SEC) > 1.0);
+    assert_eq!(server.advance(&fleet, 4 * SEC), [40, 39]);
+    assert_eq!(server.in_time(&fleet, 4 * SEC, 0.2), 0.0);
+}
+
+#[test]
+fn a_cold_one_falls_over_under_a_flood_and_a_warm_one_says_busy() {
+    let (fleet, mut server, _) = server();
+    let offers: Vec<Offer> = (0..60).map(|_| server.offer(&fleet, SEC).0).collect();
+    assert_eq!(offers.iter().filter(|offer| **offer == Offer::Busy).count(), 56);
+    server.dies(Life::Down);
+    assert_eq!(server.offer(&fleet, 2 * SEC).0, Offer::Refused);
+    assert!(server.starts(10 * SEC));
+    // 3 times 0.35 of 4 a second for 3 s, and the slack: 16.6.
+    let fell = (0..20).position(|_| server.offer(&fleet, 10 * SEC).1);
+    assert_eq!(fell, Some(16));
+    server.dies(Life::Down);
+    assert!(!server.starts(20 * SEC), "it stays down");
+}
+
+#[test]
+fn reports_are_refreshed_now_and_then_or_stuck_or_absurd() {
+    let (fleet, mut server, mut dice) = server();
+    server.seat(1, guest(5.0, None));
+    let first = server.report(&fleet, 0, &mut dice).unwrap().beta.unwrap();
+    assert!((first - 0.5).abs() < 0.02);
+    server.set_load(1, 8.0);
+    assert_eq!(server.report(&fleet, SEC / 4, &mut dice).unwrap().beta, Some(first));
+    server.stuck = true;
+    assert_eq!(server.report(&fleet, 9 * SEC, &mut dice).unwrap().beta, Some(first));
+    (server.stuck, server.absurd) = (false, Some(7.5));
+    assert_eq!(server.report(&fleet, 10 * SEC, &mut dice).unwrap().beta, Some(7.5));
+    server.probes_fail = true;
+    assert_eq!(server.report(&fleet, 11 * SEC, &mut dice), None);
+}
