--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -54,8 +54,11 @@
 
 /// The model of the fleet.
 pub struct World {
+    /// What the fleet was made from.
     pub scenario: Scenario,
+    /// All servers that have ever been there, by index.
     pub servers: Vec<Server>,
+    /// The store that all servers share.
     pub store: Store,
     /// The factor on the usual rate of new clients.
     pub surge: f64,
