--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -179,7 +179,7 @@
         What::AbsurdReports,
         What::FastErrors,
         What::ProbesFail,
-        What::HallCut,
+        What::ZoneCut,
         What::StoreSlow,
         What::ListSilent,
         What::ListWrong,
@@ -211,21 +211,11 @@
             (dice.between(0.05, 0.4) * 20.0).round() / 20.0
         },
         who: Vec::new(),
-        hall: dice.below(scenario.halls.number),
+        zone: dice.below(scenario.zones.number),
         amount: (amount * 100.0).round() / 100.0,
         leaving: [Leaving::Keeps, Leaving::BitByBit, Leaving::AllAtOnce][dice.below(3)],
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn intervals_are_students() {
-        assert_eq!(estimate(&[2.0]), Estimate { mean: 2.0, within: None });
-        let two = estimate(&[1.0, 3.0]);
-        // t with one degree of freedom at 97.5 % is 12.706.
-        assert!((two.mean - 2.0).abs() < 1e-12 && (two.within.unwrap() - 12.706).abs() < 0.01);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/lab/src/simulate/answers.rs
@@ -0,0 +1,56 @@
+//! A balancer's answers to clients, and the close of a flow.
+
+use nettlemux_policy::{FlowId, Time};
+use nettlemux_world::scenario::seconds;
+use nettlemux_world::seen::{Final, Seen};
+
+use super::flow::FlowPhase;
+use super::simulation::Simulation;
+
+impl Simulation<'_> {
+    /// Answers a waiting client whose flow was rejected or has failed; the client decides whether to try again.
+    pub(super) fn answer(&mut self, flow: FlowId, answer: Final, retry_after: Option<Time>) {
+        if self.waiting_flow(flow).is_none() {
+            return;
+        }
+        let state = self.flows.get_mut(&flow).expect("it is waiting");
+        state.phase = FlowPhase::Settled;
+        let (client, in_flight) = (state.client, state.attempt.is_some());
+        self.flow_of_client.remove(&client);
+        self.observe_answer(flow, answer);
+        let wait = match answer {
+            Final::Rejected => self.clients.rejected(client, retry_after, &self.model.scenario),
+            _ => self.clients.aborted(client, &self.model.scenario),
+        };
+        self.retry_after(client, wait);
+        if !in_flight {
+            self.close(flow);
+        }
+    }
+
+    /// Records an answer and counts it in the figures.
+    pub(super) fn observe_answer(&mut self, flow: FlowId, answer: Final) {
+        let Some(state) = self.flows.get(&flow) else { return };
+        let took = self.now - state.accepted;
+        let known = self.clients.get(state.client);
+        if let Some(client) = known {
+            self.figures.of_client(self.now, client, answer);
+        }
+        let target = known.map_or(0.0, |client| self.model.scenario.types[client.service_type].target);
+        self.figures.answered(self.now, answer, took, seconds(target));
+        self.observe(Seen::Answered { at: self.now, flow, with: answer });
+    }
+
+    /// Removes a flow of which nothing more comes. Every flow ends here, except those of a run that ends first.
+    pub(super) fn close(&mut self, flow: FlowId) {
+        let Some(state) = self.flows.remove(&flow) else { return };
+        if self.flow_of_client.get(&state.client) == Some(&flow) {
+            self.flow_of_client.remove(&state.client);
+        }
+        let mut actions = Vec::new();
+        if let Some(flow_table) = &mut self.balancers[state.balancer].flow_table {
+            flow_table.over(self.now, flow, &mut actions);
+        }
+        self.execute_all(state.balancer, actions);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulate/attempts.rs
@@ -0,0 +1,181 @@
+//! Attempts to connect a flow to a server, from the dial to their end.
+
+use nettlemux_policy::{End, FlowId, Report, Time};
+use nettlemux_world::scenario::seconds;
+use nettlemux_world::seen::{Final, Seen};
+use nettlemux_world::server::Offer;
+
+use super::event::{Ending, Event, ServerResponse};
+use super::flow::{Attempt, FlowPhase};
+use super::simulation::Simulation;
+use crate::file;
+
+impl Simulation<'_> {
+    /// A balancer dials a server and waits so long.
+    pub(super) fn start_attempt(&mut self, flow: FlowId, attempt: Attempt, timeout: Time) {
+        let Some(state) = self.flows.get_mut(&flow) else { return };
+        state.attempt = Some(attempt);
+        self.figures.connects += 1;
+        let number = attempt.number;
+        let arrival = self.now + self.latency(flow, attempt.server);
+        self.schedule(arrival, Event::AttemptArrives { flow, number });
+        self.schedule(self.now + timeout.max(1), Event::AttemptDeadline { flow, number });
+    }
+
+    /// An attempt arrives at its server, which takes it or not.
+    pub(super) fn attempt_arrives(&mut self, flow: FlowId, number: usize) {
+        let Some(state) = self.flows.get(&flow) else { return };
+        let Some(attempt) = state.current_attempt(number) else { return };
+        if state.phase == FlowPhase::Connected {
+            return;
+        }
+        let (balancer, client) = (state.balancer, state.client);
+        let zone = self.balancers[balancer].zone;
+        let (offer, happened) = self.model.offer(self.now, zone, attempt.server);
+        let Some(response) = immediate_response(offer) else {
+            return self.schedule_dial_timeout(flow, number);
+        };
+        if response != ServerResponse::Refused {
+            self.observe_attempt(balancer, flow, attempt);
+        }
+        self.duplicate_attempt(balancer, flow, attempt);
+        let mut answered = self.now + self.latency(flow, attempt.server);
+        if let Offer::Up(setup) = offer {
+            self.attach(flow, client, attempt.server);
+            answered += seconds(setup);
+        }
+        self.schedule(answered, Event::ResponseArrives { flow, number, response });
+        self.carry_out(happened);
+    }
+
+    /// Nothing answers the dial, and the balancer has to find out by itself.
+    fn schedule_dial_timeout(&mut self, flow: FlowId, number: usize) {
+        let response = ServerResponse::Unreachable;
+        self.schedule(self.now + seconds(file::DIAL), Event::ResponseArrives { flow, number, response });
+    }
+
+    /// Records an attempt whose last byte has come to a server.
+    pub(super) fn observe_attempt(&mut self, balancer: usize, flow: FlowId, attempt: Attempt) {
+        let Attempt { number, server } = attempt;
+        self.observe(Seen::Connect { at: self.now, balancer, flow, number, server });
+    }
+
+    /// The balancer learns what a server did with an attempt, or with the connection that came of it.
+    pub(super) fn response_arrives(&mut self, flow: FlowId, number: usize, response: ServerResponse) {
+        let Some(state) = self.flows.get(&flow) else { return };
+        let Some(attempt) = state.current_attempt(number) else { return };
+        if state.phase == FlowPhase::Connected {
+            if matches!(response, ServerResponse::Reset | ServerResponse::Redirected) {
+                self.closed_by_server(flow, response);
+            }
+            return;
+        }
+        if self.is_response_lost(flow, attempt.server, response) {
+            return;
+        }
+        match response {
+            ServerResponse::Connected => self.attempt_succeeded(flow, attempt),
+            _ => self.attempt_ended(flow, attempt, response.ending()),
+        }
+    }
+
+    /// Whether a response never arrives: its server has died since, or its zone is cut off.
+    fn is_response_lost(&self, flow: FlowId, server: usize, response: ServerResponse) -> bool {
+        let connected = response == ServerResponse::Connected;
+        if connected && !self.model.servers[server].guests.contains_key(&flow) {
+            return true;
+        }
+        let from_balancer = response == ServerResponse::Unreachable;
+        !from_balancer && !self.is_reachable(flow, server)
+    }
+
+    /// Whether messages get from a flow's balancer to a server.
+    pub(super) fn is_reachable(&self, flow: FlowId, server: usize) -> bool {
+        let zone = self.balancers[self.flows[&flow].balancer].zone;
+        self.model.reaches(zone, self.server_zone(server))
+    }
+
+    fn attempt_succeeded(&mut self, flow: FlowId, attempt: Attempt) {
+        let state = self.flows.get_mut(&flow).expect("looked up by the caller");
+        if state.phase != FlowPhase::Waiting {
+            // The client has left meanwhile.
+            return self.attempt_ended(flow, attempt, Ending::may_have_run(End::CalledOff));
+        }
+        state.phase = FlowPhase::Connected;
+        let (client, moving) = (state.client, state.moving);
+        let number = attempt.number;
+        self.observe(Seen::ConnectEnded { at: self.now, flow, number, never_ran: false });
+        self.observe_answer(flow, Final::Established);
+        self.clients.established(client);
+        self.report_connected(flow);
+        self.connection_opened(flow, client);
+        if moving {
+            self.move_client(flow);
+        }
+    }
+
+    /// Tells the flow table that a flow is connected, and the load that it brings.
+    fn report_connected(&mut self, flow: FlowId) {
+        let state = &self.flows[&flow];
+        let (balancer, accepted) = (state.balancer, state.accepted);
+        let load = self.clients.get(state.client).map(|known| known.load);
+        self.ask(balancer, |flow_table, now, actions| {
+            flow_table.established(now, flow, now - accepted, actions);
+            if let Some(load) = load {
+                flow_table.told_load(flow, load);
+            }
+        });
+    }
+
+    /// The balancer stops waiting for an attempt that is still in flight.
+    pub(super) fn attempt_deadline(&mut self, flow: FlowId, number: usize) {
+        let pending = self.flows.get(&flow).filter(|state| state.phase != FlowPhase::Connected);
+        if let Some(attempt) = pending.and_then(|state| state.current_attempt(number)) {
+            self.attempt_ended(flow, attempt, Ending::may_have_run(End::TimedOut));
+        }
+    }
+
+    /// The balancer cancels the attempt of a client that has left.
+    pub(super) fn cancel_attempt(&mut self, flow: FlowId) {
+        let settled = self.flows.get(&flow).filter(|state| state.phase == FlowPhase::Settled);
+        if let Some(attempt) = settled.and_then(|state| state.attempt) {
+            self.attempt_ended(flow, attempt, Ending::may_have_run(End::CalledOff));
+        }
+    }
+
+    /// An attempt is no longer in flight. Its server is released before the flow table is told.
+    fn attempt_ended(&mut self, flow: FlowId, attempt: Attempt, ending: Ending) {
+        let Some(state) = self.flows.get_mut(&flow) else { return };
+        state.attempt = None;
+        let settled = state.phase == FlowPhase::Settled;
+        self.detach(flow, attempt.server);
+        let (number, never_ran) = (attempt.number, ending.never_ran);
+        self.observe(Seen::ConnectEnded { at: self.now, flow, number, never_ran });
+        self.report_ended(flow, attempt, ending);
+        if settled {
+            self.close(flow);
+        }
+    }
+
+    /// Tells the flow table that an attempt or a connection has ended.
+    pub(super) fn report_ended(&mut self, flow: FlowId, attempt: Attempt, ending: Ending) {
+        let Some(balancer) = self.flows.get(&flow).map(|state| state.balancer) else { return };
+        let Attempt { number, server } = attempt;
+        let Ending { end, never_ran } = ending;
+        self.ask(balancer, |flow_table, now, actions| {
+            let report = Report::default();
+            flow_table.ended(now, (flow, number), server as u64, (end, never_ran), report, actions);
+        });
+    }
+}
+
+/// What a server answers to an attempt; none where nothing answers.
+fn immediate_response(offer: Offer) -> Option<ServerResponse> {
+    match offer {
+        Offer::Silence => None,
+        Offer::Refused => Some(ServerResponse::Refused),
+        Offer::Busy => Some(ServerResponse::Busy),
+        Offer::Error => Some(ServerResponse::Error),
+        Offer::Up(_) => Some(ServerResponse::Connected),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulate/clients.rs
@@ -0,0 +1,153 @@
+//! What clients do: arrive, try to be served, give up, leave, and change their load.
+
+use nettlemux_hand::Who as Requester;
+use nettlemux_policy::{End, Flow, FlowId, MS, Time};
+use nettlemux_settings::operator::By;
+use nettlemux_world::crowd::Client;
+use nettlemux_world::scenario::seconds;
+use nettlemux_world::seen::{Ender, Seen};
+
+use super::connections::Closure;
+use super::event::{Ending, Event};
+use super::flow::{ClientId, FlowPhase, FlowState};
+use super::simulation::Simulation;
+
+/// How long past its deadline a client waits before it takes its flow for lost.
+pub(super) const PATIENCE: Time = 100 * MS;
+
+impl Simulation<'_> {
+    /// A new client arrives and tries at once; the next arrival is scheduled.
+    pub(super) fn client_arrives(&mut self) {
+        let client = self.clients.arrive(self.now, &self.model);
+        self.schedule_client_done(client);
+        self.client_tries(client);
+        let wait = self.clients.next_arrival(&self.model);
+        self.schedule(self.now + wait, Event::ClientArrives);
+    }
+
+    /// Schedules the time at which a client will have had what it wanted.
+    pub(super) fn schedule_client_done(&mut self, client: ClientId) {
+        let done = self.clients.get(client).expect("it has just arrived").ends;
+        self.schedule(done, Event::ClientDone { client });
+    }
+
+    /// A client without a flow tries to be served.
+    pub(super) fn client_tries(&mut self, client: ClientId) {
+        let Some(known) = self.clients.get(client).cloned() else { return };
+        if self.flow_of_client.contains_key(&client) || known.gone {
+            return;
+        }
+        let dealt = self.front.deal(self.now, known.zone);
+        match dealt.filter(|balancer| self.balancers[*balancer].is_running()) {
+            Some(balancer) => self.accept(client, &known, balancer),
+            None => {
+                let wait = self.clients.refused();
+                self.schedule(self.now + wait, Event::ClientTries { client });
+            }
+        }
+    }
+
+    /// A balancer accepts a client's flow and is asked to place it.
+    fn accept(&mut self, client: ClientId, known: &Client, balancer: usize) {
+        if known.returning {
+            self.figures.returned(self.now);
+        }
+        let service_type = &self.model.scenario.types[known.service_type];
+        let deadline = self.now + seconds(service_type.wait);
+        let target = self.now + seconds(service_type.target);
+        let flow = self.new_flow(client, deadline);
+        let id = flow.id;
+        self.flows.insert(id, FlowState::waiting(client, balancer, self.now));
+        self.flow_of_client.insert(client, id);
+        self.figures.flows += 1;
+        let kind = self.clients.kind(client, &self.model.scenario);
+        self.observe(Seen::Taken { at: self.now, balancer, flow: id, kind, give_up: deadline });
+        self.schedule(deadline + PATIENCE, Event::PatienceOver { flow: id });
+        if known.told {
+            self.figures.came_when_told(self.now);
+        }
+        let key = self.admission_key(client, known);
+        let requester = Requester { key, client, retry: known.tries > 0, target };
+        self.ask(balancer, |flow_table, now, actions| flow_table.take(now, flow, requester, actions));
+    }
+
+    /// A flow of a client, under a number of its own.
+    pub(super) fn new_flow(&mut self, client: ClientId, deadline: Time) -> Flow {
+        let id = self.next_flow;
+        self.next_flow += 1;
+        let known = self.clients.get(client).expect("it wants to be served");
+        Flow {
+            id,
+            service_type: known.service_type,
+            customer: known.customer,
+            group: known.group.map(|group| format!("g{group}")),
+            returning: known.returning,
+            taken: self.now,
+            give_up: deadline,
+            connects: Vec::new(),
+        }
+    }
+
+    /// The key that admission control counts a flow under.
+    fn admission_key(&self, id: ClientId, client: &Client) -> u64 {
+        match self.model.scenario.door.as_ref().map(|door| door.by) {
+            Some(By::Customer) => client.customer as u64,
+            _ => id,
+        }
+    }
+
+    /// A client that is still without an answer takes its flow for lost.
+    pub(super) fn patience_over(&mut self, flow: FlowId) {
+        let Some(client) = self.waiting_flow(flow).map(|state| state.client) else { return };
+        self.figures.unanswered += 1;
+        self.client_leaves(flow);
+        let wait = self.clients.aborted(client, &self.model.scenario);
+        self.retry_after(client, wait);
+    }
+
+    /// The client of a flow goes away before it is connected.
+    fn client_leaves(&mut self, flow: FlowId) {
+        let Some(state) = self.flows.get_mut(&flow) else { return };
+        state.phase = FlowPhase::Settled;
+        let (balancer, client, in_flight) = (state.balancer, state.client, state.attempt.is_some());
+        self.flow_of_client.remove(&client);
+        self.observe(Seen::Left { at: self.now, flow });
+        self.ask(balancer, |flow_table, now, actions| flow_table.left(now, flow, actions));
+        if !in_flight {
+            self.close(flow);
+        }
+    }
+
+    /// A client has had what it wanted: it closes its connection, or stops waiting for one.
+    pub(super) fn client_done(&mut self, client: ClientId) {
+        if let Some(flow) = self.flow_of_client.get(&client).copied() {
+            if self.connected_flow(flow).is_some() {
+                let closure = Closure { by: Ender::Client, told: false, sound: true };
+                self.close_connection(flow, closure, Ending::may_have_run(End::Done));
+            } else {
+                self.client_leaves(flow);
+            }
+        }
+        self.clients.over(client);
+    }
+
+    /// The load of a connection changes; the next change is scheduled.
+    pub(super) fn load_changes(&mut self, flow: FlowId) {
+        let Some(state) = self.connected_flow(flow) else { return };
+        let (client, balancer, Some(attempt)) = (state.client, state.balancer, state.attempt) else { return };
+        let Some((load, wait)) = self.clients.change_load(client, &self.model.scenario) else { return };
+        self.model.servers[attempt.server].set_load(flow, load);
+        if let Some(flow_table) = &mut self.balancers[balancer].flow_table {
+            flow_table.told_load(flow, load);
+        }
+        self.schedule(self.now + wait, Event::LoadChanges { flow });
+    }
+
+    /// A client tries again after a wait, or has given up for good.
+    pub(super) fn retry_after(&mut self, client: ClientId, wait: Option<Time>) {
+        match wait {
+            Some(wait) => self.schedule(self.now + wait, Event::ClientTries { client }),
+            None => self.figures.clients_lost += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulate/discovery.rs
@@ -0,0 +1,46 @@
+//! Delivery of the list of servers from discovery to the balancers.
+
+use nettlemux_policy::State;
+use nettlemux_world::seen::Seen;
+
+use super::balancer::Incarnation;
+use super::event::Event;
+use super::simulation::Simulation;
+
+impl Simulation<'_> {
+    /// Sends word of a changed list to every running balancer, each with its own delay.
+    pub(super) fn announce_list(&mut self) {
+        for balancer in 0..self.balancers.len() {
+            if self.balancers[balancer].is_running()
+                && let Some(delay) = self.model.discovery()
+            {
+                let balancer = self.incarnation(balancer);
+                self.schedule(self.now + delay, Event::ListArrives { balancer });
+            }
+        }
+    }
+
+    /// A changed list arrives, unless the balancer has restarted or discovery is down now.
+    pub(super) fn list_arrives(&mut self, balancer: Incarnation) {
+        if self.is_current(balancer) && self.model.discovery().is_some() {
+            self.deliver_list(balancer.balancer);
+        }
+    }
+
+    /// Gives a balancer what has changed since its last version, or the whole list where it has none.
+    pub(super) fn deliver_list(&mut self, balancer: usize) {
+        let known_version = self.balancers[balancer].list_version;
+        let entries = self.model.since(known_version);
+        let nothing_new = known_version > 0 && entries.is_empty();
+        if !self.balancers[balancer].is_running() || nothing_new {
+            return;
+        }
+        self.balancers[balancer].list_version = self.model.version();
+        for entry in &entries {
+            let (server, ready) = (entry.rs as usize, entry.state == State::Ready);
+            self.observe(Seen::Told { at: self.now, balancer, server, ready });
+        }
+        let whole = known_version == 0;
+        self.ask(balancer, |flow_table, now, _| flow_table.list(now, &entries, whole));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulate/startup.rs
@@ -0,0 +1,108 @@
+//! The state at time 0, and the start of a balancer's process.
+
+use nettlemux_door::Door;
+use nettlemux_hand::{Brain, Hand};
+use nettlemux_policy::Time;
+use nettlemux_settings::Settings;
+use nettlemux_world::scenario::seconds;
+use nettlemux_world::seen::{Seen, VERSION};
+
+use super::Who;
+use super::balancer::FlowTable;
+use super::event::Event;
+use super::flow::FlowState;
+use super::sampling::{SAMPLE_INTERVAL, TICK_INTERVAL};
+use super::simulation::Simulation;
+use crate::file;
+
+/// Mixed with a balancer's number, so that balancers draw differently (the golden ratio in 64 bits).
+const BALANCER_SEED: u64 = 0x9e37_79b9_7f4a_7c15;
+
+impl Simulation<'_> {
+    /// Sets the run up and schedules the first events.
+    pub(super) fn begin(&mut self) {
+        self.observe_header();
+        for server in 0..self.model.servers.len() {
+            self.observe_server(server);
+        }
+        for balancer in 0..self.balancers.len() {
+            self.start_balancer(balancer);
+        }
+        for _ in 0..self.model.scenario.clients.standing {
+            self.add_standing_connection();
+        }
+        self.schedule(TICK_INTERVAL, Event::ModelTick);
+        self.schedule(SAMPLE_INTERVAL, Event::Sample);
+        let wait = self.clients.next_arrival(&self.model);
+        self.schedule(wait, Event::ClientArrives);
+    }
+
+    fn observe_header(&mut self) {
+        let scenario = self.model.scenario.name.clone();
+        let program = format!("{} in virtual time", self.policy.name());
+        self.observe(Seen::Header { version: VERSION, scenario, seed: self.seed, program });
+    }
+
+    /// Records where a server is.
+    pub(super) fn observe_server(&mut self, server: usize) {
+        let state = &self.model.servers[server];
+        let (zone, cell, machine) = (state.zone, state.cell, state.machine);
+        self.observe(Seen::Server { at: self.now, server, zone, cell, machine });
+    }
+
+    /// Starts a balancer's process without any state and gives it the current list.
+    pub(super) fn start_balancer(&mut self, balancer: usize) {
+        let flow_table = self.new_flow_table(balancer);
+        let state = &mut self.balancers[balancer];
+        state.flow_table = Some(flow_table);
+        state.list_version = 0;
+        state.wakeup = None;
+        self.deliver_list(balancer);
+    }
+
+    fn new_flow_table(&self, balancer: usize) -> FlowTable {
+        let seed = self.balancer_seed(balancer);
+        let flow_table = Hand::new(self.new_policy(balancer, seed));
+        match &self.model.scenario.door {
+            None => flow_table,
+            Some(keys) => {
+                let retry_after_max = seconds(self.model.scenario.limits.come_back);
+                let admission = Door::new(file::door(keys, retry_after_max), seed);
+                flow_table.with_door(admission, retry_after_max > 0)
+            }
+        }
+    }
+
+    fn new_policy(&self, balancer: usize, seed: u64) -> Box<dyn Brain> {
+        let settings = &self.settings[self.balancers[balancer].zone];
+        match self.policy {
+            Who::Brain(kind) => kind.brain(&Settings::within(settings).expect("an object"), seed),
+            Who::Mischief(mischief) => mischief.brain(settings, seed),
+        }
+    }
+
+    /// A seed that differs by balancer and by run of its process.
+    fn balancer_seed(&self, balancer: usize) -> u64 {
+        let epoch = self.balancers[balancer].epoch;
+        self.seed ^ (balancer as u64 + 1).wrapping_mul(BALANCER_SEED) ^ u64::from(epoch)
+    }
+
+    /// Adds a connection that stands when the run starts.
+    fn add_standing_connection(&mut self) {
+        let client = self.clients.arrive(0, &self.model);
+        let known = self.clients.get(client).expect("it has just arrived");
+        let (client_zone, load) = (known.zone, known.load);
+        let Some(balancer) = self.front.deal(0, client_zone) else { return };
+        let server = self.model.stood_at(self.balancers[balancer].zone, &mut self.rng);
+        let flow = self.new_flow(client, Time::MAX);
+        let id = flow.id;
+        if let Some(flow_table) = &mut self.balancers[balancer].flow_table {
+            flow_table.inherit(flow, server as u64);
+            flow_table.told_load(id, load);
+        }
+        self.flows.insert(id, FlowState::standing(client, balancer, server));
+        self.flow_of_client.insert(client, id);
+        self.attach(id, client, server);
+        self.connection_opened(id, client);
+    }
+}
