--- a/crates/balancer/tests/crossings.rs
+++ b/crates/balancer/tests/crossings.rs
@@ -439,9 +439,13 @@
         stand.client("c=chat,d=900").line();
         stand.toys[1].seen().len() > before
     });
-    // A drain under a number that is past, told by the new count alone.
+    // It has heard of the newest version, and of none after it. Guards against a new count that ends at the very number
+    // that it was last told, which nothing shows.
+    let newest = stand.agent.version();
+    soon("call from the newest version", || stand.agent.latest_call() == Some(newest));
     stand.agent.hush(true);
-    thread::sleep(Duration::from_millis(1100));
+    soon("call into the silence", || stand.agent.latest_unanswered_call() == Some(newest));
+    // A drain under a number that is past, told by the new count alone.
     stand.agent.tell("s-1", stand.toys[1].address, "Terminating");
     stand.agent.count_anew();
     stand.agent.hush(false);
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -143,6 +143,10 @@
     list: Mutex<List>,
     changed: Condvar,
     silent: Mutex<bool>,
+    /// The version that the latest call asked from, and the latest of those that were left without an answer; none where
+    /// it asked for the whole list, or where no call has come.
+    latest_call: Mutex<Option<u64>>,
+    latest_unanswered_call: Mutex<Option<u64>>,
 }
 
 impl Agent {
@@ -153,6 +157,8 @@
             list: Mutex::default(),
             changed: Condvar::new(),
             silent: Mutex::new(false),
+            latest_call: Mutex::default(),
+            latest_unanswered_call: Mutex::default(),
         });
         let serving = agent.clone();
         thread::spawn(move || {
@@ -186,6 +192,21 @@
         *self.silent.lock().unwrap() = silent;
     }
 
+    /// The version that the list is at.
+    pub fn version(&self) -> u64 {
+        self.list.lock().unwrap().version
+    }
+
+    /// The version that the latest call asked from.
+    pub fn latest_call(&self) -> Option<u64> {
+        *self.latest_call.lock().unwrap()
+    }
+
+    /// The version that the latest call asked from which the agent was silent to.
+    pub fn latest_unanswered_call(&self) -> Option<u64> {
+        *self.latest_unanswered_call.lock().unwrap()
+    }
+
     fn talk(&self, stream: TcpStream) -> Option<()> {
         let mut out = stream.try_clone().ok()?;
         let mut lines = BufReader::new(stream).lines();
@@ -196,7 +217,9 @@
             let query: BTreeMap<&str, u64> = query.filter_map(|(k, v)| Some((k, v.parse().ok()?))).collect();
             let from = query.get("from").copied();
             let hold = Duration::from_millis(query.get("hold_ms").copied().unwrap_or(0).min(60_000));
+            *self.latest_call.lock().unwrap() = from;
             if *self.silent.lock().unwrap() {
+                *self.latest_unanswered_call.lock().unwrap() = from;
                 continue;
             }
             let list = self.list.lock().unwrap();
