--- a/crates/balancer/tests/crossings.rs
+++ b/crates/balancer/tests/crossings.rs
@@ -442,9 +442,11 @@
     // It has heard of the newest version, and of none after it. Guards against a new count that ends at the very number
     // that it was last told, which nothing shows.
     let newest = stand.agent.version();
-    soon("call from the newest version", || stand.agent.latest_call() == Some(newest));
+    let asked_newest = || stand.agent.calls().last().is_some_and(|call| call.from == Some(newest));
+    soon("call from the newest version", asked_newest);
     stand.agent.hush(true);
-    soon("call into the silence", || stand.agent.latest_unanswered_call() == Some(newest));
+    let heard = stand.agent.calls().len();
+    soon("call into the silence", || stand.agent.calls().len() > heard && asked_newest());
     // A drain under a number that is past, told by the new count alone.
     stand.agent.tell("s-1", stand.toys[1].address, "Terminating");
     stand.agent.count_anew();
--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -2,16 +2,19 @@
 //! desk. It owns the connection to the agent, where that is and the version of the list. It must never judge a server, and
 //! never stop asking: an agent that is silent, refuses or talks nonsense is asked again soon.
 
+mod backoff;
+
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use nanorand::{Rng, WyRand};
+use nanorand::WyRand;
 use nettlemux_policy::{MS, SEC, State, Time};
 use serde_json::Value;
 use tracing::{debug, info, warn};
 
+use self::backoff::{Failure, QUEUE_TIMEOUT, RETRY_MIN, pause, pause_limit};
 use crate::clock;
 use crate::mail::{Mailbox, Sender};
 use crate::net::Caller;
@@ -24,17 +27,6 @@
 const HOLD: Time = SEC;
 /// How long past its hold a call is waited for.
 const PATIENCE: Time = 500 * MS;
-/// Until the next try after a call that failed; a watch goes on if the next call comes within 200 ms.
-const AGAIN: Time = 50 * MS;
-/// Where the list has to be asked for, one service answers all balancers' calls in turn: a call that begins a watch is
-/// waited for so long past its hold. Guards against calls that are given up in the line and answered for nobody; the
-/// service that was met turns them away after 2 s.
-const IN_LINE: Time = 3 * SEC;
-/// And the pause after one that failed there is drawn from up to so many times as long as it took, twice that after each
-/// further one, up to the settings' limit: the line was as long as we stood in it, and all who stood there call again.
-/// Guards against a hundred that call again at once, keep the line full and learn nothing for the rest of the day
-/// (herd+vast: 61 to 72 of 100 balancers). Drawn from the doubled time alone they still met in the line.
-const PAUSES: u64 = 4;
 /// Between the starts of two calls: guards against an agent that answers at once and without end, each time with nothing
 /// new or with all that it has. Well inside the 200 ms, and the shortest time in which a drain has to be kept.
 const APART: Duration = Duration::from_millis(20);
@@ -154,13 +146,18 @@
             info!(agent = %agent.address, "discovery has moved");
             (moves, version, caller, begins, failed) = (agent.moves, None, None, true, 0);
         }
-        let (path, hold) = match version {
-            Some(version) => (format!("/api/targets?from={version}&hold_ms={}", HOLD / MS), HOLD),
-            None => ("/api/targets".to_string(), 0),
+        let ask_within = means.terms.now().asked;
+        // Where the list is asked for a call that begins a watch isn't held, so that its wait in the queue is all that it takes.
+        let (hold, patience) = match ask_within {
+            Some(_) if begins => (0, QUEUE_TIMEOUT),
+            _ if version.is_none() => (0, PATIENCE),
+            _ => (HOLD, PATIENCE),
+        };
+        let path = match version {
+            Some(version) => format!("/api/targets?from={version}&hold_ms={}", hold / MS),
+            None => "/api/targets".to_string(),
         };
         let since = clock::now();
-        let asked = means.terms.now().asked;
-        let patience = if begins && asked.is_some() { IN_LINE } else { PATIENCE };
         let result = call(&mut caller, &agent, &path, means, since + hold + patience);
         begins = result.is_err();
         let early = clock::now() < since + APART.as_nanos() as Time;
@@ -183,16 +180,17 @@
                     may::coroutine::sleep(APART);
                 }
             }
-            // It has moved while we waited.
-            Err(e) if e.kind() == ErrorKind::Interrupted => caller = None,
-            Err(e) => {
+            Err(CallError::Moved) => caller = None,
+            Err(CallError::Failed(failure, e)) => {
                 caller = None;
                 if failed == 0 {
                     warn!(error = %e, "discovery fails");
                     desk.send(Ask::ListFailed);
                 }
                 let took = clock::now() - since;
-                let pause = asked.map_or(AGAIN, |longest| pause(took, failed, longest, &mut rng));
+                let pause = ask_within.map_or(RETRY_MIN, |ask_within| {
+                    pause(took, failed, pause_limit(failure, took, ask_within), &mut rng)
+                });
                 debug!(error = %e, path, took_ms = took / MS, pause_ms = pause / MS, "no list");
                 failed = failed.saturating_add(1);
                 may::coroutine::sleep(Duration::from_nanos(pause));
@@ -201,10 +199,25 @@
     }
 }
 
-/// How long to wait after a call that failed, where all balancers share a service.
-fn pause(took: Time, failed: u32, longest: Time, rng: &mut WyRand) -> Time {
-    let most = took.saturating_mul(PAUSES << failed.min(16)).min(longest).max(AGAIN);
-    rng.generate_range(AGAIN..=most)
+/// Why a call brought no list.
+enum CallError {
+    /// The agent has moved while we waited.
+    Moved,
+    Failed(Failure, io::Error),
+}
+
+impl From<io::Error> for CallError {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            ErrorKind::Interrupted => CallError::Moved,
+            ErrorKind::InvalidData => CallError::Failed(Failure::BadAnswer, error),
+            _ => CallError::Failed(Failure::NoAnswer, error),
+        }
+    }
+}
+
+fn unreadable(why: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
+    io::Error::new(ErrorKind::InvalidData, why)
 }
 
 fn call(
@@ -213,7 +226,7 @@
     path: &str,
     means: &Means,
     until: Time,
-) -> io::Result<News> {
+) -> Result<News, CallError> {
     let mut line = match caller.take().filter(Caller::quiet) {
         Some(line) => line,
         None => {
@@ -223,7 +236,7 @@
             now.bell = Some(mailbox.sender());
             // Moved before the bell hung.
             if now.moves != agent.moves {
-                return Err(ErrorKind::Interrupted.into());
+                return Err(CallError::Moved);
             }
             drop(now);
             Caller::dial(mailbox, agent.address, slot, until)?
@@ -234,10 +247,10 @@
     line.write(request.as_bytes(), until)?;
     let (body, stays) = answer(&mut line, means, until)?;
     if deeper(&body, DEEPEST) {
-        return Err(io::Error::new(ErrorKind::InvalidData, "the answer is nested too deep"));
+        return Err(unreadable("the answer is nested too deep").into());
     }
-    let value: Value = serde_json::from_slice(&body)?;
-    let news = news(&value).map_err(io::Error::other)?;
+    let value: Value = serde_json::from_slice(&body).map_err(unreadable)?;
+    let news = news(&value).map_err(unreadable)?;
     if stays {
         *caller = Some(line);
     }
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -8,7 +8,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How a server treats whoever connects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -137,16 +137,39 @@
     servers: BTreeMap<String, (u64, SocketAddr, String)>,
 }
 
+/// How the agent treats whoever calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Service {
+    /// Answers each call after it has waited in a queue for so long.
+    Up(Duration),
+    /// Reads calls and answers none.
+    Silent,
+    /// Turns each call away after so long, unless it is up by then.
+    TurnsAway(Duration),
+    /// Ends the connection after so long.
+    Cuts(Duration),
+}
+
+/// A call as the agent had it.
+#[derive(Clone, Copy, Debug)]
+pub struct Call {
+    /// The version that it asked from; none where it asked for the whole list.
+    pub from: Option<u64>,
+    pub at: Instant,
+    /// When it was answered with a list.
+    pub answered: Option<Instant>,
+}
+
+/// So many calls are kept.
+const CALLS_MAX: usize = 10_000;
+
 /// The discovery agent.
 pub struct Agent {
     pub address: SocketAddr,
     list: Mutex<List>,
     changed: Condvar,
-    silent: Mutex<bool>,
-    /// The version that the latest call asked from, and the latest of those that were left without an answer; none where
-    /// it asked for the whole list, or where no call has come.
-    latest_call: Mutex<Option<u64>>,
-    latest_unanswered_call: Mutex<Option<u64>>,
+    service: Mutex<Service>,
+    calls: Mutex<Vec<Call>>,
 }
 
 impl Agent {
@@ -156,9 +179,8 @@
             address: listener.local_addr()?,
             list: Mutex::default(),
             changed: Condvar::new(),
-            silent: Mutex::new(false),
-            latest_call: Mutex::default(),
-            latest_unanswered_call: Mutex::default(),
+            service: Mutex::new(Service::Up(Duration::ZERO)),
+            calls: Mutex::default(),
         });
         let serving = agent.clone();
         thread::spawn(move || {
@@ -189,7 +211,15 @@
 
     /// Answers nothing while it is silent.
     pub fn hush(&self, silent: bool) {
-        *self.silent.lock().unwrap() = silent;
+        self.set(if silent { Service::Silent } else { Service::Up(Duration::ZERO) });
+    }
+
+    pub fn set(&self, service: Service) {
+        *self.service.lock().unwrap() = service;
+    }
+
+    fn service(&self) -> Service {
+        *self.service.lock().unwrap()
     }
 
     /// The version that the list is at.
@@ -197,14 +227,18 @@
         self.list.lock().unwrap().version
     }
 
-    /// The version that the latest call asked from.
-    pub fn latest_call(&self) -> Option<u64> {
-        *self.latest_call.lock().unwrap()
+    /// All calls so far, in order.
+    pub fn calls(&self) -> Vec<Call> {
+        self.calls.lock().unwrap().clone()
     }
 
-    /// The version that the latest call asked from which the agent was silent to.
-    pub fn latest_unanswered_call(&self) -> Option<u64> {
-        *self.latest_unanswered_call.lock().unwrap()
+    /// Keeps a call; its place among the others.
+    fn called(&self, from: Option<u64>) -> usize {
+        let mut calls = self.calls.lock().unwrap();
+        if calls.len() < CALLS_MAX {
+            calls.push(Call { from, at: Instant::now(), answered: None });
+        }
+        calls.len() - 1
     }
 
     fn talk(&self, stream: TcpStream) -> Option<()> {
@@ -217,10 +251,21 @@
             let query: BTreeMap<&str, u64> = query.filter_map(|(k, v)| Some((k, v.parse().ok()?))).collect();
             let from = query.get("from").copied();
             let hold = Duration::from_millis(query.get("hold_ms").copied().unwrap_or(0).min(60_000));
-            *self.latest_call.lock().unwrap() = from;
-            if *self.silent.lock().unwrap() {
-                *self.latest_unanswered_call.lock().unwrap() = from;
-                continue;
+            let call = self.called(from);
+            match self.service() {
+                Service::Up(queue) => thread::sleep(queue),
+                Service::Silent => continue,
+                Service::TurnsAway(queue) => {
+                    thread::sleep(queue);
+                    if !matches!(self.service(), Service::Up(_)) {
+                        out.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").ok()?;
+                        continue;
+                    }
+                }
+                Service::Cuts(queue) => {
+                    thread::sleep(queue);
+                    return out.shutdown(Shutdown::Both).ok();
+                }
             }
             let list = self.list.lock().unwrap();
             let list = self.changed.wait_timeout_while(list, hold, |l| Some(l.version) == from).unwrap().0;
@@ -238,6 +283,7 @@
             let body =
                 format!(r#"{{"generation":{version},"reset":{reset},"instances":[{}]}}"#, entries.join(","));
             drop(list);
+            self.calls.lock().unwrap()[call].answered = Some(Instant::now());
             write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).ok()?;
         }
     }
