--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -7,7 +7,7 @@
 pub mod toy;
 
 use std::io::{self, BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -16,6 +16,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
+use socket2::{Domain, Socket, Type};
 use toy::{Agent, Toy};
 
 pub const EXAMPLE: &str = include_str!("../../../../examples/balancer.json");
@@ -45,9 +46,9 @@
     pub config: String,
 }
 
-fn serve(file: &Path) -> Child {
+fn serve(file: &Path, arguments: &[&str]) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
-    command.args(["serve", "--log", "debug", "--config"]).arg(file).stderr(Stdio::null());
+    command.args(["serve", "--log", "debug", "--config"]).arg(file).args(arguments).stderr(Stdio::null());
     command.spawn().unwrap()
 }
 
@@ -67,7 +68,7 @@
         let config = change(config.replace("127.0.0.1:7100", &agent.address.to_string()));
         let file = std::env::temp_dir().join(format!("nettlemux-{}-{}.json", std::process::id(), at.ip()));
         std::fs::write(&file, &config).unwrap();
-        let stand = Stand { child: serve(&file), at, agent, toys, file, config };
+        let stand = Stand { child: serve(&file, &[]), at, agent, toys, file, config };
         // Ready once it answers, and has had its list.
         soon("PONG", || TcpStream::connect(at).is_ok());
         soon("a list", || Client::open(at, "c=chat,d=1000").says("UP 1"));
@@ -78,7 +79,14 @@
     pub fn restarted(&mut self, changes: &[(&str, Value)]) {
         let _ = (self.child.kill(), self.child.wait());
         std::fs::write(&self.file, changed(&self.config, changes)).unwrap();
-        self.child = serve(&self.file);
+        self.child = serve(&self.file, &[]);
+        soon("PONG", || TcpStream::connect(self.at).is_ok());
+    }
+
+    /// The same balancer once more, started with these arguments besides.
+    pub fn restarted_with(&mut self, arguments: &[&str]) {
+        let _ = (self.child.kill(), self.child.wait());
+        self.child = serve(&self.file, arguments);
         soon("PONG", || TcpStream::connect(self.at).is_ok());
     }
 
@@ -94,6 +102,14 @@
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
+
+    /// What is done while the program stands still comes to it at one go.
+    pub fn at_one_go<T>(&self, events: impl FnOnce() -> T) -> T {
+        self.signal("-STOP");
+        let done = events();
+        self.signal("-CONT");
+        done
+    }
 }
 
 impl Drop for Stand {
@@ -166,3 +182,51 @@
         thread::sleep(Duration::from_millis(10));
     }
 }
+
+/// A server whose connections come up late: its queue is full, so the system leaves a connection begun, until it is let in
+/// and the caller's machine tries again, a second after its first try.
+pub struct Late {
+    listener: TcpListener,
+    pub address: SocketAddr,
+    _first: TcpStream,
+}
+
+impl Late {
+    pub fn new() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap();
+        Late { listener, address, _first: TcpStream::connect(address).unwrap() }
+    }
+
+    /// Whether anybody's connection to it has begun and is not up.
+    pub fn dialled(&self) -> bool {
+        let SocketAddr::V4(at) = self.address else { unreachable!() };
+        let remote = format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port());
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let mut rows = table.lines().map(|row| row.split_whitespace().skip(2).take(2).collect::<Vec<_>>());
+        rows.any(|row| row == [remote.as_str(), "02"])
+    }
+
+    /// Lets them in: what the next one sends, up to its end or its first line.
+    pub fn let_in(&self) -> String {
+        drop(self.listener.accept().unwrap());
+        self.listener.set_nonblocking(true).unwrap();
+        let mut seen = String::new();
+        let until = Instant::now() + Duration::from_secs(2);
+        while Instant::now() < until {
+            match self.listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(false).unwrap();
+                    stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+                    let _ = BufReader::new(stream).read_line(&mut seen);
+                    return seen;
+                }
+                Err(_) => thread::sleep(Duration::from_millis(5)),
+            }
+        }
+        seen
+    }
+}
--- a/crates/balancer/tests/crossings.rs
+++ b/crates/balancer/tests/crossings.rs
@@ -14,57 +14,8 @@
 use std::time::{Duration, Instant};
 
 use common::toy::Mood;
-use common::{Client, Stand, changed, soon};
+use common::{Client, Late, Stand, changed, soon};
 use serde_json::json;
-use socket2::{Domain, Socket, Type};
-
-/// A server whose connections come up late: its queue is full, so the system leaves a connection begun, until it is let in
-/// and the caller's machine tries again, a second after its first try.
-struct Late {
-    listener: TcpListener,
-    address: SocketAddr,
-    _first: TcpStream,
-}
-
-impl Late {
-    fn new() -> Self {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-        socket.listen(0).unwrap();
-        let listener = TcpListener::from(socket);
-        let address = listener.local_addr().unwrap();
-        Late { listener, address, _first: TcpStream::connect(address).unwrap() }
-    }
-
-    /// Whether anybody's connection to it has begun and is not up.
-    fn dialled(&self) -> bool {
-        let SocketAddr::V4(at) = self.address else { unreachable!() };
-        let remote = format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port());
-        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-        let mut rows = table.lines().map(|row| row.split_whitespace().skip(2).take(2).collect::<Vec<_>>());
-        rows.any(|row| row == [remote.as_str(), "02"])
-    }
-
-    /// Lets them in: what the next one sends, up to its end or its first line.
-    fn let_in(&self) -> String {
-        drop(self.listener.accept().unwrap());
-        self.listener.set_nonblocking(true).unwrap();
-        let mut seen = String::new();
-        let until = Instant::now() + Duration::from_secs(2);
-        while Instant::now() < until {
-            match self.listener.accept() {
-                Ok((stream, _)) => {
-                    stream.set_nonblocking(false).unwrap();
-                    stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
-                    let _ = BufReader::new(stream).read_line(&mut seen);
-                    return seen;
-                }
-                Err(_) => thread::sleep(Duration::from_millis(5)),
-            }
-        }
-        seen
-    }
-}
 
 /// A balancer that knows this server alone, without probes, and waits long for connections and targets.
 fn with_only(late: &Late, may_cancel: bool) -> Stand {
@@ -122,14 +73,6 @@
     });
 }
 
-/// What is done while the program stands still comes to it at one go.
-fn at_one_go<T>(stand: &Stand, events: impl FnOnce() -> T) -> T {
-    stand.signal("-STOP");
-    let done = events();
-    stand.signal("-CONT");
-    done
-}
-
 /// A client's end that comes in one with its line rings no bell of its own. Without a look of its own it is waited for,
 /// and sent on once a server is ready.
 #[test]
@@ -146,7 +89,7 @@
     // Taken in before, so that the line and the end are one event.
     let mut clients: Vec<Client> = (0..5).map(|_| Client::new(stand.at, b"PING\r\n")).collect();
     clients.iter_mut().for_each(|client| assert_eq!(client.line(), "PONG"));
-    at_one_go(&stand, || {
+    stand.at_one_go(|| {
         for (i, client) in clients.iter_mut().enumerate() {
             client.send(&format!("OPEN e{i} k c=chat,d=4500\r\n"));
             client.stream.shutdown(Shutdown::Write).unwrap();
@@ -402,7 +345,7 @@
         let client = stand.client("c=chat,d=3000");
         soon("the connect", || stand.toys[0].seen().last().is_some_and(|line| line.contains("d=2")));
         let (open, before) = (stand.toys[0].ended(), Instant::now());
-        at_one_go(&stand, || {
+        stand.at_one_go(|| {
             drop(client);
             stand.toys[0].say("UP 1\r\n", false);
         });
@@ -419,7 +362,7 @@
         stand.toys[0].set(Mood::Silent);
         let mut client = stand.client("c=order,d=900");
         soon("the connect", || stand.toys[0].seen().last().is_some_and(|line| line.contains("c=order")));
-        at_one_go(&stand, || {
+        stand.at_one_go(|| {
             stand.toys[0].say("UP 1\r\n", false);
             thread::sleep(Duration::from_millis(950));
         });
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -37,8 +37,14 @@
 pub fn send(core: &Core, book: &mut Book, target: &Target, line: &[u8], inherited: bool) -> Sent {
     let never = |end| Sent::Ended(Ended { end, never_ran: true, report: Report::default() });
     let maybe = |end| Sent::Ended(Ended { end, never_ran: false, report: Report::default() });
-    let slot = book.caller.socket.slot();
-    let server = match Socket::dial(target.server.address, slot, book.caller.mailbox.sender()) {
+    let mut client = Client { book, gone: false };
+    // Guards against an attempt that begins long after its client has left, where the worker has been busy since the order
+    // and nothing has rung yet.
+    if client.looks_gone() {
+        return Sent::Left { unsent: true };
+    }
+    let caller = &client.book.caller;
+    let server = match Socket::dial(target.server.address, caller.socket.slot(), caller.mailbox.sender()) {
         Ok(server) => server,
         // Our own want of descriptors, ports or memory must not count against the server.
         Err(e) if e.raw_os_error().is_some_and(|e| OURS.contains(&e)) => {
@@ -47,7 +53,6 @@
         }
         Err(_) => return never(End::Unreachable),
     };
-    let mut client = Client { book, gone: false };
 
     // Up to its line's last byte a connect has not been sent, so whoever is gone by then needs none, whether or not the
     // settings allow connects to be called off. Guards against a flow that is sent on long after its client has left: while
@@ -181,3 +186,6 @@
         report,
     });
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/send/tests.rs
@@ -0,0 +1,77 @@
+//! A connect whose client has left before it begins.
+
+use std::io::{ErrorKind, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::time::Duration;
+
+use nettlemux_policy::{Flow, SEC};
+use socket2::SockRef;
+
+use super::*;
+use crate::mail::Mailbox;
+use crate::net::Caller;
+use crate::orders::Server;
+use crate::pool::{Buffers, Descriptors, Shares};
+use crate::shared::{Term, Terms};
+
+fn core(asks: &Mailbox<Ask>) -> Arc<Core> {
+    Arc::new(Core {
+        desk: asks.sender(),
+        buffers: Buffers::new(),
+        shares: Shares::new(256, 32 << 20),
+        ids: Arc::default(),
+        terms: Terms::new(Term { dial_limit: SEC, ..Term::default() }),
+        numbers: AtomicU64::new(1),
+    })
+}
+
+/// Sends a flow on whose client has done that before; whether nothing was sent, and whether the server was dialled.
+fn sent_on(leave: impl FnOnce(&mut TcpStream)) -> (bool, bool) {
+    let (front, server) =
+        (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
+    server.set_nonblocking(true).unwrap();
+    let mut client = TcpStream::connect(front.local_addr().unwrap()).unwrap();
+    let stream = front.accept().unwrap().0;
+    stream.set_nonblocking(true).unwrap();
+    leave(&mut client);
+    // Over loopback it is there once the call has returned; this is for slow machines.
+    std::thread::sleep(Duration::from_millis(20));
+    let address = server.local_addr().unwrap();
+    let unsent = may::go!(move || {
+        let asks = Mailbox::new();
+        let core = core(&asks);
+        let (slot, id) = (Descriptors::new(9).take(0).unwrap(), core.ids.take("9b1f").unwrap());
+        let flow = Flow { id: 5, give_up: Time::MAX, ..Flow::default() };
+        let mut book = Book::open(&core, &flow, Caller::new(stream, slot).unwrap(), id);
+        let server = Arc::new(Server { name: "s-0".into(), address, ready: AtomicBool::new(true) });
+        let until = clock::now() + SEC / 5;
+        let target = Target { rs: 1, number: 0, server, until, by: until };
+        let sent = send(&core, &mut book, &target, b"OPEN 9b1f 7f3a c=chat,d=900", false);
+        if book.owed() {
+            book.abort();
+        }
+        matches!(sent, Sent::Left { unsent: true })
+    });
+    let unsent = unsent.join().unwrap();
+    let dialled = !matches!(server.accept(), Err(e) if e.kind() == ErrorKind::WouldBlock);
+    (unsent, dialled)
+}
+
+/// Its end has rung for nobody yet, as where the worker has been busy since. Guards against an attempt that begins long
+/// after the client has gone.
+#[test]
+fn a_server_is_not_dialled_for_a_client_that_has_left() {
+    assert_eq!(sent_on(|_| {}), (false, true), "one that stays");
+    assert_eq!(sent_on(|client| client.shutdown(Shutdown::Both).unwrap()), (true, false), "closed");
+    assert_eq!(sent_on(|client| client.shutdown(Shutdown::Write).unwrap()), (true, false), "half-closed");
+    let more = |client: &mut TcpStream| client.write_all(b"hello\r\n").unwrap();
+    assert_eq!(sent_on(more), (true, false), "goes on before it is served");
+    let reset = |client: &mut TcpStream| {
+        SockRef::from(&*client).set_linger(Some(Duration::ZERO)).unwrap();
+        let other = TcpListener::bind("127.0.0.1:0").unwrap();
+        *client = TcpStream::connect(other.local_addr().unwrap()).unwrap();
+    };
+    assert_eq!(sent_on(reset), (true, false), "reset");
+}
