--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use nettlemux_core::discovery::{self, News};
+use nettlemux_core::discovery::{self, ListUpdate};
 use nettlemux_core::shared::Term;
 use nettlemux_door::Config as DoorConfig;
 use nettlemux_policy::Time;
@@ -37,7 +37,7 @@
     pub sockets: usize,
     /// In bytes.
     pub memory: usize,
-    pub known: Option<News>,
+    pub known: Option<ListUpdate>,
     pub settings: Settings,
     /// A connection that isn't made by then can't be made.
     pub dial_limit: Time,
@@ -159,7 +159,7 @@
     let sockets = limit("sockets", SOCKETS, FEWEST_SOCKETS)?;
     let memory = limit("memory_mb", MEMORY_MB, LEAST_MEMORY_MB)?.saturating_mul(1 << 20);
     let known =
-        value.get("known").map(discovery::news).transpose().map_err(|why| Faulty::new("known", why))?;
+        value.get("known").map(discovery::update_of).transpose().map_err(|why| Faulty::new("known", why))?;
     let settings = value.get("settings").ok_or_else(|| {
         let others = unknown.iter().map(|other| format!("; '{}': {}", other.key, other.why));
         Faulty::new("settings", format!("missing{}", others.collect::<String>()))
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -217,9 +217,9 @@
     };
     signals::listen(signals, reload, desk.clone(), agent.clone())
         .map_err(|e| format!("can't listen for signals: {e}"))?;
-    let means = discovery::Means { agent, terms, seed, descriptors, buffers };
+    let context = discovery::Context { agent, terms, seed, descriptors, buffers };
     let told = desk.clone();
-    may::go!(move || parts::keep_up("discovery", &told, || discovery::watch(version, &means, &told)));
+    may::go!(move || parts::keep_up("discovery", &told, || discovery::watch(version, &context, &told)));
     may::go!(move || parts::keep_up("the listener", &desk, || take_in::accept(&front, &listener)));
     let ended = running.join().unwrap_or(Err("the desk"));
     ended.map(|()| info!("ended")).map_err(|part| {
--- a/crates/core/src/discovery/backoff.rs
+++ b/crates/core/src/discovery/backoff.rs
@@ -50,3 +50,6 @@
     // Where the span can grow no more the pause still does, by the later of two draws.
     if failed > 0 && span > limit { draw().max(draw()) } else { draw() }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/discovery/http/tests.rs
@@ -0,0 +1,82 @@
+//! What is read of the heads of answers.
+
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+
+use nettlemux_policy::SEC;
+
+use super::*;
+use crate::clock;
+use crate::pool::Descriptors;
+
+/// Reads an answer that is written in these pieces, one after another, after which the connection ends.
+fn read(pieces: Vec<Vec<u8>>) -> io::Result<Response> {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut agent = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let stream = listener.accept().unwrap().0;
+    stream.set_nonblocking(true).unwrap();
+    let writer = std::thread::spawn(move || pieces.iter().try_for_each(|piece| agent.write_all(piece)));
+    let read = may::go!(move || {
+        let connection = Caller::new(stream, Descriptors::new(1).take(0).unwrap())?;
+        read_response(&connection, &Buffers::new(), clock::now() + 5 * SEC)
+    });
+    let read = read.join().unwrap();
+    let _ = writer.join();
+    read
+}
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+#[test]
+fn bodies_in_each_form_and_in_pieces() {
+    for (text, body, keep_alive) in [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlist".to_string(), "list", true),
+        // More than it told is the answer to nothing.
+        ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlistHTTP".to_string(), "list", false),
+        ("HTTP/1.1 200 OK\r\n\r\nlist".to_string(), "list", false),
+        (format!("{CHUNKED}3\r\nlis\r\n1\r\nt\r\n0\r\n\r\n"), "list", true),
+    ] {
+        for pieces in [vec![text.clone().into_bytes()], text.bytes().map(|byte| vec![byte]).collect()] {
+            let response = read(pieces).unwrap();
+            assert_eq!(response.body, body.as_bytes(), "{text}");
+            assert!(keep_alive || !response.keep_alive, "{text}");
+        }
+    }
+    for (cut, kind) in [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nlist", ErrorKind::UnexpectedEof),
+        ("HTTP/1.1 200 OK\r\n", ErrorKind::UnexpectedEof),
+        ("HTTP/1.1 503 Busy\r\n\r\n", ErrorKind::InvalidData),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", ErrorKind::InvalidData),
+    ] {
+        let error = read(vec![cut.into()]).err().map(|error| error.kind());
+        assert_eq!(error, Some(kind), "{cut}");
+    }
+}
+
+/// Guards against an answer without end in small chunks, which took memory until its time was up.
+#[test]
+fn chunks_without_end_are_not_read_to_their_end() {
+    let chunk = [b"10000\r\n".as_slice(), &[b' '; 0x10000], b"\r\n"].concat();
+    let mut pieces = vec![CHUNKED.as_bytes().to_vec()];
+    pieces.extend(std::iter::repeat_n(chunk, RESPONSE_MAX / 0x10000 + 8));
+    pieces.push(b"0\r\n\r\n".to_vec());
+    let error = read(pieces).err().map(|error| error.kind());
+    assert_eq!(error, Some(ErrorKind::InvalidData));
+}
+
+#[test]
+fn heads() {
+    assert!(parse_head(b"HTTP/1.1 200 OK\r\nContent-Le").unwrap().is_none());
+    for (text, stays) in [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", true),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 5\r\nConnection: close\r\n\r\n", false),
+        ("HTTP/1.0 200 OK\r\n\r\n", false),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true),
+    ] {
+        assert_eq!(parse_head(text.as_bytes()).unwrap().unwrap().keep_alive, stays, "{text}");
+    }
+    for bad in ["HTTP/1.1 503 No\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", "SSH-2.0\r\n\r\n"]
+    {
+        assert!(parse_head(bad.as_bytes()).is_err(), "{bad}");
+    }
+}
