--- /dev/null
+++ b/crates/candidates/src/zones.rs
@@ -0,0 +1,94 @@
+//! Candidates over zones: the caller's own first, the further ones in an order of each key's own.
+
+use std::collections::BTreeMap;
+
+use crate::hash::hash;
+use crate::ring::Ring;
+
+/// A server, by the id that the list gives it.
+pub type ServerId = u64;
+/// A zone, by number.
+pub type ZoneId = u64;
+
+/// One candidate in so many is in another zone, for when the own zone has no room.
+const ONE_FAR_IN: usize = 4;
+
+/// The servers that may be candidates: one ring for each zone.
+#[derive(Clone, Debug, Default)]
+pub struct Candidates {
+    zones: BTreeMap<ZoneId, Ring>,
+    /// In which zone, and with which weight, each server stands.
+    members: BTreeMap<ServerId, (ZoneId, f64)>,
+}
+
+impl Candidates {
+    /// Puts a server in. One that is known moves to this zone and weight; the last word holds. Tells how many
+    /// points of rings changed, which is what an update costs.
+    pub fn insert(&mut self, server: ServerId, zone: ZoneId, weight: f64) -> usize {
+        let known = self.members.get(&server);
+        if known.is_some_and(|(at, of)| *at == zone && of.to_bits() == weight.to_bits()) {
+            return 0;
+        }
+        let removed = self.remove(server);
+        self.members.insert(server, (zone, weight));
+        removed + self.zones.entry(zone).or_default().insert(server, weight)
+    }
+
+    /// Takes a server out, if it is known, and tells how many points of rings changed.
+    pub fn remove(&mut self, server: ServerId) -> usize {
+        let Some((zone, weight)) = self.members.remove(&server) else { return 0 };
+        let Some(ring) = self.zones.get_mut(&zone) else { return 0 };
+        let removed = ring.remove(server, weight);
+        if ring.is_empty() {
+            self.zones.remove(&zone);
+        }
+        removed
+    }
+
+    /// How many servers there are.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Up to `count` distinct servers for this key, the own zone's first. A larger count only adds servers,
+    /// so that balancers that ask for different counts agree on those that the smallest count gives.
+    pub fn candidates(&self, key: u64, zone: ZoneId, count: usize) -> Vec<ServerId> {
+        let own = self.zones.get(&zone);
+        let near = if self.zones.len() > 1 { count - count / ONE_FAR_IN } else { count };
+        let mut found: Vec<ServerId> =
+            own.map(|ring| ring.clockwise(key).take(near).collect()).unwrap_or_default();
+        if found.len() < count {
+            self.add_far(&mut found, key, zone, count);
+        }
+        found
+    }
+
+    /// Adds servers of other zones, up to `count` in all: one of each zone in the key's order of zones, then
+    /// the second of each, and so on.
+    fn add_far(&self, found: &mut Vec<ServerId>, key: u64, own: ZoneId, count: usize) {
+        let others = self.zones.iter().filter(|(zone, _)| **zone != own);
+        let mut ranked: Vec<(f64, &Ring)> =
+            others.map(|(zone, ring)| (distance(key, *zone, ring.weight()), ring)).collect();
+        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut walks: Vec<_> = ranked.iter().map(|(_, ring)| ring.clockwise(key)).collect();
+        while found.len() < count {
+            let before = found.len();
+            found.extend(walks.iter_mut().filter_map(Iterator::next).take(count - before));
+            if found.len() == before {
+                break;
+            }
+        }
+    }
+}
+
+/// Weighted rendezvous: the zone with the least distance comes first, as often as its weight asks.
+fn distance(key: u64, zone: ZoneId, weight: usize) -> f64 {
+    // From above 0 to 1, as the logarithm of 0 is none.
+    let uniform = (hash(key ^ hash(zone)) as f64 + 1.0) / (u64::MAX as f64 + 1.0);
+    -uniform.ln() / weight as f64
+}
