--- a/crates/candidates/src/lib.rs
+++ b/crates/candidates/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`Candidates`] answers which few servers of a long list a key may go to. Balancers with the same list get
 //! the same answer, balancers whose lists differ by a few entries nearly the same. A [`Budget`] bounds how
-//! often something is done. The design and its alternatives: `docs/design/candidates.md`.
+//! often something is done, a [`ProbeQueue`] which servers are probed within one; a [`LongList`] holds what a
+//! balancer keeps of such a list. The design and its alternatives: `docs/design/candidates.md`.
 //!
 //! ```
 //! use nettlemux_candidates::Candidates;
@@ -19,9 +20,13 @@
 
 mod budget;
 mod hash;
+mod long_list;
+mod probes;
 mod ring;
 mod zones;
 
 pub use budget::Budget;
 pub use hash::{hash, hash_name, usable_weight};
+pub use long_list::{LongList, WHOLE_LIST};
+pub use probes::ProbeQueue;
 pub use zones::{Candidates, ServerId, ZoneId};
--- a/crates/candidates/src/zones.rs
+++ b/crates/candidates/src/zones.rs
@@ -75,7 +75,13 @@
         let mut ranked: Vec<(f64, &Ring)> =
             others.map(|(zone, ring)| (distance(key, *zone, ring.weight()), ring)).collect();
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut walks: Vec<_> = ranked.iter().map(|(_, ring)| ring.clockwise(key)).collect();
+        // A walk begins only where its first server is needed.
+        let mut walks = Vec::new();
+        for (_, ring) in ranked.iter().take(count - found.len()) {
+            let mut walk = ring.clockwise(key);
+            found.extend(walk.next());
+            walks.push(walk);
+        }
         while found.len() < count {
             let before = found.len();
             found.extend(walks.iter_mut().filter_map(Iterator::next).take(count - before));
--- /dev/null
+++ b/crates/policy/examples/long_lists.rs
@@ -0,0 +1,254 @@
+//! Trials of the decision module alone on long lists, without sockets: synthetic, in its own time.
+//!
+//! `place`: what a placement costs in processor time, and how many probes go out, by number of servers.
+//! `spread`: how evenly many balancers together spread connections over servers.
+//! Each prints the whole list and the candidates side by side.
+
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::time::Instant;
+
+use nanorand::{Rng, WyRand};
+use nettlemux_policy::*;
+
+const OWN: usize = 44_000;
+const GROUPS: u64 = 730_000;
+const BALANCERS: f64 = 1_400.0;
+/// As in the largest deployment: 6,000 servers in 31 zones.
+const SERVERS_IN_ZONE: u64 = 194;
+/// A connection lives for 18 minutes.
+const FLOWS_A_SECOND: u64 = 40;
+/// What a probe costs, in flows.
+const PROBE_PRICE: f64 = 0.01;
+const SECONDS: Time = 15;
+const T0: Time = 1_000 * SEC;
+
+fn main() {
+    match std::env::args().nth(1).as_deref() {
+        Some("place") => places(),
+        Some("spread") => spread(),
+        _ => eprintln!("usage: long_lists place|spread"),
+    }
+}
+
+fn service_type() -> ServiceType {
+    ServiceType { setup_target: 230 * MS, value: 1.0, repeat: Repeat::Repeatable }
+}
+
+fn listed(rs: Rs, zones: u64) -> Listed {
+    Listed { rs, hall: rs % zones, machine: 0, cell: rs, state: State::Ready, weight: 1.0, started: 0 }
+}
+
+fn balancer(seed: u64, zone: u64, balancers: f64, whole: bool) -> Policy {
+    let policy = Policy::new(seed, zone, vec![service_type()])
+        .connects(3, 4 * MS, false, true)
+        .come_back(Some(2 * SEC))
+        .probing(true, PROBE_PRICE)
+        .cold(0.2, 20 * SEC, 2.5)
+        .among(balancers, false);
+    if whole { policy.whole_list(usize::MAX) } else { policy }
+}
+
+/// One balancer in its own time: what comes next, and what came of it.
+struct Driver {
+    policy: Policy,
+    rng: WyRand,
+    now: Time,
+    /// Answers of servers that are under way, soonest first.
+    answers: BinaryHeap<std::cmp::Reverse<(Time, Rs)>>,
+    held: VecDeque<(Flow, u128)>,
+    established: VecDeque<(FlowId, Rs)>,
+    next_id: FlowId,
+    /// Nanoseconds of all looks at a flow until it was placed, and of each single look.
+    per_flow: Vec<u128>,
+    per_look: Vec<u128>,
+    probes: usize,
+    refused: usize,
+    outcomes: (u128, u128),
+}
+
+impl Driver {
+    fn new(servers: u64, whole: bool) -> Self {
+        let zones = servers.div_ceil(SERVERS_IN_ZONE);
+        let mut policy = balancer(7, 0, BALANCERS, whole);
+        let list: Vec<Listed> = (0..servers).map(|rs| listed(rs, zones)).collect();
+        policy.list(T0, &list, true);
+        let mut driver = Driver {
+            policy,
+            rng: WyRand::new_seed(11),
+            now: T0,
+            answers: BinaryHeap::new(),
+            held: VecDeque::new(),
+            established: VecDeque::new(),
+            next_id: 0,
+            per_flow: Vec::new(),
+            per_look: Vec::new(),
+            probes: 0,
+            refused: 0,
+            outcomes: (0, 0),
+        };
+        for _ in 0..OWN.min(servers as usize * 220 / 3) {
+            let (flow, rs) = (driver.flow(), driver.rng.generate_range(0..servers));
+            driver.policy.inherit(&flow, rs);
+            driver.established.push_back((flow.id, rs));
+        }
+        driver
+    }
+
+    fn flow(&mut self) -> Flow {
+        self.next_id += 1;
+        let group = Some(format!("g{}", self.rng.generate_range(0..GROUPS)));
+        Flow { id: self.next_id, group, taken: self.now, give_up: self.now + 2 * SEC, ..Flow::default() }
+    }
+
+    fn outcome(&mut self, outcome: Outcome) {
+        let began = Instant::now();
+        let todo = self.policy.after(self.now, outcome);
+        self.outcomes.0 += began.elapsed().as_nanos();
+        self.outcomes.1 += 1;
+        self.probes += todo.probe.len();
+        for rs in todo.probe {
+            self.answers.push(std::cmp::Reverse((self.now + 2 * MS, rs)));
+        }
+    }
+
+    fn place(&mut self, flow: Flow, spent: u128) {
+        let began = Instant::now();
+        let place = self.policy.place(self.now, &flow);
+        let took = began.elapsed().as_nanos();
+        match place {
+            Place::NotYet => self.held.push_back((flow, spent + took)),
+            Place::To(rs, ..) => {
+                self.per_look.push(took);
+                self.per_flow.push(spent + took);
+                self.outcome(Outcome::Established { flow: flow.id, took: MS });
+                self.established.push_back((flow.id, rs));
+                let (flow, rs) = self.established.pop_front().expect("one at least");
+                self.outcome(Outcome::Ended { flow, rs, end: End::Done, owed: None });
+            }
+            _ => self.refused += 1,
+        }
+    }
+
+    /// Plays until then: answers of probes, and waits that elapse.
+    fn until(&mut self, end: Time) {
+        loop {
+            let answer = self.answers.peek().map(|answer| answer.0.0);
+            let wait = self.policy.wait(self.now).map(|wait| self.now + wait);
+            let Some(next) = [answer, wait].into_iter().flatten().min().filter(|at| *at < end) else {
+                break;
+            };
+            self.now = self.now.max(next);
+            if answer == Some(next) {
+                let rs = self.answers.pop().expect("seen").0.1;
+                let beta = 0.42 + 0.06 * self.rng.generate::<f64>();
+                let report = Report { beta: Some(beta), connections: Some(10_000.0) };
+                self.outcome(Outcome::Probed { rs, passed: true, report });
+            } else {
+                self.outcome(Outcome::Elapsed);
+                for (flow, spent) in std::mem::take(&mut self.held) {
+                    self.place(flow, spent);
+                }
+            }
+        }
+        self.now = end;
+    }
+}
+
+fn median(of: &mut [u128]) -> f64 {
+    of.sort_unstable();
+    of.get(of.len() / 2).map_or(f64::NAN, |ns| *ns as f64 / 1e3)
+}
+
+fn places() {
+    println!("servers  list        place us  all looks of a flow us  probes/s  after us  placed  refused");
+    for servers in [60, 200, 600, 3_000, 6_000, 12_000] {
+        for whole in [true, false] {
+            let mut driver = Driver::new(servers, whole);
+            let gap = SEC / FLOWS_A_SECOND;
+            for step in 0..SECONDS * FLOWS_A_SECOND {
+                driver.until(T0 + step * gap);
+                let flow = driver.flow();
+                driver.place(flow, 0);
+            }
+            println!(
+                "{servers:>7}  {}  {:>8.1}  {:>22.1}  {:>8.1}  {:>8.1}  {:>6}  {:>7}",
+                if whole { "whole     " } else { "candidates" },
+                median(&mut driver.per_look),
+                median(&mut driver.per_flow),
+                driver.probes as f64 / SECONDS as f64,
+                driver.outcomes.0 as f64 / driver.outcomes.1.max(1) as f64 / 1e3,
+                driver.per_flow.len(),
+                driver.refused,
+            );
+        }
+    }
+}
+
+/// Servers, balancers, zones, connections and groups of the trial of even spread: scaled down, with about as
+/// many connections a group and group members a zone as in the largest deployment.
+const SPREAD: (u64, u64, u64, u64, u64) = (1_200, 60, 6, 120_000, 1_400);
+
+fn spread() {
+    let (servers, balancers, zones, connections, groups) = SPREAD;
+    println!("{servers} servers, {balancers} balancers, {zones} zones, {connections} connections");
+    println!("groups  list        max/mean  deviation/mean  servers a group  not placed");
+    for grouped in [true, false] {
+        for whole in [true, false] {
+            let mut rng = WyRand::new_seed(5);
+            let list: Vec<Listed> = (0..servers).map(|rs| listed(rs, zones)).collect();
+            let mut fleet: Vec<Policy> =
+                (0..balancers).map(|seed| balancer(seed, seed % zones, balancers as f64, whole)).collect();
+            fleet.iter_mut().for_each(|policy| policy.list(T0, &list, true));
+            let mut held = vec![0.0; servers as usize];
+            let mut of_group: BTreeMap<u64, std::collections::BTreeSet<Rs>> = BTreeMap::new();
+            let (mut now, mut lost) = (T0, 0);
+            // At the end the mean server is asked for 0.4 of what it can do.
+            let each = 0.4 * servers as f64 / connections as f64;
+            for id in 0..connections {
+                now += 600 * SEC / connections;
+                let policy = &mut fleet[rng.generate_range(0..balancers) as usize];
+                let group = rng.generate_range(0..groups);
+                let name = grouped.then(|| format!("g{group}"));
+                let mut flow = Flow { id, group: name, taken: now, ..Flow::default() };
+                flow.give_up = now + 2 * SEC;
+                let mut at = now;
+                let placed = loop {
+                    answer(policy, at, &held, each);
+                    match policy.place(at, &flow) {
+                        Place::To(rs, ..) => break Some(rs),
+                        Place::NotYet => at += 60 * MS,
+                        _ => break None,
+                    }
+                };
+                let Some(rs) = placed else {
+                    lost += 1;
+                    continue;
+                };
+                policy.after(at, Outcome::Established { flow: id, took: MS });
+                held[rs as usize] += 1.0;
+                of_group.entry(group).or_default().insert(rs);
+            }
+            let mean = held.iter().sum::<f64>() / servers as f64;
+            let most = held.iter().copied().fold(0.0, f64::max);
+            let deviation = held.iter().map(|held| (held - mean).powi(2)).sum::<f64>() / servers as f64;
+            println!(
+                "{:<6}  {}  {:>8.2}  {:>14.3}  {:>15.1}  {lost:>10}",
+                if grouped { "yes" } else { "none" },
+                if whole { "whole     " } else { "candidates" },
+                most / mean,
+                deviation.sqrt() / mean,
+                of_group.values().map(|servers| servers.len() as f64).sum::<f64>() / of_group.len() as f64,
+            );
+        }
+    }
+}
+
+/// The wait elapses, and what is asked of servers then is answered with what they hold at this moment.
+fn answer(policy: &mut Policy, now: Time, held: &[f64], each: f64) {
+    let mut asked = policy.after(now, Outcome::Elapsed).probe;
+    while let Some(rs) = asked.pop() {
+        let count = held[rs as usize];
+        let report = Report { beta: Some(count * each), connections: Some(count) };
+        asked.extend(policy.after(now, Outcome::Probed { rs, passed: true, report }).probe);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/book.rs
@@ -0,0 +1,102 @@
+//! Our connections and connects in flight: an index, which decides nothing.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::types::{Flow, FlowId, Rs, Time};
+
+/// A connection of ours, or a connect in flight.
+pub(crate) struct Own {
+    pub(crate) rs: Rs,
+    pub(crate) service_type: usize,
+    pub(crate) customer: usize,
+    pub(crate) group: Option<String>,
+    pub(crate) established: bool,
+    /// Its client has been told to move.
+    pub(crate) moved: bool,
+    /// As told, where it is.
+    pub(crate) load: Option<f64>,
+    /// β over the server's connections, at the first probe after it was placed.
+    pub(crate) estimate: Option<f64>,
+}
+
+/// Our connections and connects in flight, with what is asked of them at each flow.
+#[derive(Default)]
+pub(crate) struct Book {
+    pub(crate) own: BTreeMap<FlowId, Own>,
+    pub(crate) by_rs: BTreeMap<Rs, BTreeSet<FlowId>>,
+    pub(crate) by_group: BTreeMap<String, BTreeMap<Rs, usize>>,
+    pub(crate) by_customer: BTreeMap<usize, usize>,
+    /// Which servers hold a group's connections, others' too, and when that was last told.
+    pub(crate) told_holders: BTreeMap<u16, BTreeMap<Rs, Time>>,
+    /// For each service type how many loads were told and their sum.
+    pub(crate) told: BTreeMap<usize, (f64, f64)>,
+    /// Connects in flight: where, and since when.
+    pub(crate) out: BTreeMap<FlowId, (Rs, Time)>,
+}
+
+impl Book {
+    pub(crate) fn enter(&mut self, now: Time, flow: &Flow, rs: Rs, established: bool) {
+        self.strike(flow.id);
+        let group = flow.group.clone();
+        *self.by_customer.entry(flow.customer).or_default() += 1;
+        self.by_rs.entry(rs).or_default().insert(flow.id);
+        if let Some(group) = &group {
+            *self.by_group.entry(group.clone()).or_default().entry(rs).or_default() += 1;
+        }
+        if !established {
+            self.out.insert(flow.id, (rs, now));
+        }
+        let (&Flow { service_type, customer, .. }, moved, load, estimate) = (flow, false, None, None);
+        self.own
+            .insert(flow.id, Own { rs, service_type, customer, group, established, moved, load, estimate });
+    }
+
+    pub(crate) fn told(&mut self, flow: FlowId, load: f64) {
+        let Some(own) = self.own.get_mut(&flow) else { return };
+        let (count, sum) = self.told.entry(own.service_type).or_default();
+        *count += if own.load.is_none() { 1.0 } else { 0.0 };
+        *sum += load - own.load.replace(load).unwrap_or(0.0);
+    }
+
+    pub(crate) fn established(&mut self, flow: FlowId) -> Option<Rs> {
+        let own = self.own.get_mut(&flow).filter(|own| !own.established)?;
+        own.established = true;
+        self.out.remove(&flow);
+        Some(own.rs)
+    }
+
+    pub(crate) fn strike(&mut self, flow: FlowId) -> Option<Own> {
+        let own = self.own.remove(&flow)?;
+        self.out.remove(&flow);
+        if self.by_rs.get_mut(&own.rs).is_some_and(|here| here.remove(&flow) && here.is_empty()) {
+            self.by_rs.remove(&own.rs);
+        }
+        less(&mut self.by_customer, &own.customer);
+        if let (Some(load), Some((count, sum))) = (own.load, self.told.get_mut(&own.service_type)) {
+            (*count, *sum) = (*count - 1.0, *sum - load);
+        }
+        if let Some(group) = &own.group
+            && let Some(holders) = self.by_group.get_mut(group)
+        {
+            less(holders, &own.rs);
+            if holders.is_empty() {
+                self.by_group.remove(group);
+            }
+        }
+        Some(own)
+    }
+
+    pub(crate) fn at(&self, rs: Rs) -> f64 {
+        self.by_rs.get(&rs).map_or(0, BTreeSet::len) as f64
+    }
+}
+
+/// One less, and none at all once the last is gone.
+fn less<K: Ord>(counts: &mut BTreeMap<K, usize>, key: &K) {
+    if let Some(count) = counts.get_mut(key) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(key);
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 //! assert_eq!(todo, Todo::default());
 //! ```
 
+mod book;
 pub mod policy;
 pub mod types;
 
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -11,7 +11,9 @@
 
 use arrayvec::ArrayVec;
 use nanorand::{Rng, WyRand};
+use nettlemux_candidates::{LongList, WHOLE_LIST, hash, hash_name, usable_weight};
 
+use crate::book::{Book, Own};
 use crate::types::*;
 
 /// A server is hot above this: 0.8 served more in time than 0.75, 0.85 or the paper's 0.9 for its tunnels.
@@ -108,93 +110,6 @@
     phase: Time,
 }
 
-/// A connection of ours, or a connect in flight.
-struct Own {
-    rs: Rs,
-    service_type: usize,
-    customer: usize,
-    group: Option<String>,
-    established: bool,
-    /// Its client has been told to move.
-    moved: bool,
-    /// As told, where it is.
-    load: Option<f64>,
-    /// β over the server's connections, at the first probe after it was placed.
-    estimate: Option<f64>,
-}
-
-/// Our connections and connects in flight, with what is asked of them at each flow.
-#[derive(Default)]
-struct Book {
-    own: BTreeMap<FlowId, Own>,
-    by_rs: BTreeMap<Rs, BTreeSet<FlowId>>,
-    by_group: BTreeMap<String, BTreeMap<Rs, usize>>,
-    by_customer: BTreeMap<usize, usize>,
-    /// Which servers hold a group's connections, others' too, and when that was last told.
-    told_holders: BTreeMap<u16, BTreeMap<Rs, Time>>,
-    /// For each service type how many loads were told and their sum.
-    told: BTreeMap<usize, (f64, f64)>,
-    /// Connects in flight: where, and since when.
-    out: BTreeMap<FlowId, (Rs, Time)>,
-}
-
-impl Book {
-    fn enter(&mut self, now: Time, flow: &Flow, rs: Rs, established: bool) {
-        self.strike(flow.id);
-        let group = flow.group.clone();
-        *self.by_customer.entry(flow.customer).or_default() += 1;
-        self.by_rs.entry(rs).or_default().insert(flow.id);
-        if let Some(group) = &group {
-            *self.by_group.entry(group.clone()).or_default().entry(rs).or_default() += 1;
-        }
-        if !established {
-            self.out.insert(flow.id, (rs, now));
-        }
-        let (&Flow { service_type, customer, .. }, moved, load, estimate) = (flow, false, None, None);
-        self.own
-            .insert(flow.id, Own { rs, service_type, customer, group, established, moved, load, estimate });
-    }
-
-    fn told(&mut self, flow: FlowId, load: f64) {
-        let Some(own) = self.own.get_mut(&flow) else { return };
-        let (count, sum) = self.told.entry(own.service_type).or_default();
-        *count += if own.load.is_none() { 1.0 } else { 0.0 };
-        *sum += load - own.load.replace(load).unwrap_or(0.0);
-    }
-
-    fn established(&mut self, flow: FlowId) -> Option<Rs> {
-        let own = self.own.get_mut(&flow).filter(|own| !own.established)?;
-        own.established = true;
-        self.out.remove(&flow);
-        Some(own.rs)
-    }
-
-    fn strike(&mut self, flow: FlowId) -> Option<Own> {
-        let own = self.own.remove(&flow)?;
-        self.out.remove(&flow);
-        if self.by_rs.get_mut(&own.rs).is_some_and(|here| here.remove(&flow) && here.is_empty()) {
-            self.by_rs.remove(&own.rs);
-        }
-        less(&mut self.by_customer, &own.customer);
-        if let (Some(load), Some((count, sum))) = (own.load, self.told.get_mut(&own.service_type)) {
-            (*count, *sum) = (*count - 1.0, *sum - load);
-        }
-        if let Some(group) = &own.group
-            && let Some(holders) = self.by_group.get_mut(group)
-        {
-            less(holders, &own.rs);
-            if holders.is_empty() {
-                self.by_group.remove(group);
-            }
-        }
-        Some(own)
-    }
-
-    fn at(&self, rs: Rs) -> f64 {
-        self.by_rs.get(&rs).map_or(0, BTreeSet::len) as f64
-    }
-}
-
 struct Dice(WyRand);
 
 impl Default for Dice {
@@ -235,8 +150,9 @@
     next_probe: Option<Time>,
     /// Cold servers: their share at the start, when they are warm, how many times that they may get.
     cold: (f64, Time, f64),
-    /// When the last of the servers is warm.
+    /// When the last of the servers is warm, and our pace for cold ones when a flow was last placed.
     cold_until: Time,
+    paced: BTreeMap<u64, f64>,
     servers: BTreeMap<Rs, Server>,
     book: Book,
     /// When our last connects were established, and on which kind of machine.
@@ -251,6 +167,19 @@
     they_move: bool,
     /// The least expected β when a flow was last placed, and when that was.
     least: (Time, f64),
+    /// Up to how many servers all are looked at, and what is kept of a longer list.
+    whole_list: usize,
+    long: Option<LongList>,
+    /// The key of our own subset, for flows without a group.
+    subset: u64,
+    draining: BTreeSet<Rs>,
+}
+
+/// Where a flow may go: servers to ask before, servers to turn among, and the least expected β of all.
+struct Choice {
+    ask: Vec<Rs>,
+    among: Vec<Rs>,
+    least: f64,
 }
 
 /// How many connects may be in flight at once: widened by those that are established, narrowed when
@@ -300,6 +229,8 @@
             cold: (0.1, 30 * SEC, 1.0),
             window: Window { calm: CALM, width: CALM, steady: f64::INFINITY, narrowed: 0 },
             they_move: true,
+            whole_list: WHOLE_LIST,
+            subset: hash(seed),
             ..Policy::default()
         }
     }
@@ -310,9 +241,10 @@
         (self.rng, self.servers, self.book) = (old.rng, old.servers, old.book);
         self.window = Window { calm: self.window.calm, ..old.window };
         (self.settled, self.began, self.cold_until) = (old.settled, old.began, old.cold_until);
-        (self.every, self.sparse, self.next_probe) = (old.every, old.sparse, old.next_probe);
+        (self.every, self.sparse, self.next_probe) = (old.every, old.sparse && self.probes, old.next_probe);
         (self.held, self.look, self.least) = (old.held, old.look, old.least);
         (self.words, self.leaving) = (old.words, old.leaving);
+        (self.long, self.subset, self.draining) = (old.long, old.subset, old.draining);
     }
 
     /// How many connects a flow may have, and how long before its connect timeout we answer.
@@ -360,6 +292,12 @@
         self
     }
 
+    /// Up to how many servers a list is looked at whole.
+    pub fn whole_list(mut self, servers: usize) -> Self {
+        self.whole_list = servers;
+        self
+    }
+
     /// News of the list: changed entries, or all of them.
     pub fn list(&mut self, now: Time, entries: &[Listed], whole: bool) {
         for server in self.servers.values_mut() {
@@ -388,13 +326,39 @@
                 _ => drop(self.servers.insert(entry.rs, fresh)),
             }
         }
+        self.follow(entries, whole);
         let book = &self.book;
         self.servers.retain(|rs, server| server.listed.state != State::Gone || book.at(*rs) > 0.0);
+        let draining = self.servers.values().filter(|server| server.listed.state == State::Draining);
+        self.draining = draining.map(|server| server.listed.rs).collect();
         let drains = !self.drained(now).is_empty();
         self.leaving = self.leaving.or(drains.then_some(now + LEAVE));
         self.next_probe = self.due(now);
     }
 
+    /// Keeps what the news say of a long list.
+    fn follow(&mut self, entries: &[Listed], whole: bool) {
+        let known = self.long.take();
+        if self.servers.len() <= self.whole_list {
+            return;
+        }
+        let all = || self.servers.values().map(|server| server.listed).collect();
+        let news: Vec<Listed> = if whole || known.is_none() { all() } else { entries.to_vec() };
+        let mut long = known.unwrap_or_default();
+        for entry in news {
+            long.update(entry.rs, entry.hall, entry.weight, entry.state == State::Ready);
+        }
+        (self.long, self.sparse) = (Some(long), self.probes);
+    }
+
+    /// On a long list the servers that this flow may go to: its group's candidates, or our subset.
+    fn scope(&self, flow: &Flow) -> Option<Vec<Rs>> {
+        let long = self.long.as_ref()?;
+        let Some(group) = &flow.group else { return Some(long.subset(self.subset, self.hall)) };
+        let holders = self.book.by_group.get(group).into_iter().flatten();
+        Some(long.scope(hash_name(group), self.hall, holders))
+    }
+
     /// The list could not be had; it is asked for again after a while.
     pub fn list_failed(&mut self, now: Time) {
         self.next_ask = Some(now + SEC + self.rng.0.generate_range(0..SEC));
@@ -439,11 +403,44 @@
         if none || flow.taken < now && now < self.pending {
             return self.hold(now, flow);
         }
-        // Rules 2 and 3: only ready servers, and only where a repeat can do no harm.
-        let allowed = self.servers.values().filter(|server| self.may_send(now, flow, server));
         // Rule 4: cold servers only within our part of their budget.
-        let pace = if now < self.cold_until { self.pace(now) } else { BTreeMap::new() };
-        let has_credit = |server: &Server| self.credit(now, server, &pace) >= 1.0;
+        self.paced = if now < self.cold_until { self.pace(now) } else { BTreeMap::new() };
+        let scope = self.scope(flow);
+        let mut choice = self.choose(now, flow, worth, scope.as_deref());
+        let mut seen_all = scope.is_none();
+        // Guards against a flow whose candidates are all away or full.
+        if choice.among.is_empty() && self.long.as_mut().is_some_and(|long| long.may_walk(now)) {
+            (choice, seen_all) = (self.choose(now, flow, worth, None), true);
+        }
+        let Choice { ask, among, least } = choice;
+        let returns = flow.returning && self.afresh(now);
+        if seen_all {
+            self.least = if flow.connects.is_empty() && !returns { (now, least) } else { self.least };
+        }
+        // When many wait the figures that there are must do: looking at all of them again costs too much.
+        let waits = now < flow.taken + self.service_type(flow).setup_target && left > 2 * LOOK_AGAIN;
+        let asks = !ask.is_empty() && !self.crowded() && waits;
+        if asks && self.long.as_mut().is_none_or(|long| long.probes.pay(now, ask.len())) {
+            return self.ask(now, &ask);
+        }
+        let Some(rs) = self.turn(&among) else { return self.hold(now, flow) };
+        let credit = self.credit(now, &self.servers[&rs], &self.paced) - 1.0;
+        let server = self.servers.get_mut(&rs).expect("a listed server");
+        server.credit = (credit.max(0.0), now);
+        server.placed.push_back(now);
+        self.book.enter(now, flow, rs, false);
+        // All the time that is left: a connect that was given up has cost the store its call all the same.
+        Place::To(rs, left, left.min(self.send_by(flow).saturating_sub(now + self.margin)))
+    }
+
+    /// Looks at these servers, or at all, for where the flow may go.
+    fn choose(&self, now: Time, flow: &Flow, worth: f64, scope: Option<&[Rs]>) -> Choice {
+        let of_scope = |scope: &[Rs]| scope.iter().filter_map(|rs| self.servers.get(rs)).collect();
+        let listed: Vec<&Server> = scope.map_or_else(|| self.servers.values().collect(), of_scope);
+        let part = listed.len() as f64 / self.servers.len().max(1) as f64;
+        // Rules 2 and 3: only ready servers, and only where a repeat can do no harm.
+        let allowed = listed.into_iter().filter(|server| self.may_send(now, flow, server));
+        let has_credit = |server: &Server| self.credit(now, server, &self.paced) >= 1.0;
         let warm = allowed.filter(|server| self.warmth(now, server) >= 1.0 || has_credit(server));
         // Each server with its figure: worked out once for a flow, as this is most of what a flow costs us.
         let warm: Vec<Seen> = warm.map(|server| (server, self.beta(now, server))).collect();
@@ -454,7 +451,8 @@
         let answers = |rs: Rs| !flow.connects.iter().any(|c| c.rs == rs) && !overdue.contains(&rs);
         let healthy = prefer(warm, |server| self.healthy(now, server) && answers(server.listed.rs));
         let number = healthy.len().max(1) as f64;
-        let mean_own = self.book.own.len() as f64 / number;
+        let own_there = |_| healthy.iter().map(|(server, _)| self.book.at(server.listed.rs)).sum();
+        let mean_own = scope.map_or(self.book.own.len() as f64, own_there) / number;
         let unknown = |server: &Server| self.stale(now, server, OLD);
         let (mut sum, mut count, mut placed, mut roomy) = (0.0, 0.0, 0, 0.0);
         for (server, beta) in &healthy {
@@ -472,7 +470,7 @@
         let returns = flow.returning && self.afresh(now);
         // Guards against one connect of ours taken for one of each of hundreds. All go where there is room.
         let lag = (REPORT_AGE + FRESH) as f64 / RATE_SPAN as f64;
-        let usual = lag * self.settled.len() as f64 / f64::max(roomy, 1.0);
+        let usual = lag * part * self.settled.len() as f64 / f64::max(roomy, 1.0);
         let theirs = match () {
             () if self.tells || self.sparse => (self.balancers - 1.0) * usual,
             () if returns => -lately,
@@ -484,7 +482,7 @@
         let holders = flow.group.as_ref().and_then(|group| self.book.by_group.get(group));
         // Guards against servers that drop what they hold since more and more is placed on them, and, as
         // holders of the flow's group take more, against common work that is paid for on every server.
-        let name = flow.group.as_ref().map_or(0, |group| name_of(group));
+        let name = flow.group.as_ref().map_or(0, |group| hash_name(group));
         let told = flow.group.as_ref().filter(|_| self.tells);
         let told = told.and_then(|_| self.book.told_holders.get(&(name as u16)));
         let holds = |server: &Server| match told {
@@ -494,7 +492,7 @@
         let is_near = |server: &Server| server.listed.hall == self.hall;
         // Guards against many balancers that each hold few of a group and spread it: they agree on an order
         // of servers for it, whose first is its home, with room but for a few more on the same figure.
-        let rank = |server: &Server| draw(name ^ server.listed.rs);
+        let rank = |server: &Server| hash(name ^ server.listed.rs);
         let alone = flow.group.is_some() && holders.is_none() && told.is_none();
         let homes = healthy.iter().filter(|(server, _)| alone && is_near(server));
         let home = homes.min_by_key(|(server, _)| rank(server)).map(|(server, _)| server.listed.rs);
@@ -520,30 +518,18 @@
         kin = if self.tells { prefer(kin, holds) } else { kin };
         kin = prefer(prefer(kin, is_near), holds);
         // The one whose turn it is, or, for a group that needs a server, the roomiest of a few.
-        let next = |server: &Server| server.turn + sane(server.listed.weight);
+        let next = |server: &Server| server.turn + usable_weight(server.listed.weight);
         let mut ask =
             kin.iter().copied().max_by(|a, b| next(a.0).total_cmp(&next(b.0))).into_iter().collect();
         if flow.group.is_some() && !kin.iter().any(|(server, _)| holds(server)) {
             kin.sort_by_key(|(server, _)| rank(server));
-            kin.truncate(if self.tells { CHOICE } else { 1 });
+            kin.truncate(if self.tells { CHOICE } else { 1 + usize::from(scope.is_some()) });
             ask = std::mem::take(&mut kin);
             kin.extend(ask.iter().copied().min_by(|a, b| expected(a).total_cmp(&expected(b))));
         }
         ask.retain(|(server, _)| self.stale(now, server, FRESH));
         let [ask, among] = [ask, kin].map(|of| of.iter().map(|(s, _)| s.listed.rs).collect::<Vec<Rs>>());
-        self.least = if flow.connects.is_empty() && !returns { (now, least) } else { self.least };
-        // When many wait the figures that there are must do: looking at all of them again costs too much.
-        if !ask.is_empty() && !self.crowded() && now < flow.taken + target && left > 2 * LOOK_AGAIN {
-            return self.ask(now, &ask);
-        }
-        let Some(rs) = self.turn(&among) else { return self.hold(now, flow) };
-        let credit = self.credit(now, &self.servers[&rs], &pace) - 1.0;
-        let server = self.servers.get_mut(&rs).expect("a listed server");
-        server.credit = (credit.max(0.0), now);
-        server.placed.push_back(now);
-        self.book.enter(now, flow, rs, false);
-        // All the time that is left: a connect that was given up has cost the store its call all the same.
-        Place::To(rs, left, left.min(self.send_by(flow).saturating_sub(now + self.margin)))
+        Choice { ask, among, least }
     }
 
     /// What to do after this outcome.
@@ -599,6 +585,10 @@
                         server.next_probe = server.next_probe.min(now + PROBE_EVERY);
                         self.next_probe = self.next_probe.map(|at| at.min(now + PROBE_EVERY));
                     }
+                    let hot = report.beta.is_some_and(|beta| beta > T_H);
+                    if let Some(long) = self.long.as_mut().filter(|_| hot || !passed) {
+                        long.probes.watch(now, rs);
+                    }
                     if let Some(beta) = report.beta.filter(|beta| passed && SANE.contains(beta)) {
                         server.reports.truncate(SAMPLES - 1);
                         server.reports.insert(0, (now, beta));
@@ -615,22 +605,7 @@
             Outcome::Elapsed => (self.held, self.look) = (0, None),
         }
         if self.next_probe.is_some_and(|at| at <= now) {
-            let paid = self.probe_every(now, self.servers.len());
-            self.sparse = self.probes && paid > SPARSE;
-            let paid = if self.sparse { self.probe_every(now, self.book.by_rs.len()) } else { paid };
-            self.every = paid.clamp(PROBE_EVERY, PROBE_BOUND);
-            for server in self.servers.values_mut() {
-                if server.next_probe <= now && server.listed.state == State::Ready {
-                    // Where twice the probes are paid for a cool one isn't spared: it may fill meanwhile.
-                    let cool = server.reports.first().is_some_and(|(_, beta)| *beta < COOL);
-                    let times = if cool && 2 * paid > PROBE_EVERY { 2 } else { 1 };
-                    server.next_probe = now + PROBE_BOUND.min(times * self.every);
-                    let ours = self.book.by_rs.contains_key(&server.listed.rs);
-                    if !self.sparse || ours || now < server.asked + LOST {
-                        todo.probe.push(server.listed.rs);
-                    }
-                }
-            }
+            todo.probe = if self.long.is_some() { self.probe_some(now) } else { self.probe_due(now) };
             self.next_probe = self.due(now);
         }
         if self.leaving.is_some_and(|at| at <= now) {
@@ -646,6 +621,40 @@
         todo
     }
 
+    /// All servers whose probe is due.
+    fn probe_due(&mut self, now: Time) -> Vec<Rs> {
+        let mut probes = Vec::new();
+        let paid = self.probe_every(now, self.servers.len());
+        self.sparse = self.probes && paid > SPARSE;
+        let paid = if self.sparse { self.probe_every(now, self.book.by_rs.len()) } else { paid };
+        self.every = paid.clamp(PROBE_EVERY, PROBE_BOUND);
+        for server in self.servers.values_mut() {
+            if server.next_probe <= now && server.listed.state == State::Ready {
+                // Where twice the probes are paid for a cool one isn't spared: it may fill meanwhile.
+                let cool = server.reports.first().is_some_and(|(_, beta)| *beta < COOL);
+                let times = if cool && 2 * paid > PROBE_EVERY { 2 } else { 1 };
+                server.next_probe = now + PROBE_BOUND.min(times * self.every);
+                let ours = self.book.by_rs.contains_key(&server.listed.rs);
+                if !self.sparse || ours || now < server.asked + LOST {
+                    probes.push(server.listed.rs);
+                }
+            }
+        }
+        probes
+    }
+
+    /// On a long list: as many as the budget allows.
+    fn probe_some(&mut self, now: Time) -> Vec<Rs> {
+        let Some(long) = self.long.as_mut() else { return Vec::new() };
+        let ready = |rs| self.servers.get(&rs).filter(|server| server.listed.state == State::Ready);
+        let last_figure = |rs| ready(rs).map(|server| server.answered.max(server.asked));
+        let probes = long.probes.next(now, &self.book.by_rs, BTreeSet::len, last_figure);
+        for rs in &probes {
+            self.servers.entry(*rs).and_modify(|server| server.asked = now);
+        }
+        probes
+    }
+
     /// How long to wait for the next outcome at most.
     pub fn wait(&self, now: Time) -> Option<Time> {
         let held = (self.held > 0).then_some(now + LOOK_AGAIN.max(self.gather()));
@@ -655,7 +664,7 @@
 
     /// How long answers are gathered before the next look at all that is held: each looks at all servers.
     fn gather(&self) -> Time {
-        (TOGETHER * (self.held * self.servers.len()) as Time).min(2 * LOOK_AGAIN)
+        (TOGETHER * (self.held * self.servers.len().min(self.whole_list)) as Time).min(2 * LOOK_AGAIN)
     }
 
     /// Whether we have started lately, from nothing: all that we hold was made since.
@@ -679,6 +688,9 @@
 
     /// When the next probe is due, kept so that not every outcome walks all servers.
     fn due(&self, now: Time) -> Option<Time> {
+        if self.long.is_some() {
+            return self.probes.then_some(now + ROUND);
+        }
         let ready = self.servers.values().filter(|s| self.probes && s.listed.state == State::Ready);
         // Probes that are nearly due go out together: each look walks all servers.
         ready.map(|server| server.next_probe).min().map(|at| at.max(now + ROUND / 2))
@@ -712,6 +724,7 @@
             if server.asked + LOST < now {
                 (server.asked, server.next_probe, self.next_probe) = (now, now, Some(now));
                 self.pending = now + LOOK_AGAIN;
+                self.long.as_mut().into_iter().for_each(|long| long.probes.want(*rs));
             }
         }
         self.held += 1;
@@ -726,7 +739,7 @@
 
     /// What the others should know of this connection.
     fn tell(&mut self, now: Time, flow: FlowId, rs: Rs) -> Option<Holds> {
-        let group = name_of(self.book.own.get(&flow)?.group.as_ref().filter(|_| self.tells)?) as u16;
+        let group = hash_name(self.book.own.get(&flow)?.group.as_ref().filter(|_| self.tells)?) as u16;
         let told = self.book.told_holders.get(&group).and_then(|told| told.get(&rs));
         if told.is_some_and(|at| now < at + RETELL) {
             return None;
@@ -735,8 +748,10 @@
         let left = (left + WORDS / self.balancers * now.saturating_sub(at) as f64 / SEC as f64).min(2.0);
         self.words = (if left >= 1.0 { left - 1.0 } else { left }, now);
         // What isn't told again is dropped here, so that groups that are no more take no room.
-        self.book.told_holders.values_mut().for_each(|told| told.retain(|_, at| now < *at + 2 * RETELL));
-        self.book.told_holders.retain(|_, told| !told.is_empty());
+        if self.long.as_mut().is_none_or(|long| long.may_sweep(now)) {
+            self.book.told_holders.values_mut().for_each(|told| told.retain(|_, at| now < *at + 2 * RETELL));
+            self.book.told_holders.retain(|_, told| !told.is_empty());
+        }
         (left >= 1.0).then(|| self.heard(now, Holds { group, rs })).map(|()| Holds { group, rs })
     }
 
@@ -866,7 +881,7 @@
         let mut total = 0.0;
         for rs in among {
             let server = self.servers.get_mut(rs)?;
-            let weight = sane(server.listed.weight);
+            let weight = usable_weight(server.listed.weight);
             server.turn += weight;
             total += weight;
         }
@@ -881,8 +896,9 @@
     /// hundreds of balancers that move theirs at once. One that is gone keeps its: it was listed wrongly.
     fn drained(&self, now: Time) -> Vec<(FlowId, f64)> {
         let cool = |server: &Server| self.beta(now, server).is_none_or(|beta| beta < NEW);
-        let room = self.servers.values().any(|server| server.listed.state == State::Ready && cool(server));
-        let drains = |server: &&Server| !self.they_move && server.listed.state == State::Draining;
+        let mut looked_at = self.servers.values().take(self.whole_list);
+        let room = looked_at.any(|server| server.listed.state == State::Ready && cool(server));
+        let drains = self.draining.iter().filter(|_| !self.they_move).filter_map(|rs| self.servers.get(rs));
         let stays = |flow: &&FlowId| self.book.own[flow].established && !self.book.own[flow].moved;
         let next = |server: &Server| {
             let mut held = self.book.by_rs.get(&server.listed.rs)?.iter().filter(stays);
@@ -891,7 +907,7 @@
             let due = room && now >= server.drains + LEAVE;
             Some((flow, if due { (more + 1) as f64 * LOOK_AGAIN as f64 / left as f64 } else { 0.0 }))
         };
-        self.servers.values().filter(drains).filter_map(next).collect()
+        drains.filter_map(next).collect()
     }
 
     /// Own connections to move off a hot server.
@@ -944,31 +960,6 @@
     of
 }
 
-/// One less, and none at all once the last is gone.
-fn less<K: Ord>(counts: &mut BTreeMap<K, usize>, key: &K) {
-    if let Some(count) = counts.get_mut(key) {
-        *count -= 1;
-        if *count == 0 {
-            counts.remove(key);
-        }
-    }
-}
-
-/// A number that all balancers draw alike.
-fn draw(of: u64) -> u64 {
-    WyRand::new_seed(of).generate()
-}
-
-/// A group's name as a number: for the order of its servers and, in short, for others.
-fn name_of(group: &str) -> u64 {
-    group.bytes().fold(0, |name, byte| draw(name ^ u64::from(byte)))
-}
-
-/// A list weight, or an equal one where it is none.
-fn sane(weight: f64) -> f64 {
-    if weight.is_finite() && weight > 0.0 { weight.clamp(1e-3, 1e3) } else { 1.0 }
-}
-
 fn keep(samples: &mut VecDeque<Time>, sample: Time) {
     samples.push_back(sample);
     samples.drain(..samples.len().saturating_sub(SAMPLES));
