--- a/crates/candidates/src/budget.rs
+++ b/crates/candidates/src/budget.rs
@@ -23,10 +23,10 @@
         (self.left + grown).min(self.burst)
     }
 
-    /// Takes so much, or nothing where `reserve` would not be left.
-    pub fn take(&mut self, now: u64, cost: f64, reserve: f64) -> bool {
+    /// Takes so much, or nothing where not all of it is left.
+    pub fn take(&mut self, now: u64, cost: f64) -> bool {
         let left = self.left(now) - cost;
-        if left < reserve {
+        if left < 0.0 {
             return false;
         }
         (self.left, self.as_of) = (left, now.max(self.as_of));
--- a/crates/candidates/src/long_list.rs
+++ b/crates/candidates/src/long_list.rs
@@ -45,11 +45,13 @@
     }
 
     /// The servers for this key, in order of their ids: its candidates, more of them the more own connections
-    /// of the key there are, and those that hold these. Of very many holders some are left out.
+    /// of the key there are, and those that hold these. Of very many holders some are left out, and of the
+    /// candidates, unless `far` ones are wanted as well, those in other zones.
     pub fn scope<'a>(
         &self,
         key: u64,
         zone: ZoneId,
+        far: bool,
         holders: impl Iterator<Item = (&'a ServerId, &'a usize)>,
     ) -> Vec<ServerId> {
         let (mut scope, mut own) = (Vec::new(), 0);
@@ -58,26 +60,34 @@
             own += held;
         }
         let count = MOST_CANDIDATES.min(CANDIDATES + own / ONE_MORE_FOR);
-        scope.extend(self.candidates.candidates(key, zone, count));
+        scope.extend(self.of(key, zone, far, count));
         scope.sort_unstable();
         scope.dedup();
         scope
     }
 
     /// The servers of one balancer for connections without a key.
-    pub fn subset(&self, balancer: u64, zone: ZoneId) -> Vec<ServerId> {
-        let mut subset = self.candidates.candidates(balancer, zone, MOST_CANDIDATES);
+    pub fn subset(&self, balancer: u64, zone: ZoneId, far: bool) -> Vec<ServerId> {
+        let mut subset = self.of(balancer, zone, far, MOST_CANDIDATES);
         subset.sort_unstable();
         subset
     }
 
+    fn of(&self, key: u64, zone: ZoneId, far: bool, count: usize) -> Vec<ServerId> {
+        if far {
+            self.candidates.candidates(key, zone, count)
+        } else {
+            self.candidates.near(key, zone, count)
+        }
+    }
+
     /// Whether the whole list may be walked now, which is then taken as done.
     pub fn may_walk(&mut self, now: u64) -> bool {
-        self.walks.take(now, 1.0, 0.0)
+        self.walks.take(now, 1.0)
     }
 
     /// Whether what others told may be swept now, which is then taken as done.
     pub fn may_sweep(&mut self, now: u64) -> bool {
-        self.sweeps.take(now, 1.0, 0.0)
+        self.sweeps.take(now, 1.0)
     }
 }
--- a/crates/candidates/src/probes.rs
+++ b/crates/candidates/src/probes.rs
@@ -9,10 +9,11 @@
 const CONTROL_BYTES: u64 = 2_000;
 /// What a probe and its answer are taken to cost with all headers: assumed, see `docs/design/candidates.md`.
 const PROBE_BYTES: u64 = 200;
-/// Probes a second; as many may go at once.
+/// Probes a second.
 pub(crate) const PROBES_A_SECOND: u64 = CONTROL_BYTES / PROBE_BYTES;
-/// This part of the budget is kept for probes that a flow waits for.
-const KEPT_FOR_FLOWS: f64 = 0.5;
+/// Half of them are for flows that wait for a figure, half for servers that hold own connections: flows alone
+/// would use up all, and nothing hot would be found. As many may go at once as in a second.
+const EACH_HALF: f64 = PROBES_A_SECOND as f64 / 2.0;
 /// How many servers are looked at for each batch of probes.
 const LOOKED_AT: usize = 48;
 /// A server isn't probed again sooner, except for a flow.
@@ -21,7 +22,8 @@
 /// The probes of one balancer. Times are nanoseconds of the caller's clock.
 #[derive(Clone, Debug)]
 pub struct ProbeQueue {
-    budget: Budget,
+    for_flows: Budget,
+    for_own: Budget,
     /// Probes that flows wait for; they are paid for.
     wanted: Vec<ServerId>,
     /// When servers that were hot or silent are to be probed again.
@@ -32,15 +34,16 @@
 
 impl Default for ProbeQueue {
     fn default() -> Self {
-        let rate = PROBES_A_SECOND as f64;
-        ProbeQueue { budget: Budget::new(rate, rate), wanted: Vec::new(), urgent: BTreeSet::new(), cursor: 0 }
+        let half = Budget::new(EACH_HALF, EACH_HALF);
+        let (wanted, urgent) = (Vec::new(), BTreeSet::new());
+        ProbeQueue { for_flows: half, for_own: half, wanted, urgent, cursor: 0 }
     }
 }
 
 impl ProbeQueue {
     /// Pays for probes that a flow waits for, if the budget allows all of them.
     pub fn pay(&mut self, now: u64, probes: usize) -> bool {
-        self.budget.take(now, probes as f64, 0.0)
+        self.for_flows.take(now, probes as f64)
     }
 
     /// A flow waits for this probe, which was paid for.
@@ -70,7 +73,7 @@
         for entry in entries {
             let last = last_figure(entry.1).filter(|_| !probes.contains(&entry.1));
             if last.is_some_and(|last| last + AGAIN <= now) {
-                if !self.budget.take(now, 1.0, KEPT_FOR_FLOWS * PROBES_A_SECOND as f64) {
+                if !self.for_own.take(now, 1.0) {
                     break;
                 }
                 probes.push(entry.1);
--- a/crates/candidates/src/zones.rs
+++ b/crates/candidates/src/zones.rs
@@ -58,16 +58,19 @@
     /// Up to `count` distinct servers for this key, the own zone's first. A larger count only adds servers,
     /// so that balancers that ask for different counts agree on those that the smallest count gives.
     pub fn candidates(&self, key: u64, zone: ZoneId, count: usize) -> Vec<ServerId> {
-        let own = self.zones.get(&zone);
-        let near = if self.zones.len() > 1 { count - count / ONE_FAR_IN } else { count };
-        let mut found: Vec<ServerId> =
-            own.map(|ring| ring.clockwise(key).take(near).collect()).unwrap_or_default();
+        let mut found = self.near(key, zone, count);
         if found.len() < count {
             self.add_far(&mut found, key, zone, count);
         }
         found
     }
 
+    /// The first of [`Self::candidates`]: those in the own zone.
+    pub fn near(&self, key: u64, zone: ZoneId, count: usize) -> Vec<ServerId> {
+        let near = if self.zones.len() > 1 { count - count / ONE_FAR_IN } else { count };
+        self.zones.get(&zone).map(|ring| ring.clockwise(key).take(near).collect()).unwrap_or_default()
+    }
+
     /// Adds servers of other zones, up to `count` in all: one of each zone in the key's order of zones, then
     /// the second of each, and so on.
     fn add_far(&self, found: &mut Vec<ServerId>, key: u64, own: ZoneId, count: usize) {
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -152,7 +152,7 @@
     cold: (f64, Time, f64),
     /// When the last of the servers is warm, and our pace for cold ones when a flow was last placed.
     cold_until: Time,
-    paced: BTreeMap<u64, f64>,
+    paced: (Time, BTreeMap<u64, f64>),
     servers: BTreeMap<Rs, Server>,
     book: Book,
     /// When our last connects were established, and on which kind of machine.
@@ -352,11 +352,11 @@
     }
 
     /// On a long list the servers that this flow may go to: its group's candidates, or our subset.
-    fn scope(&self, flow: &Flow) -> Option<Vec<Rs>> {
+    fn scope(&self, flow: &Flow, far: bool) -> Option<Vec<Rs>> {
         let long = self.long.as_ref()?;
-        let Some(group) = &flow.group else { return Some(long.subset(self.subset, self.hall)) };
+        let Some(group) = &flow.group else { return Some(long.subset(self.subset, self.hall, far)) };
         let holders = self.book.by_group.get(group).into_iter().flatten();
-        Some(long.scope(hash_name(group), self.hall, holders))
+        Some(long.scope(hash_name(group), self.hall, far, holders))
     }
 
     /// The list could not be had; it is asked for again after a while.
@@ -404,18 +404,20 @@
             return self.hold(now, flow);
         }
         // Rule 4: cold servers only within our part of their budget.
-        self.paced = if now < self.cold_until { self.pace(now) } else { BTreeMap::new() };
-        let scope = self.scope(flow);
-        let mut choice = self.choose(now, flow, worth, scope.as_deref());
-        let mut seen_all = scope.is_none();
-        // Guards against a flow whose candidates are all away or full.
-        if choice.among.is_empty() && self.long.as_mut().is_some_and(|long| long.may_walk(now)) {
-            (choice, seen_all) = (self.choose(now, flow, worth, None), true);
+        self.paced.1 = if now < self.cold_until { self.pace(now) } else { BTreeMap::new() };
+        // Guards against a flow whose candidates are all away or full: further ones, then the whole list.
+        let mut choice = self.choose(now, flow, worth, self.scope(flow, self.tells).as_deref());
+        if choice.among.is_empty() && self.long.is_some() {
+            choice = self.choose(now, flow, worth, self.scope(flow, true).as_deref());
+        }
+        let whole = choice.among.is_empty() && self.long.as_mut().is_some_and(|long| long.may_walk(now));
+        if whole {
+            choice = self.choose(now, flow, worth, None);
         }
         let Choice { ask, among, least } = choice;
         let returns = flow.returning && self.afresh(now);
-        if seen_all {
-            self.least = if flow.connects.is_empty() && !returns { (now, least) } else { self.least };
+        if (whole || self.long.is_none()) && flow.connects.is_empty() && !returns {
+            self.least = (now, least);
         }
         // When many wait the figures that there are must do: looking at all of them again costs too much.
         let waits = now < flow.taken + self.service_type(flow).setup_target && left > 2 * LOOK_AGAIN;
@@ -424,7 +426,7 @@
             return self.ask(now, &ask);
         }
         let Some(rs) = self.turn(&among) else { return self.hold(now, flow) };
-        let credit = self.credit(now, &self.servers[&rs], &self.paced) - 1.0;
+        let credit = self.credit(now, &self.servers[&rs], &self.paced.1) - 1.0;
         let server = self.servers.get_mut(&rs).expect("a listed server");
         server.credit = (credit.max(0.0), now);
         server.placed.push_back(now);
@@ -440,7 +442,7 @@
         let part = listed.len() as f64 / self.servers.len().max(1) as f64;
         // Rules 2 and 3: only ready servers, and only where a repeat can do no harm.
         let allowed = listed.into_iter().filter(|server| self.may_send(now, flow, server));
-        let has_credit = |server: &Server| self.credit(now, server, &self.paced) >= 1.0;
+        let has_credit = |server: &Server| self.credit(now, server, &self.paced.1) >= 1.0;
         let warm = allowed.filter(|server| self.warmth(now, server) >= 1.0 || has_credit(server));
         // Each server with its figure: worked out once for a flow, as this is most of what a flow costs us.
         let warm: Vec<Seen> = warm.map(|server| (server, self.beta(now, server))).collect();
@@ -649,9 +651,7 @@
         let ready = |rs| self.servers.get(&rs).filter(|server| server.listed.state == State::Ready);
         let last_figure = |rs| ready(rs).map(|server| server.answered.max(server.asked));
         let probes = long.probes.next(now, &self.book.by_rs, BTreeSet::len, last_figure);
-        for rs in &probes {
-            self.servers.entry(*rs).and_modify(|server| server.asked = now);
-        }
+        probes.iter().for_each(|rs| _ = self.servers.entry(*rs).and_modify(|server| server.asked = now));
         probes
     }
 
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,4 +1,5 @@
-//! Helpers of the tables of cases.
+//! Helpers of the tables of cases; not each file of them uses all.
+#![allow(dead_code)]
 
 use nettlemux_policy::*;
 
--- /dev/null
+++ b/crates/policy/tests/long_lists.rs
@@ -0,0 +1,250 @@
+//! Lists too long to be looked at whole: what is looked at, asked and kept, by counts.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::{beta, flow, ready, repeat};
+use nettlemux_policy::*;
+
+const T0: Time = 1000 * SEC;
+/// The longest list that is looked at whole, and the most candidates of a flow without connections of its group.
+const WHOLE: u64 = 200;
+const FEW: usize = 16;
+/// The most servers that any flow may turn among: candidates and own holders of its group.
+const MOST: usize = 96;
+
+fn balancer(seed: u64, zone: u64) -> Policy {
+    Policy::new(seed, zone, vec![repeat(Repeat::Repeatable)])
+        .connects(3, 4 * MS, false, true)
+        .come_back(Some(2 * SEC))
+        .probing(true, 0.01)
+        .cold(0.2, 20 * SEC, 2.5)
+        .among(1_400.0, false)
+}
+
+fn servers(count: u64) -> Vec<Listed> {
+    (0..count).map(|rs| Listed { hall: rs % 31, ..ready(rs) }).collect()
+}
+
+fn of_group(now: Time, id: FlowId, group: &str) -> Flow {
+    Flow { group: Some(group.to_owned()), ..flow(now, id) }
+}
+
+/// Places a flow, lets servers answer what they are asked, and tells where it went and who was asked.
+fn place(policy: &mut Policy, mut now: Time, flow: &Flow, figure: impl Fn(Rs) -> f64) -> (Place, Vec<Rs>) {
+    let mut asked = Vec::new();
+    loop {
+        let answer = policy.place(now, flow);
+        if answer != Place::NotYet {
+            return (answer, asked);
+        }
+        let probes = policy.after(now, Outcome::Elapsed).probe;
+        for rs in &probes {
+            policy.after(now, Outcome::Probed { rs: *rs, passed: true, report: beta(figure(*rs)) });
+        }
+        asked.extend(probes);
+        now += 60 * MS;
+    }
+}
+
+/// Where these groups go at a balancer that holds nothing else.
+fn homes(list: &[Listed], seed: u64, groups: &[String]) -> Vec<Rs> {
+    let mut policy = balancer(seed, 3);
+    policy.list(T0, list, true);
+    let mut homes = Vec::new();
+    for (id, group) in groups.iter().enumerate() {
+        let (now, id) = (T0 + id as Time * SEC, id as FlowId);
+        let (answer, _) = place(&mut policy, now, &of_group(now, id, group), |_| 0.3);
+        let Place::To(rs, ..) = answer else { panic!("{group}: {answer:?}") };
+        policy.after(now, Outcome::Ended { flow: id, rs, end: End::Done, owed: None });
+        homes.push(rs);
+    }
+    homes
+}
+
+fn names(count: u64) -> Vec<String> {
+    (0..count).map(|group| format!("g{group}")).collect()
+}
+
+#[test]
+fn a_groups_flows_go_to_a_bounded_number_of_servers_however_long_the_list() {
+    for count in [WHOLE + 1, 600, 12_000] {
+        let list = servers(count);
+        let went: BTreeSet<Rs> = (0..15).flat_map(|seed| homes(&list, seed, &names(1))).collect();
+        assert!(went.len() <= FEW, "{count} servers: {went:?}");
+    }
+}
+
+#[test]
+fn flows_without_a_group_go_to_a_bounded_subset_of_each_balancers_own() {
+    let list = servers(6_000);
+    let mut all = BTreeSet::new();
+    for seed in 0..12 {
+        let mut policy = balancer(seed, 3);
+        policy.list(T0, &list, true);
+        let mut went = BTreeSet::new();
+        for id in 0..200 {
+            let now = T0 + id * 200 * MS;
+            let Place::To(rs, ..) = place(&mut policy, now, &flow(now, id), |_| 0.3).0 else { continue };
+            policy.after(now, Outcome::Established { flow: id, took: MS });
+            went.insert(rs);
+        }
+        assert!(went.len() > 10 && went.len() <= 48, "{} servers", went.len());
+        all.extend(went);
+    }
+    // Zone 3 has 194 servers: subsets of twelve balancers reach most of them.
+    assert!(all.len() > 120, "{} servers of all balancers", all.len());
+}
+
+#[test]
+fn balancers_agree_where_a_group_goes_though_their_lists_differ_by_some_entries() {
+    let list = servers(6_000);
+    let other: Vec<Listed> = list.iter().filter(|server| server.rs % 200 != 17).copied().collect();
+    let (one, two) = (homes(&list, 1, &names(100)), homes(&other, 2, &names(100)));
+    let same = one.iter().zip(&two).filter(|(one, two)| one == two).count();
+    assert!(same >= 95, "{same} of 100");
+}
+
+#[test]
+fn candidates_that_are_all_full_let_the_whole_list_be_looked_at_but_seldom() {
+    let list = servers(600);
+    let mut policy = balancer(1, 3);
+    policy.list(T0, &list, true);
+    let group = of_group(T0, 1, "one");
+    // All that are asked are full, until there is nobody left to ask but the rest of the list.
+    let mut placed = BTreeMap::new();
+    for id in 0..200 {
+        let now = T0 + id * 10 * MS;
+        let flow = Flow { id, taken: now, give_up: now + 2 * SEC, ..group.clone() };
+        for rs in policy.after(now, Outcome::Elapsed).probe {
+            policy.after(now, Outcome::Probed { rs, passed: true, report: beta(0.79) });
+        }
+        if let Place::To(rs, ..) = policy.place(now, &flow) {
+            *placed.entry(rs).or_insert(0) += 1;
+        }
+    }
+    assert!(!placed.is_empty(), "the whole list has room");
+}
+
+#[test]
+fn probes_keep_within_their_budget_however_many_servers_and_flows_there_are() {
+    for count in [600, 6_000] {
+        let mut policy = balancer(1, 3);
+        policy.list(T0, &servers(count), true);
+        for id in 0..20_000 {
+            policy.inherit(&of_group(T0, 100_000 + id, &format!("g{id}")), id % count);
+        }
+        let (mut probes, mut unasked) = (0, 0);
+        for step in 0..2_000 {
+            let now = T0 + step * 10 * MS;
+            // Nobody waits: these are for servers of ours, all of them hot, which are to be asked again soon.
+            for rs in policy.after(now, Outcome::Elapsed).probe {
+                policy.after(now, Outcome::Probed { rs, passed: true, report: beta(0.9) });
+                unasked += 1;
+            }
+            if step % 20 == 0 {
+                let flow = of_group(now, step, &format!("h{step}"));
+                let (answer, asked) = place(&mut policy, now, &flow, |_| 0.3);
+                assert!(matches!(answer, Place::To(..)), "{answer:?}");
+                policy.after(now, Outcome::Established { flow: step, took: MS });
+                probes += asked.len();
+            }
+        }
+        probes += unasked;
+        assert!(unasked > 20, "{count} servers: {unasked} probes that no flow waits for");
+        // 20 s of ten a second, and ten at once at the start; flows alone get half of it at most.
+        assert!(probes > 20 * 5 + 5, "{count} servers: {probes} probes in 20 s");
+        assert!(probes <= 20 * 10 + 10, "{count} servers: {probes} probes in 20 s");
+    }
+}
+
+#[test]
+fn a_hot_server_is_asked_again_before_others_and_sheds() {
+    let mut policy = balancer(1, 3);
+    policy.list(T0, &servers(600), true);
+    for id in 0..6_000 {
+        policy.inherit(&of_group(T0, id, &format!("g{id}")), id % 600);
+    }
+    let hot = |rs: Rs| if rs == 77 { 1.2 } else { 0.3 };
+    let (mut times, mut shed) = (0, 0);
+    policy.after(T0, Outcome::Probed { rs: 77, passed: true, report: beta(1.2) });
+    for tick in 1..80 {
+        let now = T0 + tick * 250 * MS;
+        for rs in policy.after(now, Outcome::Elapsed).probe {
+            times += usize::from(rs == 77);
+            shed +=
+                policy.after(now, Outcome::Probed { rs, passed: true, report: beta(hot(rs)) }).shift.len();
+        }
+    }
+    assert!((7..=10).contains(&times), "every 2 s for 20 s: {times} times");
+    assert!(shed > 0);
+}
+
+#[test]
+fn a_server_that_drains_or_goes_is_no_candidate_from_that_news_on() {
+    let list = servers(600);
+    for state in [State::Draining, State::Gone] {
+        let mut policy = balancer(1, 3);
+        policy.list(T0, &list, true);
+        let first = place(&mut policy, T0, &of_group(T0, 1, "one"), |_| 0.3).0;
+        let Place::To(first, ..) = first else { panic!("{first:?}") };
+        policy.after(T0, Outcome::Ended { flow: 1, rs: first, end: End::Done, owed: None });
+        policy.list(T0, &[Listed { state, ..list[first as usize] }], false);
+        for id in 2..40 {
+            let now = T0 + id * SEC;
+            let place = place(&mut policy, now, &of_group(now, id, "one"), |_| 0.3).0;
+            assert!(matches!(place, Place::To(rs, ..) if rs != first), "{state:?}: {place:?}");
+            policy.after(now, Outcome::Established { flow: id, took: MS });
+        }
+    }
+}
+
+#[test]
+fn a_list_of_200_is_treated_whole_and_a_switch_makes_no_difference_there() {
+    let list = servers(WHOLE);
+    let (mut one, mut other) = (balancer(1, 3), balancer(1, 3).whole_list(usize::MAX));
+    for policy in [&mut one, &mut other] {
+        policy.list(T0, &list, true);
+    }
+    for id in 0..500 {
+        let now = T0 + id * 20 * MS;
+        let flow = of_group(now, id, &format!("g{}", id % 50));
+        let figure = |rs: Rs| 0.3 + (rs % 7) as f64 * 0.05;
+        let (a, b) = (place(&mut one, now, &flow, figure), place(&mut other, now, &flow, figure));
+        assert_eq!(a, b, "flow {id}");
+        let ends = Outcome::Established { flow: id, took: MS };
+        assert_eq!(one.after(now, ends), other.after(now, ends), "flow {id}");
+    }
+}
+
+#[test]
+fn a_list_that_grows_and_shrinks_past_the_limit_loses_nothing() {
+    let mut policy = balancer(1, 3);
+    for (step, count) in [150, 600, 180, 6_000, 1, 201, 200].into_iter().enumerate() {
+        let now = T0 + step as Time * 30 * SEC;
+        policy.list(now, &servers(count), true);
+        for id in 0..20 {
+            let now = now + id * 100 * MS;
+            let id = step as u64 * 100 + id;
+            let (place, _) = place(&mut policy, now, &of_group(now, id, &format!("g{id}")), |_| 0.2);
+            assert!(matches!(place, Place::To(rs, ..) if rs < count), "{count} servers: {place:?}");
+            policy.after(now, Outcome::Established { flow: id, took: MS });
+        }
+    }
+}
+
+#[test]
+fn a_topic_with_many_connections_here_spreads_over_more_servers() {
+    let mut policy = balancer(1, 3);
+    policy.list(T0, &servers(6_000), true);
+    let mut went: BTreeMap<Rs, usize> = BTreeMap::new();
+    for id in 0..300 {
+        let now = T0 + id * 200 * MS;
+        let (place, _) = place(&mut policy, now, &of_group(now, id, "largest"), |_| 0.3);
+        let Place::To(rs, ..) = place else { panic!("flow {id}: {place:?}") };
+        policy.after(now, Outcome::Established { flow: id, took: MS });
+        *went.entry(rs).or_default() += 1;
+    }
+    assert!(went.len() > 1 && went.len() <= MOST, "{went:?}");
+}
