--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -404,7 +404,11 @@
             return self.hold(now, flow);
         }
         // Rule 4: cold servers only within our part of their budget.
-        self.paced.1 = if now < self.cold_until { self.pace(now) } else { BTreeMap::new() };
+        // It walks all servers: on a long list once a second, of the twenty that it is taken over.
+        if self.long.is_none() || now >= self.paced.0 + SEC {
+            let pace = if now < self.cold_until { self.pace(now) } else { BTreeMap::new() };
+            self.paced = (now, pace);
+        }
         // Guards against a flow whose candidates are all away or full: further ones, then the whole list.
         let mut choice = self.choose(now, flow, worth, self.scope(flow, self.tells).as_deref());
         if choice.among.is_empty() && self.long.is_some() {
