--- /dev/null
+++ b/crates/lab/src/capacity/assumptions.rs
@@ -0,0 +1,202 @@
+//! The assumptions file: what the operators have said, what they haven't, constants of the program and what is taken for
+//! granted, each with its reason. Read strictly: a key that is missing, unknown, without a reason or without a sane value is
+//! an error.
+
+use std::path::Path;
+
+use serde::Deserialize;
+
+use super::fault::Fault;
+
+/// How many values an unknown is worked out for: low, middle and high.
+pub const CASES: usize = 3;
+
+/// A value with its reason.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(try_from = "RawValue")]
+pub struct Known {
+    pub value: f64,
+    pub why: String,
+}
+
+/// Three values with a reason, in rising order.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(try_from = "RawValues")]
+pub struct Unknown {
+    pub values: [f64; CASES],
+    pub why: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawValue {
+    value: f64,
+    why: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawValues {
+    values: Vec<f64>,
+    why: String,
+}
+
+impl TryFrom<RawValue> for Known {
+    type Error = String;
+    fn try_from(raw: RawValue) -> Result<Self, String> {
+        check_value(raw.value, "value")?;
+        check_reason(&raw.why)?;
+        Ok(Known { value: raw.value, why: raw.why })
+    }
+}
+
+impl TryFrom<RawValues> for Unknown {
+    type Error = String;
+    fn try_from(raw: RawValues) -> Result<Self, String> {
+        let count = raw.values.len();
+        let values: [f64; CASES] =
+            raw.values.try_into().map_err(|_| format!("`values` are {count}, not {CASES}"))?;
+        values.iter().try_for_each(|value| check_value(*value, "values"))?;
+        if !values.is_sorted() {
+            return Err("`values` don't rise".into());
+        }
+        check_reason(&raw.why)?;
+        Ok(Unknown { values, why: raw.why })
+    }
+}
+
+fn check_value(value: f64, key: &str) -> Result<(), String> {
+    match value.is_finite() && value > 0.0 {
+        true => Ok(()),
+        false => Err(format!("`{key}`: {value} is not over 0")),
+    }
+}
+
+fn check_reason(why: &str) -> Result<(), String> {
+    match why.trim().is_empty() {
+        true => Err("`why` is empty".into()),
+        false => Ok(()),
+    }
+}
+
+/// One entry as the page lists it.
+pub struct Entry<'a> {
+    pub section: &'static str,
+    pub key: &'static str,
+    pub values: Vec<f64>,
+    pub why: &'a str,
+}
+
+/// Declares a section: its keys, all of one kind, and how to list them.
+macro_rules! section {
+    ($(#[$about:meta])* $name:ident, $section:literal, $kind:ty, [$($key:ident),* $(,)?]) => {
+        $(#[$about])*
+        #[derive(Clone, Debug, Deserialize)]
+        #[serde(deny_unknown_fields)]
+        pub struct $name {
+            $(pub $key: $kind,)*
+        }
+
+        impl $name {
+            fn entries(&self) -> Vec<Entry<'_>> {
+                vec![$(self.$key.entry($section, stringify!($key)),)*]
+            }
+        }
+    };
+}
+
+impl Known {
+    fn entry(&self, section: &'static str, key: &'static str) -> Entry<'_> {
+        Entry { section, key, values: vec![self.value], why: &self.why }
+    }
+}
+
+impl Unknown {
+    fn entry(&self, section: &'static str, key: &'static str) -> Entry<'_> {
+        Entry { section, key, values: self.values.to_vec(), why: &self.why }
+    }
+}
+
+section!(
+    /// What the operators have said of the fleet ahead.
+    Letter, "letter", Known,
+    [
+        balancers, connections, shards, largest_topic_listeners, deliveries_per_second, delivery_limit_ms,
+        regions, zones, configuration_changes_per_day, configuration_limit_s, control_percent_of_core,
+        control_memory_mb, control_bytes_per_second, control_machines, failures_per_day, restarts_per_day,
+        racks_per_year, zones_per_year, region_cuts_per_year, zone_clients, ready_within_s, told_within_s,
+    ]
+);
+
+section!(
+    /// What they haven't said.
+    Unknowns, "unknown", Unknown,
+    [servers, connection_life_s, change_bytes, return_spread_s]
+);
+
+section!(
+    /// Constants of the program.
+    Code, "code", Known,
+    [
+        probe_interval_longest_s, watch_hold_s, answer_limit_bytes, flow_memory_kb, descriptors_per_flow,
+        descriptors_standing, probe_descriptor_part, waiting_descriptor_part, peer_messages_heard_per_second,
+        peer_message_repeat_s, peer_message_groups, attempts_in_flight_fleet, attempts_in_flight_most,
+        cold_fill_factor, idle_client_s, silent_server_s,
+    ]
+);
+
+section!(
+    /// What is taken for granted until it is measured or told.
+    Assumed, "assumed", Known,
+    [
+        packet_header_bytes, probe_payload_bytes, probe_packets, watch_payload_bytes, watch_packets,
+        list_entry_bytes, list_changes_per_failure, list_changes_per_restart, control_message_header_bytes,
+        server_probe_us, server_attempts_per_second, attempt_ms, delivery_us, delivery_bytes,
+        client_line_bytes, notice_s, rack_machines, cold_start_share, cold_multiple, warm_up_s,
+        crossing_share,
+    ]
+);
+
+/// The whole file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Assumptions {
+    pub letter: Letter,
+    pub unknown: Unknowns,
+    pub code: Code,
+    pub assumed: Assumed,
+}
+
+impl Assumptions {
+    /// Reads the file.
+    ///
+    /// # Errors
+    /// Names the file, the line and the key at fault.
+    pub fn load(file: &Path) -> Result<Self, Fault> {
+        let text = std::fs::read_to_string(file).map_err(|e| Fault::file(file, e))?;
+        Self::parse(file, &text)
+    }
+
+    /// Reads assumptions that are in hand; `file` is named in errors.
+    ///
+    /// # Errors
+    /// Names the file, the line and the key at fault.
+    pub fn parse(file: &Path, text: &str) -> Result<Self, Fault> {
+        toml::from_str(text).map_err(|e| {
+            let Some(start) = e.span().map(|span| span.start) else {
+                return Fault::file(file, e.message());
+            };
+            let line = text[..start].matches('\n').count();
+            let key = text.lines().nth(line).and_then(|line| line.split_once('=')).map(|(key, _)| key.trim());
+            let place = key.map_or(String::new(), |key| format!("`{key}`: "));
+            Fault::line(file, line + 1, format!("{place}{}", e.message()))
+        })
+    }
+
+    /// All entries, section by section.
+    pub fn entries(&self) -> Vec<Entry<'_>> {
+        let sections =
+            [self.letter.entries(), self.unknown.entries(), self.code.entries(), self.assumed.entries()];
+        sections.into_iter().flatten().collect()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/capacity/deployment.rs
@@ -0,0 +1,112 @@
+//! The fleet that is worked out: the operators' size or a part of it, with one value of each unknown.
+
+use super::assumptions::{Assumptions, CASES};
+
+/// A quantity that the operators haven't told and that a figure is worked out for three values of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unknown {
+    Servers,
+    ConnectionLife,
+    ChangeBytes,
+    ReturnSpread,
+}
+
+/// The middle one of the three values.
+pub const MIDDLE: usize = 1;
+
+/// Counts and rates of one fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Deployment {
+    /// The part of the operators' size.
+    pub scale: f64,
+    pub balancers: f64,
+    pub servers: f64,
+    pub connections: f64,
+    pub shards: f64,
+    pub largest_topic_listeners: f64,
+    pub deliveries_per_second: f64,
+    pub configuration_changes_per_day: f64,
+    pub control_machines: f64,
+    pub failures_per_day: f64,
+    pub restarts_per_day: f64,
+    pub zone_clients: f64,
+    pub zones: f64,
+    pub regions: f64,
+    pub connection_life_s: f64,
+    pub change_bytes: f64,
+    pub return_spread_s: f64,
+}
+
+impl Deployment {
+    /// A part of the operators' fleet with the middle value of each unknown.
+    pub fn new(assumptions: &Assumptions, scale: f64) -> Self {
+        let (letter, unknown) = (&assumptions.letter, &assumptions.unknown);
+        Deployment {
+            scale,
+            balancers: letter.balancers.value * scale,
+            servers: unknown.servers.values[MIDDLE] * scale,
+            connections: letter.connections.value * scale,
+            shards: letter.shards.value * scale,
+            largest_topic_listeners: letter.largest_topic_listeners.value * scale,
+            deliveries_per_second: letter.deliveries_per_second.value * scale,
+            configuration_changes_per_day: letter.configuration_changes_per_day.value * scale,
+            // There are no parts of a machine.
+            control_machines: (letter.control_machines.value * scale).ceil(),
+            failures_per_day: letter.failures_per_day.value * scale,
+            restarts_per_day: letter.restarts_per_day.value * scale,
+            zone_clients: letter.zone_clients.value * scale,
+            zones: letter.zones.value,
+            regions: letter.regions.value,
+            connection_life_s: unknown.connection_life_s.values[MIDDLE],
+            change_bytes: unknown.change_bytes.values[MIDDLE],
+            return_spread_s: unknown.return_spread_s.values[MIDDLE],
+        }
+    }
+
+    /// The same with each of the three values of one unknown.
+    pub fn cases(&self, assumptions: &Assumptions, unknown: Unknown) -> [Deployment; CASES] {
+        std::array::from_fn(|case| {
+            let mut deployment = *self;
+            let values = &assumptions.unknown;
+            match unknown {
+                Unknown::Servers => deployment.servers = values.servers.values[case] * self.scale,
+                Unknown::ConnectionLife => {
+                    deployment.connection_life_s = values.connection_life_s.values[case]
+                }
+                Unknown::ChangeBytes => deployment.change_bytes = values.change_bytes.values[case],
+                Unknown::ReturnSpread => deployment.return_spread_s = values.return_spread_s.values[case],
+            }
+            deployment
+        })
+    }
+
+    /// Connections that one balancer holds.
+    pub fn own_connections(&self) -> f64 {
+        self.connections / self.balancers
+    }
+
+    /// Connections that one server holds.
+    pub fn server_connections(&self) -> f64 {
+        self.connections / self.servers
+    }
+
+    /// New connections a second in the whole fleet, while as many end.
+    pub fn placements_per_second(&self) -> f64 {
+        self.connections / self.connection_life_s
+    }
+
+    /// New connections a second at one balancer.
+    pub fn own_placements_per_second(&self) -> f64 {
+        self.placements_per_second() / self.balancers
+    }
+
+    /// Servers on which a balancer holds a connection, where connections are spread by chance.
+    pub fn servers_held(&self) -> f64 {
+        self.servers * (1.0 - (-self.own_connections() / self.servers).exp())
+    }
+
+    /// All machines: balancers, servers and those for control.
+    pub fn machines(&self) -> f64 {
+        self.balancers + self.servers + self.control_machines
+    }
+}
--- /dev/null
+++ b/crates/lab/src/capacity/gaps.rs
@@ -0,0 +1,153 @@
+//! Which mechanism is missing first: each need beside its budget, the worst ratio first. Needs of every second come before
+//! those of an event, since nothing helps the former but the mechanism.
+
+use super::deployment::Deployment;
+use super::markdown::{Table, figure, number};
+use super::mechanism::{self, Mechanism};
+use super::needs::{
+    change_bytes_per_second, entry_bytes, least_probes, least_probes_percent, measured_control_bytes,
+    placement_percent, probe_bytes, whole_list_bytes,
+};
+use super::row::Inputs;
+use super::stored_run::{Part, Varied};
+
+/// How often a need arises.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum When {
+    Always,
+    OnEvent,
+}
+
+impl When {
+    fn told(self) -> &'static str {
+        match self {
+            When::Always => "every second",
+            When::OnEvent => "on an event",
+        }
+    }
+}
+
+/// What would keep a need within its budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Remedy {
+    CandidatesAndBudget,
+    ConfigurationChanges,
+    ListPace,
+}
+
+impl Remedy {
+    fn name(self) -> &'static str {
+        match self {
+            Remedy::CandidatesAndBudget => "bounded candidates and a control budget",
+            Remedy::ConfigurationChanges => {
+                "changes of the configuration, told from the control machines as differences"
+            }
+            Remedy::ListPace => "a whole list in parts or from a neighbour, and a pace for changes of it",
+        }
+    }
+
+    /// Whether the code has all of it.
+    fn is_built(self) -> bool {
+        let mechanisms: &[Mechanism] = match self {
+            Remedy::CandidatesAndBudget => &[mechanism::BOUNDED_CANDIDATES, mechanism::CONTROL_BUDGET],
+            Remedy::ConfigurationChanges => &[mechanism::CONFIGURATION],
+            Remedy::ListPace => &[mechanism::WHOLE_LIST],
+        };
+        mechanisms.iter().all(|mechanism| matches!(mechanism, Mechanism::Present(_)))
+    }
+}
+
+/// A need beside its budget.
+struct Gap {
+    remedy: Remedy,
+    need_name: &'static str,
+    when: When,
+    need: Option<f64>,
+    budget: f64,
+}
+
+impl Gap {
+    fn times_budget(&self) -> Option<f64> {
+        self.need.map(|need| need / self.budget)
+    }
+
+    fn is_open(&self) -> bool {
+        !self.remedy.is_built() && self.times_budget().is_some_and(|times| times > 1.0)
+    }
+
+    fn told(&self) -> String {
+        let times = figure(self.times_budget());
+        format!("**{}** ({}: {times} times its budget)", self.remedy.name(), self.need_name)
+    }
+}
+
+/// All needs, those of every second first, then by how often they pass their budget; unmeasured ones last.
+fn gaps(inputs: &Inputs, fleet: &Deployment) -> Vec<Gap> {
+    let mut all = constant_gaps(inputs, fleet);
+    all.extend(event_gaps(inputs, fleet));
+    let times = |gap: &Gap| gap.times_budget().unwrap_or(f64::NEG_INFINITY);
+    all.sort_by(|a, b| a.when.cmp(&b.when).then(times(b).total_cmp(&times(a))));
+    all
+}
+
+fn constant_gaps(inputs: &Inputs, fleet: &Deployment) -> Vec<Gap> {
+    let letter = &inputs.assumptions.letter;
+    let (bytes, percent) = (letter.control_bytes_per_second.value, letter.control_percent_of_core.value);
+    let processor = inputs.slope(Part::Sockets, Varied::Servers, "cpu_percent_of_core").at(fleet.servers);
+    let probes = least_probes(inputs, fleet) * probe_bytes(inputs);
+    let gap = |need_name, need, budget| {
+        let (remedy, when) = (Remedy::CandidatesAndBudget, When::Always);
+        Gap { remedy, need_name, when, need, budget }
+    };
+    vec![
+        gap("control bytes a second, measured with few flows", measured_control_bytes(inputs, fleet), bytes),
+        gap("bytes a second of probes at the longest interval", Some(probes), bytes),
+        gap("% of a core of a balancer, measured with few flows", processor, percent),
+        gap("% of a core for probes at the longest interval", least_probes_percent(inputs, fleet), percent),
+        gap("% of a core for placing", placement_percent(inputs, fleet), percent),
+    ]
+}
+
+fn event_gaps(inputs: &Inputs, fleet: &Deployment) -> Vec<Gap> {
+    let letter = &inputs.assumptions.letter;
+    let change = change_bytes_per_second(inputs, fleet);
+    let list = whole_list_bytes(inputs, fleet.servers) / letter.ready_within_s.value;
+    let zone = fleet.servers / fleet.zones * entry_bytes(inputs) / letter.told_within_s.value;
+    let gap = |remedy, need_name, need| {
+        let budget = letter.control_bytes_per_second.value;
+        Gap { remedy, need_name, when: When::OnEvent, need: Some(need), budget }
+    };
+    vec![
+        gap(Remedy::ConfigurationChanges, "bytes a second of a change within its time", change),
+        gap(Remedy::ListPace, "bytes a second of a whole list within the time to be ready", list),
+        gap(Remedy::ListPace, "bytes a second as a zone's servers go, within the time to be told", zone),
+    ]
+}
+
+/// The ranking, and which mechanism is missing first and next.
+pub fn ranking(inputs: &Inputs, full: &Deployment, tenth: &Deployment) -> String {
+    let columns =
+        ["mechanism", "state", "need", "when", "full size", "budget", "times the budget", "at a tenth"];
+    let at_tenth = gaps(inputs, tenth);
+    let all = gaps(inputs, full);
+    let mut table = Table::new(&columns);
+    for gap in &all {
+        let small = at_tenth.iter().find(|small| small.need_name == gap.need_name);
+        let state = if gap.remedy.is_built() { "in the code" } else { "*missing*" };
+        let names = [gap.remedy.name(), state, gap.need_name, gap.when.told()];
+        let values = [figure(gap.need), number(gap.budget), figure(gap.times_budget())];
+        let last = [figure(small.and_then(Gap::times_budget))];
+        table.row(names.map(String::from).into_iter().chain(values).chain(last));
+    }
+    format!("{}\n{}", verdict(&all), table.finish())
+}
+
+fn verdict(all: &[Gap]) -> String {
+    let Some(first) = all.iter().find(|gap| gap.is_open()) else {
+        return "Nothing that is known passes its budget.\n".into();
+    };
+    let next = all.iter().find(|gap| gap.is_open() && gap.remedy != first.remedy);
+    let next = next
+        .map_or("No runner-up passes its budget.".to_string(), |next| format!("Runner-up: {}.", next.told()));
+    format!("Missing first: {}. {next}\n", first.told())
+}
--- /dev/null
+++ b/crates/lab/src/capacity/markdown.rs
@@ -0,0 +1,82 @@
+//! Markdown tables and numbers as the page shows them. It owns their form and knows nothing of what they mean.
+
+use std::fmt::Write as _;
+
+/// A table with a heading of columns.
+pub struct Table {
+    columns: usize,
+    text: String,
+}
+
+impl Table {
+    /// A table without rows.
+    pub fn new(columns: &[&str]) -> Self {
+        let mut table = Table { columns: columns.len(), text: String::new() };
+        table.row(columns.iter().map(ToString::to_string));
+        table.row(columns.iter().map(|_| "---".to_string()));
+        table
+    }
+
+    /// Adds a row. Missing cells stay empty; a bar within a cell is escaped.
+    pub fn row(&mut self, cells: impl IntoIterator<Item = String>) {
+        let mut cells: Vec<String> = cells.into_iter().map(|cell| cell.replace('|', "\\|")).collect();
+        cells.resize(self.columns, String::new());
+        let joined: Vec<&str> = cells.iter().map(|cell| cell.trim()).collect();
+        writeln!(self.text, "| {} |", joined.join(" | ")).expect("a string takes all");
+    }
+
+    /// The table as text.
+    pub fn finish(self) -> String {
+        self.text
+    }
+}
+
+/// What stands in place of a figure that no run has given.
+pub const NOT_MEASURED: &str = "*not measured*";
+
+/// Numbers from this on have no decimals.
+const WHOLE: f64 = 100.0;
+
+/// A number with three digits at least, and commas between thousands.
+pub fn number(value: f64) -> String {
+    if value == 0.0 {
+        return "0".into();
+    }
+    let size = value.abs();
+    if size >= WHOLE {
+        return grouped(value);
+    }
+    // Digits behind the point that leave three in all; tiny numbers keep the same relative accuracy.
+    let decimals = (2.0 - size.log10().floor()).clamp(0.0, 12.0) as usize;
+    let text = format!("{value:.decimals$}");
+    match text.contains('.') {
+        true => text.trim_end_matches('0').trim_end_matches('.').to_string(),
+        false => text,
+    }
+}
+
+fn grouped(value: f64) -> String {
+    let digits = format!("{:.0}", value.abs());
+    let mut out = String::new();
+    for (index, digit) in digits.chars().enumerate() {
+        if index > 0 && (digits.len() - index).is_multiple_of(3) {
+            out.push(',');
+        }
+        out.push(digit);
+    }
+    if value < 0.0 { format!("-{out}") } else { out }
+}
+
+/// A figure, or that it was not measured.
+pub fn figure(value: Option<f64>) -> String {
+    value.map_or(NOT_MEASURED.to_string(), number)
+}
+
+/// Several values of a figure; one where all are alike.
+pub fn figures(values: &[Option<f64>]) -> String {
+    let told: Vec<String> = values.iter().map(|value| figure(*value)).collect();
+    match told.windows(2).all(|pair| pair[0] == pair[1]) {
+        true => told.into_iter().next().unwrap_or_default(),
+        false => told.join(" / "),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/capacity/mechanism.rs
@@ -0,0 +1,76 @@
+//! The mechanisms that carry a figure in the code today, or that are missing. Whoever builds one changes its state here, and
+//! the page's rows and ranking follow.
+
+/// What carries a figure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mechanism {
+    /// In the code: what, and where.
+    Present(&'static str),
+    /// In the code, but not enough at the size ahead.
+    Partial(&'static str),
+    /// Not in the code: what would be needed, and where its place is.
+    Missing(&'static str),
+    /// Not ours to carry.
+    Outside(&'static str),
+}
+
+impl Mechanism {
+    /// How the page tells of it.
+    pub fn told(self) -> String {
+        match self {
+            Mechanism::Present(what) => what.to_string(),
+            Mechanism::Partial(what) => format!("in part: {what}"),
+            Mechanism::Missing(what) => format!("*missing*: {what}"),
+            Mechanism::Outside(what) => format!("not ours: {what}"),
+        }
+    }
+}
+
+/// Bounds what control costs a balancer.
+pub const CONTROL_BUDGET: Mechanism = Mechanism::Missing(
+    "a budget in bytes and processor time; PROBES_WORTH in crates/policy/src/policy.rs bounds by flows",
+);
+/// Bounds how many servers a placement looks at.
+pub const BOUNDED_CANDIDATES: Mechanism =
+    Mechanism::Missing("bounded candidates; `place` in crates/policy/src/policy.rs walks the list");
+/// Bounds what all balancers together ask of one server.
+pub const FLEET_PROBE_BUDGET: Mechanism = Mechanism::Missing("a budget for the sum of all balancers' probes");
+/// Bounds how many balancers keep a connection for probes to one server.
+pub const PROBE_CONNECTIONS: Mechanism =
+    Mechanism::Missing("fewer balancers that keep a connection to each server, crates/core/src/probe.rs");
+/// Brings a whole list within the budget.
+pub const WHOLE_LIST: Mechanism = Mechanism::Missing(
+    "a whole list in parts, or from a neighbour; crates/core/src/discovery.rs reads it in one answer",
+);
+/// Bounds whole lists that are asked for at once.
+pub const WHOLE_LISTS_OF_ALL: Mechanism =
+    Mechanism::Missing("a limit on whole lists that are asked for at once, beside the pause after a failure");
+/// Tells changes of the list.
+pub const LIST_CHANGES: Mechanism =
+    Mechanism::Present("only what has changed is told, crates/core/src/discovery.rs");
+/// Brings changes of the configuration into force.
+pub const CONFIGURATION: Mechanism = Mechanism::Missing(
+    "a way from the control machines; SIGHUP reads a whole file, crates/balancer/src/signals.rs",
+);
+/// What the control machines run.
+pub const CONTROL_MACHINES: Mechanism =
+    Mechanism::Missing("nothing of ours runs there; SIGHUP reads a file that others bring");
+/// Tells other balancers which servers hold a group.
+pub const PEER_MESSAGES: Mechanism =
+    Mechanism::Partial("off today; bounded, so it tells of few groups; crates/core/src/peers.rs");
+/// Spreads a large topic.
+pub const LARGE_TOPICS: Mechanism =
+    Mechanism::Partial("one home that grows server by server; `place` in crates/policy/src/policy.rs");
+/// Bounds attempts to all new servers together.
+pub const COLD_SUM: Mechanism =
+    Mechanism::Missing("a bound on the sum over new servers; each balancer's window bounds its own");
+/// Bounds attempts to one new server.
+pub const COLD_PACE: Mechanism =
+    Mechanism::Present("`pace`, `credit` and FILLS in crates/policy/src/policy.rs");
+/// The platform's discovery.
+pub const AGENTS: Mechanism =
+    Mechanism::Outside("the platform's agents; crates/core/src/discovery.rs calls one");
+/// Passes clients' and servers' lines on.
+pub const RELAY: Mechanism = Mechanism::Present("one worker, crates/core/src/relay.rs");
+/// Shares descriptors and memory out.
+pub const SHARES: Mechanism = Mechanism::Present("crates/core/src/pool.rs `Shares`");
--- /dev/null
+++ b/crates/lab/src/capacity/mod.rs
@@ -0,0 +1,133 @@
+//! The capacity page: what each role would hold, send and spend at the size that the operators have told, worked out from
+//! the stored scale run and from assumptions. It reads both, writes the generated blocks of the page and says which are
+//! stale. It must never measure anything.
+
+pub mod assumptions;
+pub mod deployment;
+mod fault;
+mod gaps;
+pub mod markdown;
+mod mechanism;
+mod needs;
+mod page;
+mod roles;
+mod row;
+pub mod stored_run;
+mod storms;
+
+use std::path::{Path, PathBuf};
+
+pub use fault::Fault;
+
+use assumptions::Assumptions;
+use deployment::Deployment;
+use markdown::{NOT_MEASURED, Table, number};
+use page::Block;
+use row::Inputs;
+use stored_run::StoredRun;
+
+/// The part of the operators' size that is worked out beside it.
+const TENTH: f64 = 0.1;
+
+/// Where the page and what it is worked out from are.
+#[derive(Clone, Debug)]
+pub struct Files {
+    pub run: PathBuf,
+    pub assumptions: PathBuf,
+    pub page: PathBuf,
+}
+
+/// Names of the blocks that differ from what run and assumptions give.
+///
+/// # Errors
+/// Names the file, line and key at fault.
+pub fn check(files: &Files) -> Result<Vec<&'static str>, Fault> {
+    let blocks = load_blocks(files)?;
+    page::stale_blocks(&files.page, &read(&files.page)?, &blocks)
+}
+
+/// Writes the blocks anew; the page is replaced as a whole or not at all.
+///
+/// # Errors
+/// Names the file, line and key at fault; nothing has been written then.
+pub fn write(files: &Files) -> Result<(), Fault> {
+    let blocks = load_blocks(files)?;
+    let text = page::write_blocks(&files.page, &read(&files.page)?, &blocks)?;
+    let temporary = files.page.with_extension("md.new");
+    let at = |file: &Path, e: std::io::Error| Fault::file(file, e);
+    std::fs::write(&temporary, text).map_err(|e| at(&temporary, e))?;
+    std::fs::rename(&temporary, &files.page).map_err(|e| at(&files.page, e))
+}
+
+/// What stands in the page by hand.
+///
+/// # Errors
+/// Names the marker at fault.
+pub fn prose(files: &Files) -> Result<String, Fault> {
+    let blocks = load_blocks(files)?;
+    page::without_blocks(&files.page, &read(&files.page)?, &blocks)
+}
+
+fn read(file: &Path) -> Result<String, Fault> {
+    std::fs::read_to_string(file).map_err(|e| Fault::file(file, e))
+}
+
+fn load_blocks(files: &Files) -> Result<Vec<Block>, Fault> {
+    let assumptions = Assumptions::load(&files.assumptions)?;
+    let run = StoredRun::load(&files.run)?;
+    Ok(blocks(&assumptions, run.as_ref()))
+}
+
+fn blocks(assumptions: &Assumptions, run: Option<&StoredRun>) -> Vec<Block> {
+    let inputs = Inputs { assumptions, run };
+    let full = Deployment::new(assumptions, 1.0);
+    let tenth = Deployment::new(assumptions, TENTH);
+    let role =
+        |name, rows: Vec<row::Row>| Block { name, text: row::table(&rows, assumptions, &full, &tenth) };
+    vec![
+        Block { name: "run", text: run_text(run) },
+        Block { name: "first missing", text: gaps::ranking(&inputs, &full, &tenth) },
+        role("balancer", roles::balancer::rows(&inputs)),
+        role("server", roles::server::rows(&inputs)),
+        role("discovery", roles::discovery::rows(&inputs)),
+        role("control machines", roles::control::rows(&inputs)),
+        role("clients", roles::clients::rows(&inputs)),
+        Block { name: "storms at full size", text: storms::table(&inputs, &full) },
+        Block { name: "storms at a tenth", text: storms::table(&inputs, &tenth) },
+        Block { name: "cold servers", text: storms::cold_table(&inputs, &full, &tenth) },
+        Block { name: "measured storms", text: storms::measured_table(&inputs) },
+        Block { name: "slopes", text: slopes_text(run) },
+        Block { name: "assumptions", text: assumptions_text(assumptions) },
+    ]
+}
+
+fn run_text(run: Option<&StoredRun>) -> String {
+    let Some(run) = run else { return format!("No run is stored yet: every slope is {NOT_MEASURED}.\n") };
+    let machine: Vec<String> = run.machine.iter().map(|(key, value)| format!("{key} {value}")).collect();
+    format!("Run `{}` of commit `{}`, on a machine with {}.\n", run.name, run.text, machine.join(", "))
+}
+
+fn slopes_text(run: Option<&StoredRun>) -> String {
+    let Some(run) = run else { return format!("{NOT_MEASURED}\n") };
+    let mut table =
+        Table::new(&["run", "part", "figure", "varied", "sizes", "intercept", "slope", "residual"]);
+    for fit in run.fits() {
+        let range = run.range(fit.part, fit.varied);
+        let range =
+            range.map_or(String::new(), |(least, most)| format!("{} to {}", number(least), number(most)));
+        let names = [run.name.as_str(), fit.part.name(), fit.figure.as_str(), fit.varied.name()];
+        let fitted = [fit.intercept, fit.slope, fit.residual].map(number);
+        table.row(names.map(String::from).into_iter().chain([range]).chain(fitted));
+    }
+    table.finish()
+}
+
+fn assumptions_text(assumptions: &Assumptions) -> String {
+    let mut table = Table::new(&["kind", "key", "value", "why"]);
+    for entry in assumptions.entries() {
+        let values: Vec<String> = entry.values.iter().map(|value| number(*value)).collect();
+        let cells = [entry.section, entry.key, &values.join(" / "), entry.why];
+        table.row(cells.map(String::from));
+    }
+    table.finish()
+}
--- /dev/null
+++ b/crates/lab/src/capacity/needs.rs
@@ -0,0 +1,102 @@
+//! What several roles and the ranking work out alike: bytes of probes and lists, processor time of placing, changes.
+
+use super::deployment::Deployment;
+use super::markdown::number;
+use super::row::Inputs;
+use super::stored_run::{Part, Varied};
+
+pub const SECONDS_PER_DAY: f64 = 86_400.0;
+pub const MICROSECONDS_PER_SECOND: f64 = 1e6;
+pub const BYTES_PER_MB: f64 = 1e6;
+pub const BYTES_PER_KB: f64 = 1e3;
+pub const PERCENT: f64 = 100.0;
+
+/// Bytes of a probe with its packet headers.
+pub fn probe_bytes(inputs: &Inputs) -> f64 {
+    let assumed = &inputs.assumptions.assumed;
+    assumed.probe_payload_bytes.value + assumed.probe_packets.value * assumed.packet_header_bytes.value
+}
+
+/// Bytes of a call for the list that brings nothing, with its packet headers.
+pub fn watch_bytes(inputs: &Inputs) -> f64 {
+    let assumed = &inputs.assumptions.assumed;
+    assumed.watch_payload_bytes.value + assumed.watch_packets.value * assumed.packet_header_bytes.value
+}
+
+/// Probes a second of a balancer that probes each server that holds a connection of its own at the longest interval.
+pub fn least_probes(inputs: &Inputs, fleet: &Deployment) -> f64 {
+    fleet.servers_held() / inputs.assumptions.code.probe_interval_longest_s.value
+}
+
+/// Payload and packet headers of a balancer's control, as measured and extrapolated.
+pub fn measured_control_bytes(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
+    let assumed = &inputs.assumptions.assumed;
+    let over_servers = |figure| inputs.slope(Part::Sockets, Varied::Servers, figure).at(fleet.servers);
+    let probes = over_servers("probes_per_second")? * assumed.probe_packets.value;
+    let calls = over_servers("list_calls_per_second")? * assumed.watch_packets.value;
+    Some(over_servers("control_bytes_per_second")? + (probes + calls) * assumed.packet_header_bytes.value)
+}
+
+/// Bytes of a whole list: measured, else by the assumed size of an entry.
+pub fn whole_list_bytes(inputs: &Inputs, servers: f64) -> f64 {
+    let slope = inputs.slope(Part::Sockets, Varied::Servers, "list_bytes");
+    slope.at(servers).unwrap_or(servers * inputs.assumptions.assumed.list_entry_bytes.value)
+}
+
+/// Bytes of one entry of the list: measured, else assumed.
+pub fn entry_bytes(inputs: &Inputs) -> f64 {
+    let slope = inputs.slope(Part::Sockets, Varied::Servers, "list_bytes");
+    slope.per_unit().unwrap_or(inputs.assumptions.assumed.list_entry_bytes.value)
+}
+
+pub fn list_basis(inputs: &Inputs) -> String {
+    let slope = inputs.slope(Part::Sockets, Varied::Servers, "list_bytes");
+    match slope.per_unit() {
+        Some(_) => slope.told(),
+        None => {
+            let entry = number(inputs.assumptions.assumed.list_entry_bytes.value);
+            format!("{entry} bytes x servers (*assumed*)")
+        }
+    }
+}
+
+/// Changes of the list a day: of servers only, in proportion to their part of all machines.
+pub fn list_changes_per_day(inputs: &Inputs, fleet: &Deployment) -> f64 {
+    let assumed = &inputs.assumptions.assumed;
+    let failures = fleet.failures_per_day * assumed.list_changes_per_failure.value;
+    let restarts = fleet.restarts_per_day * assumed.list_changes_per_restart.value;
+    (failures + restarts) * fleet.servers / fleet.machines()
+}
+
+/// Processor time of placing, in percent of a core: one look for each new connection.
+pub fn placement_percent(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
+    let place = inputs.slope(Part::Module, Varied::Servers, "place_p50_us").at(fleet.servers)?;
+    Some(place * fleet.own_placements_per_second() / MICROSECONDS_PER_SECOND * PERCENT)
+}
+
+/// Processor time of a balancer that probes as [`least_probes`] has it, in percent of a core: what a probe more took in
+/// the run, times the probes.
+pub fn least_probes_percent(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
+    let over_servers = |figure| inputs.slope(Part::Sockets, Varied::Servers, figure).per_unit();
+    let probes = over_servers("probes_per_second")?;
+    let percent_per_probe = over_servers("cpu_percent_of_core")? / probes;
+    (probes > 0.0).then(|| percent_per_probe * least_probes(inputs, fleet))
+}
+
+/// Bytes of one change of the configuration as it comes to one balancer.
+pub fn change_message_bytes(inputs: &Inputs, fleet: &Deployment) -> f64 {
+    fleet.change_bytes + inputs.assumptions.assumed.control_message_header_bytes.value
+}
+
+/// Bytes a second at one balancer while a change has to come into force.
+pub fn change_bytes_per_second(inputs: &Inputs, fleet: &Deployment) -> f64 {
+    change_message_bytes(inputs, fleet) / inputs.assumptions.letter.configuration_limit_s.value
+}
+
+/// Descriptors that the process has to be allowed, as they are shared out: flows, probes, clients that wait.
+pub fn descriptors_needed(inputs: &Inputs, fleet: &Deployment) -> f64 {
+    let code = &inputs.assumptions.code;
+    let flows = fleet.own_connections() * code.descriptors_per_flow.value;
+    let rest = 1.0 - code.probe_descriptor_part.value.recip() - code.waiting_descriptor_part.value.recip();
+    (flows + code.descriptors_standing.value) / rest
+}
--- /dev/null
+++ b/crates/lab/src/capacity/roles/balancer.rs
@@ -0,0 +1,393 @@
+//! One balancer: control, placing, lists and settings, flows.
+
+use crate::capacity::deployment::Unknown;
+use crate::capacity::markdown::number;
+use crate::capacity::mechanism::{self, Mechanism};
+use crate::capacity::needs::{
+    BYTES_PER_KB, BYTES_PER_MB, MICROSECONDS_PER_SECOND, PERCENT, SECONDS_PER_DAY, change_bytes_per_second,
+    change_message_bytes, descriptors_needed, entry_bytes, least_probes, least_probes_percent, list_basis,
+    list_changes_per_day, measured_control_bytes, placement_percent, probe_bytes, watch_bytes,
+    whole_list_bytes,
+};
+use crate::capacity::row::{Inputs, Row};
+use crate::capacity::stored_run::{Part, Varied};
+
+/// One balancer.
+pub fn rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
+    [control_rows(inputs), placement_rows(inputs), list_rows(inputs), flow_rows(inputs)]
+        .into_iter()
+        .flatten()
+        .collect()
+}
+
+fn control_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
+    let (letter, assumed, code) =
+        (&inputs.assumptions.letter, &inputs.assumptions.assumed, &inputs.assumptions.code);
+    let sockets = |figure| inputs.slope(Part::Sockets, Varied::Servers, figure);
+    let (probes, cpu) = (sockets("probes_per_second"), sockets("cpu_percent_of_core"));
+    let (memory, descriptors) = (sockets("memory_mb"), sockets("descriptors"));
+    let of_connection = inputs.slope(Part::Module, Varied::Connections, "bytes_per_connection");
+    let of_server = inputs.slope(Part::Module, Varied::Servers, "bytes_per_server");
+    let bytes = letter.control_bytes_per_second.value;
+    let probes_paid_for = bytes / probe_bytes(inputs);
+    let pays = "crates/policy/src/policy.rs `probe_every`, crates/core/src/probe.rs";
+    vec![
+        Row::new(
+            "probes, measured",
+            "a second",
+            probes.told(),
+            move |f| probes.at(f.servers),
+            mechanism::CONTROL_BUDGET,
+        )
+        .over(Unknown::Servers)
+        .within(probes_paid_for),
+        Row::new(
+            "probes at the longest interval of all servers that hold own connections",
+            "a second",
+            format!(
+                "servers held / {} s (code); each spread by chance",
+                number(code.probe_interval_longest_s.value)
+            ),
+            |f| Some(least_probes(inputs, f)),
+            mechanism::CONTROL_BUDGET,
+        )
+        .over(Unknown::Servers)
+        .within(probes_paid_for),
+        Row::new(
+            "control bytes, measured, with packet headers",
+            "a second",
+            format!(
+                "{} + packets x {} (headers *assumed*)",
+                sockets("control_bytes_per_second").told(),
+                number(assumed.packet_header_bytes.value)
+            ),
+            |f| measured_control_bytes(inputs, f),
+            mechanism::CONTROL_BUDGET,
+        )
+        .over(Unknown::Servers)
+        .within(bytes),
+        Row::new(
+            "bytes of probes at that interval",
+            "a second",
+            format!("probes x {} bytes (*assumed*)", number(probe_bytes(inputs))),
+            |f| Some(least_probes(inputs, f) * probe_bytes(inputs)),
+            mechanism::CONTROL_BUDGET,
+        )
+        .over(Unknown::Servers)
+        .within(bytes),
+        Row::new(
+            "processor, with the run's few flows",
+            "% of a core",
+            cpu.told(),
+            move |f| cpu.at(f.servers),
+            mechanism::CONTROL_BUDGET,
+        )
+        .over(Unknown::Servers)
+        .within(letter.control_percent_of_core.value),
+        Row::new(
+            "processor for probes at the longest interval",
+            "% of a core",
+            "slope of processor / slope of probes, over servers x those probes",
+            |f| least_probes_percent(inputs, f),
+            mechanism::CONTROL_BUDGET,
+        )
+        .over(Unknown::Servers)
+        .within(letter.control_percent_of_core.value),
+        Row::new(
+            "memory of the process, with the run's few flows",
+            "MB",
+            memory.told(),
+            move |f| memory.at(f.servers),
+            Mechanism::Present(
+                "state is bounded by the list and by `limits.memory_mb`, crates/core/src/pool.rs",
+            ),
+        )
+        .over(Unknown::Servers)
+        .within(letter.control_memory_mb.value),
+        Row::new(
+            "state of servers and own connections in the module",
+            "MB",
+            format!("{}; {}", of_server.told(), of_connection.told()),
+            move |f| {
+                let servers = of_server.at(f.servers)? * f.servers;
+                let connections = of_connection.at(f.own_connections())? * f.own_connections();
+                Some((servers + connections) / BYTES_PER_MB)
+            },
+            Mechanism::Present("crates/policy/src/policy.rs `Server`, `Book`"),
+        )
+        .over(Unknown::Servers)
+        .within(letter.control_memory_mb.value),
+        Row::new(
+            "descriptors for control, with the run's few flows",
+            "",
+            descriptors.told(),
+            move |f| descriptors.at(f.servers),
+            Mechanism::Present(
+                "a sixteenth of `limits.sockets`; probes in turn past that, crates/core/src/probe.rs",
+            ),
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "messages between balancers that would be needed",
+            "a second",
+            format!("shards / {} s (code), one server each", number(code.peer_message_repeat_s.value)),
+            |f| Some(f.shards / inputs.assumptions.code.peer_message_repeat_s.value),
+            mechanism::PEER_MESSAGES,
+        )
+        .within(code.peer_messages_heard_per_second.value),
+        Row::new(
+            "shards that share a number in those messages",
+            "",
+            format!("shards / {} (code)", number(code.peer_message_groups.value)),
+            |f| Some(f.shards / inputs.assumptions.code.peer_message_groups.value),
+            Mechanism::Partial("sixteen bits a group, `Holds` in crates/policy/src/types.rs"),
+        ),
+        Row::new(
+            "bytes that pay for probes",
+            "a probe",
+            "payload + packets x header (*assumed*)",
+            |_| Some(probe_bytes(inputs)),
+            Mechanism::Present(pays),
+        ),
+    ]
+}
+
+fn placement_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
+    let letter = &inputs.assumptions.letter;
+    let module = |figure| inputs.slope(Part::Module, Varied::Servers, figure);
+    let (place, looked_at) = (module("place_p50_us"), module("servers_per_placement"));
+    let calls = module("place_calls_per_placement");
+    let share = format!("{} x new connections a second, one call each", place.told());
+    vec![
+        Row::new(
+            "new connections",
+            "a second",
+            "connections / balancers / life (three lives)",
+            |f| Some(f.own_placements_per_second()),
+            Mechanism::Present("crates/core/src/desk.rs"),
+        )
+        .over(Unknown::ConnectionLife),
+        Row::new(
+            "servers looked at for one placement",
+            "",
+            looked_at.told(),
+            move |f| looked_at.at(f.servers),
+            mechanism::BOUNDED_CANDIDATES,
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "one placement",
+            "us",
+            place.told(),
+            move |f| place.at(f.servers),
+            mechanism::BOUNDED_CANDIDATES,
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "calls for one placement",
+            "",
+            calls.told(),
+            move |f| calls.at(f.servers),
+            mechanism::BOUNDED_CANDIDATES,
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "placing, over the servers",
+            "% of a core",
+            share.clone(),
+            |f| placement_percent(inputs, f),
+            mechanism::BOUNDED_CANDIDATES,
+        )
+        .over(Unknown::Servers)
+        .within(letter.control_percent_of_core.value),
+        Row::new(
+            "placing, over the lives",
+            "% of a core",
+            share,
+            |f| placement_percent(inputs, f),
+            mechanism::BOUNDED_CANDIDATES,
+        )
+        .over(Unknown::ConnectionLife)
+        .within(letter.control_percent_of_core.value),
+        Row::new(
+            "listeners of the largest topic at one balancer",
+            "",
+            "listeners / balancers",
+            |f| Some(f.largest_topic_listeners / f.balancers),
+            Mechanism::Present("crates/policy/src/policy.rs `Book`"),
+        ),
+        Row::new(
+            "servers that the largest topic needs",
+            "",
+            "listeners / a server's mean of connections",
+            |f| Some(f.largest_topic_listeners / f.server_connections()),
+            mechanism::LARGE_TOPICS,
+        )
+        .over(Unknown::Servers),
+    ]
+}
+
+fn list_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
+    let (letter, code) = (&inputs.assumptions.letter, &inputs.assumptions.code);
+    let bytes = letter.control_bytes_per_second.value;
+    let seen = inputs.slope(Part::Sockets, Varied::ChangesPerSecond, "change_seen_ms_p99");
+    let seen_over_servers = inputs.slope(Part::Sockets, Varied::Servers, "change_seen_ms_p99");
+    let told_within = letter.told_within_s.value;
+    vec![
+        Row::new(
+            "watching a list that doesn't change",
+            "bytes a second",
+            format!(
+                "{} bytes (*assumed*) / {} s (code)",
+                number(watch_bytes(inputs)),
+                number(code.watch_hold_s.value)
+            ),
+            |_| Some(watch_bytes(inputs) / inputs.assumptions.code.watch_hold_s.value),
+            Mechanism::Present("held calls, crates/core/src/discovery.rs"),
+        )
+        .within(bytes),
+        Row::new(
+            "changes of the list on an ordinary day",
+            "bytes a second",
+            "changes of servers a day x an entry",
+            |f| Some(list_changes_per_day(inputs, f) * entry_bytes(inputs) / SECONDS_PER_DAY),
+            mechanism::LIST_CHANGES,
+        )
+        .over(Unknown::Servers)
+        .within(bytes),
+        Row::new(
+            "a whole list",
+            "bytes",
+            list_basis(inputs),
+            |f| Some(whole_list_bytes(inputs, f.servers)),
+            mechanism::WHOLE_LIST,
+        )
+        .over(Unknown::Servers)
+        .within(code.answer_limit_bytes.value),
+        Row::new(
+            "a whole list within the time to be ready",
+            "bytes a second",
+            format!("a whole list / {} s", number(letter.ready_within_s.value)),
+            |f| Some(whole_list_bytes(inputs, f.servers) / inputs.assumptions.letter.ready_within_s.value),
+            mechanism::WHOLE_LIST,
+        )
+        .over(Unknown::Servers)
+        .within(bytes),
+        Row::new(
+            "a zone's servers that go, within the time to be told",
+            "bytes a second",
+            format!("servers / zones x an entry / {} s", number(told_within)),
+            move |f| Some(f.servers / f.zones * entry_bytes(inputs) / told_within),
+            mechanism::LIST_CHANGES,
+        )
+        .over(Unknown::Servers)
+        .within(bytes),
+        Row::new(
+            "a change of the list until it is acted on, over the servers",
+            "ms",
+            seen_over_servers.told(),
+            move |f| seen_over_servers.at(f.servers),
+            Mechanism::Present("crates/core/src/discovery.rs, crates/core/src/desk.rs"),
+        )
+        .over(Unknown::Servers)
+        .within(told_within * 1e3),
+        Row::new(
+            "the same, over the changes of an ordinary day",
+            "ms",
+            seen.told(),
+            move |f| seen.at(list_changes_per_day(inputs, f) / SECONDS_PER_DAY),
+            Mechanism::Present("crates/core/src/discovery.rs, crates/core/src/desk.rs"),
+        )
+        .within(told_within * 1e3),
+        Row::new(
+            "a change of the configuration within its time",
+            "bytes a second",
+            format!("(change + head) / {} s (three sizes)", number(letter.configuration_limit_s.value)),
+            |f| Some(change_bytes_per_second(inputs, f)),
+            mechanism::CONFIGURATION,
+        )
+        .over(Unknown::ChangeBytes)
+        .within(bytes),
+        Row::new(
+            "changes of the configuration on the mean",
+            "bytes a second",
+            "changes a day x (change + head) / a day (three sizes)",
+            |f| Some(f.configuration_changes_per_day * change_message_bytes(inputs, f) / SECONDS_PER_DAY),
+            mechanism::CONFIGURATION,
+        )
+        .over(Unknown::ChangeBytes)
+        .within(bytes),
+    ]
+}
+
+fn flow_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
+    let (assumed, code) = (&inputs.assumptions.assumed, &inputs.assumptions.code);
+    vec![
+        Row::new(
+            "own connections",
+            "",
+            "connections / balancers",
+            |f| Some(f.own_connections()),
+            Mechanism::Present("crates/hand/src/lib.rs, crates/core/src/chain.rs"),
+        ),
+        Row::new(
+            "memory of flows, as bounded",
+            "MB",
+            format!(
+                "{} KB (code) x own connections; beside the control budget",
+                number(code.flow_memory_kb.value)
+            ),
+            |f| {
+                let bytes = inputs.assumptions.code.flow_memory_kb.value * BYTES_PER_KB;
+                Some(f.own_connections() * bytes / BYTES_PER_MB)
+            },
+            mechanism::SHARES,
+        ),
+        Row::new(
+            "`limits.sockets` that this takes",
+            "descriptors",
+            "two a flow and the parts for probes and those that wait (code)",
+            |f| Some(descriptors_needed(inputs, f)),
+            mechanism::SHARES,
+        ),
+        Row::new(
+            "descriptors for probes that this leaves, of those needed",
+            "part",
+            "a sixteenth of them / servers held",
+            |f| {
+                let part = inputs.assumptions.code.probe_descriptor_part.value;
+                Some(descriptors_needed(inputs, f) / part / f.servers_held())
+            },
+            Mechanism::Present("probes in turn where there are too few, crates/core/src/probe.rs"),
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "deliveries",
+            "a second",
+            "deliveries / balancers",
+            |f| Some(f.deliveries_per_second / f.balancers),
+            mechanism::RELAY,
+        ),
+        Row::new(
+            "processor for deliveries",
+            "% of a core",
+            format!(
+                "{} us (*assumed*) x deliveries; beside the control budget",
+                number(assumed.delivery_us.value)
+            ),
+            |f| {
+                let each = inputs.assumptions.assumed.delivery_us.value / MICROSECONDS_PER_SECOND;
+                Some(f.deliveries_per_second / f.balancers * each * PERCENT)
+            },
+            mechanism::RELAY,
+        ),
+        Row::new(
+            "99 in 100 deliveries",
+            "ms",
+            "*not measured*: the scale run carries no lines of clients",
+            |_| None,
+            Mechanism::Present("lines go on as they come, crates/core/src/relay.rs"),
+        )
+        .within(inputs.assumptions.letter.delivery_limit_ms.value),
+    ]
+}
--- /dev/null
+++ b/crates/lab/src/capacity/roles/clients.rs
@@ -0,0 +1,67 @@
+//! All clients, where they add up.
+
+use crate::capacity::deployment::Unknown;
+use crate::capacity::markdown::number;
+use crate::capacity::mechanism::{self, Mechanism};
+use crate::capacity::needs::BYTES_PER_MB;
+use crate::capacity::row::{Inputs, Row};
+
+/// All clients, where they add up.
+pub fn rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
+    let (assumed, code) = (&inputs.assumptions.assumed, &inputs.assumptions.code);
+    vec![
+        Row::new(
+            "new connections",
+            "a second",
+            "connections / life (three lives)",
+            |f| Some(f.placements_per_second()),
+            Mechanism::Present(
+                "admission, crates/door/src/lib.rs where it is on; windows, crates/policy/src/policy.rs",
+            ),
+        )
+        .over(Unknown::ConnectionLife),
+        Row::new(
+            "lines that keep connections from counting as gone",
+            "a second",
+            format!("connections / {} s (code)", number(code.idle_client_s.value)),
+            |f| Some(f.connections / inputs.assumptions.code.idle_client_s.value),
+            Mechanism::Partial("a listener that sends nothing is told to move; crates/core/src/relay.rs"),
+        ),
+        Row::new(
+            "bytes of those lines",
+            "MB a second",
+            format!("x {} bytes (*assumed*)", number(assumed.client_line_bytes.value)),
+            |f| {
+                let lines = f.connections / inputs.assumptions.code.idle_client_s.value;
+                Some(lines * inputs.assumptions.assumed.client_line_bytes.value / BYTES_PER_MB)
+            },
+            mechanism::RELAY,
+        ),
+        Row::new("deliveries", "a second", "as told", |f| Some(f.deliveries_per_second), mechanism::RELAY),
+        Row::new(
+            "bytes of deliveries",
+            "MB a second",
+            format!("x {} bytes (*assumed*)", number(assumed.delivery_bytes.value)),
+            |f| {
+                Some(f.deliveries_per_second * inputs.assumptions.assumed.delivery_bytes.value / BYTES_PER_MB)
+            },
+            mechanism::RELAY,
+        ),
+        Row::new(
+            "listeners of a shard, on the mean",
+            "",
+            "connections / shards",
+            |f| Some(f.connections / f.shards),
+            Mechanism::Partial(
+                "holders first, then the group's home, `place` in crates/policy/src/policy.rs",
+            ),
+        ),
+        Row::new(
+            "balancers that hold a listener of a mean shard",
+            "part",
+            "1 - e^(-listeners / balancers)",
+            |f| Some(1.0 - (-f.connections / f.shards / f.balancers).exp()),
+            Mechanism::Partial("each agrees on the home by order of group and server"),
+        ),
+    ]
+}
--- /dev/null
+++ b/crates/lab/src/capacity/roles/discovery.rs
@@ -0,0 +1,101 @@
+//! Discovery and its agents, all of them together.
+
+use crate::capacity::deployment::Unknown;
+use crate::capacity::markdown::number;
+use crate::capacity::mechanism;
+use crate::capacity::needs::{BYTES_PER_MB, list_basis, list_changes_per_day, watch_bytes, whole_list_bytes};
+use crate::capacity::row::{Inputs, Row};
+use crate::capacity::stored_run::{Part, Varied};
+
+/// Discovery and its agents, all of them together.
+pub fn rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
+    let calls = inputs.slope(Part::Sockets, Varied::Servers, "list_calls_per_second");
+    let answered = inputs.slope(Part::Sockets, Varied::Balancers, "discovery_calls_per_second");
+    vec![
+        Row::new(
+            "calls, measured of a balancer",
+            "a second",
+            format!("{} x balancers", calls.told()),
+            move |f| Some(calls.at(f.servers)? * f.balancers),
+            mechanism::AGENTS,
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "calls, measured of all",
+            "a second",
+            answered.told(),
+            move |f| answered.at(f.balancers),
+            mechanism::AGENTS,
+        ),
+        Row::new(
+            "calls by the hold",
+            "a second",
+            format!("balancers / {} s (code)", number(inputs.assumptions.code.watch_hold_s.value)),
+            |f| Some(f.balancers / inputs.assumptions.code.watch_hold_s.value),
+            mechanism::AGENTS,
+        ),
+        Row::new(
+            "bytes while nothing changes",
+            "MB a second",
+            format!("balancers x {} bytes (*assumed*)", number(watch_bytes(inputs))),
+            |f| {
+                Some(
+                    f.balancers * watch_bytes(inputs)
+                        / inputs.assumptions.code.watch_hold_s.value
+                        / BYTES_PER_MB,
+                )
+            },
+            mechanism::AGENTS,
+        ),
+        Row::new(
+            "changes of the list",
+            "a day",
+            "failures and restarts of servers x changes each (*assumed*)",
+            |f| Some(list_changes_per_day(inputs, f)),
+            mechanism::AGENTS,
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "messages for changes",
+            "a day",
+            "changes x balancers",
+            |f| Some(list_changes_per_day(inputs, f) * f.balancers),
+            mechanism::AGENTS,
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "whole lists for all balancers",
+            "MB",
+            format!("{} x balancers", list_basis(inputs)),
+            |f| Some(whole_list_bytes(inputs, f.servers) * f.balancers / BYTES_PER_MB),
+            mechanism::WHOLE_LISTS_OF_ALL,
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "the same within the time to be told",
+            "MB a second",
+            format!("/ {} s", number(inputs.assumptions.letter.told_within_s.value)),
+            |f| {
+                let within = inputs.assumptions.letter.told_within_s.value;
+                Some(whole_list_bytes(inputs, f.servers) * f.balancers / within / BYTES_PER_MB)
+            },
+            mechanism::WHOLE_LISTS_OF_ALL,
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "state held",
+            "MB",
+            list_basis(inputs),
+            |f| Some(whole_list_bytes(inputs, f.servers) / BYTES_PER_MB),
+            mechanism::AGENTS,
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "processor",
+            "% of a core",
+            "*not measured*: the run's discovery is a stand-in",
+            |_| None,
+            mechanism::AGENTS,
+        ),
+    ]
+}
--- /dev/null
+++ b/crates/lab/src/capacity/roles/server.rs
@@ -0,0 +1,78 @@
+//! One server, as far as balancers load it.
+
+use crate::capacity::deployment::{Deployment, Unknown};
+use crate::capacity::markdown::number;
+use crate::capacity::mechanism::{self, Mechanism};
+use crate::capacity::needs::{MICROSECONDS_PER_SECOND, PERCENT, least_probes, probe_bytes};
+use crate::capacity::row::{Inputs, Row};
+use crate::capacity::stored_run::{Part, Varied};
+
+/// One server, as far as balancers load it.
+pub fn rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
+    let assumed = &inputs.assumptions.assumed;
+    let probes = inputs.slope(Part::Sockets, Varied::Servers, "probes_per_second");
+    let probes_here = move |f: &Deployment| Some(probes.at(f.servers)? * f.balancers / f.servers);
+    let least_here = |f: &Deployment| least_probes(inputs, f) * f.balancers / f.servers;
+    vec![
+        Row::new(
+            "connections held",
+            "",
+            "connections / servers",
+            |f| Some(f.server_connections()),
+            Mechanism::Present("no limit of ours but load; FULL in crates/policy/src/policy.rs"),
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "probes, measured",
+            "a second",
+            format!("{} x balancers / servers", probes.told()),
+            probes_here,
+            mechanism::FLEET_PROBE_BUDGET,
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "probes at the longest interval",
+            "a second",
+            "a balancer's x balancers / servers (code)",
+            move |f| Some(least_here(f)),
+            mechanism::FLEET_PROBE_BUDGET,
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "bytes of those probes",
+            "a second",
+            format!("probes x {} bytes (*assumed*)", number(probe_bytes(inputs))),
+            move |f| Some(least_here(f) * probe_bytes(inputs)),
+            mechanism::FLEET_PROBE_BUDGET,
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "processor for those probes",
+            "% of a core",
+            format!("probes x {} us (*assumed*)", number(assumed.server_probe_us.value)),
+            move |f| {
+                let each = inputs.assumptions.assumed.server_probe_us.value / MICROSECONDS_PER_SECOND;
+                Some(least_here(f) * each * PERCENT)
+            },
+            mechanism::FLEET_PROBE_BUDGET,
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "descriptors for probes, one a balancer",
+            "",
+            "balancers x servers held / servers",
+            |f| Some(f.balancers * f.servers_held() / f.servers),
+            mechanism::PROBE_CONNECTIONS,
+        )
+        .over(Unknown::Servers),
+        Row::new(
+            "new connections",
+            "a second",
+            "connections / life / servers (three lives)",
+            |f| Some(f.placements_per_second() / f.servers),
+            Mechanism::Present("weighted rotation, crates/policy/src/policy.rs"),
+        )
+        .over(Unknown::ConnectionLife)
+        .within(assumed.server_attempts_per_second.value),
+    ]
+}
--- /dev/null
+++ b/crates/lab/src/capacity/storms.rs
@@ -0,0 +1,334 @@
+//! The rates of failure, each as a storm: who goes, which clients come back, at what pace and until when.
+
+use super::deployment::{Deployment, Unknown};
+use super::markdown::{NOT_MEASURED, Table, figure, figures, number};
+use super::mechanism::{self, Mechanism};
+use super::needs::{BYTES_PER_MB, MICROSECONDS_PER_SECOND, entry_bytes};
+use super::row::Inputs;
+use super::stored_run::{Part, Varied};
+
+const DAYS_PER_YEAR: f64 = 365.0;
+const MS_PER_SECOND: f64 = 1e3;
+
+/// What fails.
+struct Storm {
+    name: &'static str,
+    per_year: fn(&Inputs, &Deployment) -> f64,
+    balancers_lost: fn(&Inputs, &Deployment) -> f64,
+    servers_lost: fn(&Inputs, &Deployment) -> f64,
+    clients: fn(&Inputs, &Deployment) -> f64,
+    /// Whether clients are told to go, and needn't notice a silence first.
+    told: bool,
+}
+
+fn none(_: &Inputs, _: &Deployment) -> f64 {
+    0.0
+}
+
+fn one(_: &Inputs, _: &Deployment) -> f64 {
+    1.0
+}
+
+fn rack(inputs: &Inputs, _: &Deployment) -> f64 {
+    inputs.assumptions.assumed.rack_machines.value
+}
+
+fn balancers_part(fleet: &Deployment) -> f64 {
+    fleet.balancers / fleet.machines()
+}
+
+fn servers_part(fleet: &Deployment) -> f64 {
+    fleet.servers / fleet.machines()
+}
+
+const STORMS: [Storm; 8] = [
+    Storm {
+        name: "a balancer fails",
+        per_year: |_, f| f.failures_per_day * DAYS_PER_YEAR * balancers_part(f),
+        balancers_lost: one,
+        servers_lost: none,
+        clients: |_, f| f.own_connections(),
+        told: false,
+    },
+    Storm {
+        name: "a server fails",
+        per_year: |_, f| f.failures_per_day * DAYS_PER_YEAR * servers_part(f),
+        balancers_lost: none,
+        servers_lost: one,
+        clients: |_, f| f.server_connections(),
+        told: false,
+    },
+    Storm {
+        name: "a balancer is restarted or replaced",
+        per_year: |_, f| f.restarts_per_day * DAYS_PER_YEAR * balancers_part(f),
+        balancers_lost: one,
+        servers_lost: none,
+        clients: |_, f| f.own_connections(),
+        told: true,
+    },
+    Storm {
+        name: "a server is restarted or replaced",
+        per_year: |_, f| f.restarts_per_day * DAYS_PER_YEAR * servers_part(f),
+        balancers_lost: none,
+        servers_lost: one,
+        clients: |_, f| f.server_connections(),
+        told: true,
+    },
+    Storm {
+        name: "a rack of balancers goes",
+        per_year: |i, _| i.assumptions.letter.racks_per_year.value,
+        balancers_lost: rack,
+        servers_lost: none,
+        clients: |i, f| rack(i, f) * f.own_connections(),
+        told: false,
+    },
+    Storm {
+        name: "a rack of servers goes",
+        per_year: |i, _| i.assumptions.letter.racks_per_year.value,
+        balancers_lost: none,
+        servers_lost: rack,
+        clients: |i, f| rack(i, f) * f.server_connections(),
+        told: false,
+    },
+    Storm {
+        name: "a zone goes",
+        per_year: |i, _| i.assumptions.letter.zones_per_year.value,
+        balancers_lost: |_, f| f.balancers / f.zones,
+        servers_lost: |_, f| f.servers / f.zones,
+        clients: |_, f| f.zone_clients,
+        told: false,
+    },
+    Storm {
+        name: "a region and the others lose each other",
+        per_year: |i, _| i.assumptions.letter.region_cuts_per_year.value,
+        balancers_lost: none,
+        servers_lost: none,
+        // Those that cross on the way in and those that cross on the way out.
+        clients: |i, f| 2.0 * i.assumptions.assumed.crossing_share.value * f.connections / f.regions,
+        told: false,
+    },
+];
+
+impl Storm {
+    fn balancers_left(&self, inputs: &Inputs, fleet: &Deployment) -> f64 {
+        fleet.balancers - (self.balancers_lost)(inputs, fleet)
+    }
+
+    fn servers_left(&self, inputs: &Inputs, fleet: &Deployment) -> f64 {
+        fleet.servers - (self.servers_lost)(inputs, fleet)
+    }
+
+    fn clients_at_a_balancer(&self, inputs: &Inputs, fleet: &Deployment) -> f64 {
+        (self.clients)(inputs, fleet) / self.balancers_left(inputs, fleet)
+    }
+
+    fn clients_at_a_server(&self, inputs: &Inputs, fleet: &Deployment) -> f64 {
+        (self.clients)(inputs, fleet) / self.servers_left(inputs, fleet)
+    }
+
+    /// Seconds in which a balancer's window lets them all out: it starts narrow and each that is established widens it by
+    /// one, so that it doubles with each round.
+    fn window_s(&self, inputs: &Inputs, fleet: &Deployment) -> f64 {
+        let code = &inputs.assumptions.code;
+        let most = code.attempts_in_flight_most.value;
+        let start = (code.attempts_in_flight_fleet.value / fleet.balancers).clamp(1.0, most);
+        let rounds = (self.clients_at_a_balancer(inputs, fleet) / start + 1.0).log2();
+        rounds * inputs.assumptions.assumed.attempt_ms.value / MS_PER_SECOND
+    }
+
+    /// The same once the window has been halved: it widens by one a round from then on.
+    fn narrowed_window_s(&self, inputs: &Inputs, fleet: &Deployment) -> f64 {
+        let rounds = (2.0 * self.clients_at_a_balancer(inputs, fleet)).sqrt();
+        rounds * inputs.assumptions.assumed.attempt_ms.value / MS_PER_SECOND
+    }
+
+    /// Seconds in which servers set them up.
+    fn set_up_s(&self, inputs: &Inputs, fleet: &Deployment) -> f64 {
+        self.clients_at_a_server(inputs, fleet) / inputs.assumptions.assumed.server_attempts_per_second.value
+    }
+
+    /// Seconds of a whole core for one look at each.
+    fn decide_s(&self, inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
+        let place = inputs.slope(Part::Module, Varied::Servers, "place_p50_us").at(fleet.servers)?;
+        Some(self.clients_at_a_balancer(inputs, fleet) * place / MICROSECONDS_PER_SECOND)
+    }
+
+    /// Seconds until all are placed again; at least, where the time to decide was not measured.
+    fn placed_s(&self, inputs: &Inputs, fleet: &Deployment, window_s: f64) -> f64 {
+        let notice = if self.told { 0.0 } else { inputs.assumptions.assumed.notice_s.value };
+        let decide = self.decide_s(inputs, fleet).unwrap_or(0.0);
+        let slowest = fleet.return_spread_s.max(window_s).max(self.set_up_s(inputs, fleet)).max(decide);
+        notice + slowest
+    }
+
+    fn list_entries(&self, inputs: &Inputs, fleet: &Deployment) -> f64 {
+        (self.servers_lost)(inputs, fleet)
+    }
+}
+
+/// The storms at one size.
+pub fn table(inputs: &Inputs, fleet: &Deployment) -> String {
+    let columns = [
+        "storm",
+        "a year",
+        "balancers lost",
+        "servers lost",
+        "clients that come back",
+        "for one surviving balancer",
+        "attempts a second there",
+        "attempts a second at a surviving server",
+        "a core's seconds to decide, one look each",
+        "s until placed again, window never halved",
+        "s until placed again, halved at the start",
+        "list bytes for one balancer",
+        "s of its control budget",
+        "list MB for all",
+    ];
+    let mut table = Table::new(&columns);
+    for storm in &STORMS {
+        table.row(cells(storm, inputs, fleet));
+    }
+    table.finish()
+}
+
+fn cells(storm: &Storm, inputs: &Inputs, fleet: &Deployment) -> Vec<String> {
+    let spreads = fleet.cases(inputs.assumptions, Unknown::ReturnSpread);
+    let over_spread = |value: &dyn Fn(&Deployment) -> f64| {
+        let values: Vec<Option<f64>> = spreads.iter().map(|case| Some(value(case))).collect();
+        figures(&values)
+    };
+    let entries = storm.list_entries(inputs, fleet);
+    let bytes = entries * entry_bytes(inputs);
+    let budget = inputs.assumptions.letter.control_bytes_per_second.value;
+    let least = if storm.decide_s(inputs, fleet).is_none() { "at least " } else { "" };
+    vec![
+        storm.name.to_string(),
+        number((storm.per_year)(inputs, fleet)),
+        number((storm.balancers_lost)(inputs, fleet)),
+        number((storm.servers_lost)(inputs, fleet)),
+        number((storm.clients)(inputs, fleet)),
+        number(storm.clients_at_a_balancer(inputs, fleet)),
+        over_spread(&|case| storm.clients_at_a_balancer(inputs, case) / case.return_spread_s),
+        over_spread(&|case| storm.clients_at_a_server(inputs, case) / case.return_spread_s),
+        figure(storm.decide_s(inputs, fleet)),
+        format!("{least}{}", over_spread(&|case| storm.placed_s(inputs, case, storm.window_s(inputs, case)))),
+        format!(
+            "{least}{}",
+            over_spread(&|case| storm.placed_s(inputs, case, storm.narrowed_window_s(inputs, case)))
+        ),
+        number(bytes),
+        number(bytes / budget),
+        number(bytes * storm.balancers_left(inputs, fleet) / BYTES_PER_MB),
+    ]
+}
+
+/// What a cold server may be sent, and how long it takes until it holds its part.
+struct ColdServer {
+    start_share: f64,
+    multiple: f64,
+    warm_up_s: f64,
+    fill_factor: f64,
+}
+
+impl ColdServer {
+    fn new(inputs: &Inputs) -> Self {
+        let assumed = &inputs.assumptions.assumed;
+        ColdServer {
+            start_share: assumed.cold_start_share.value,
+            multiple: assumed.cold_multiple.value,
+            warm_up_s: assumed.warm_up_s.value,
+            fill_factor: inputs.assumptions.code.cold_fill_factor.value,
+        }
+    }
+
+    /// Attempts a second that all balancers together may send it just after its start.
+    fn fleet_pace(&self, connections: f64) -> f64 {
+        self.multiple * self.start_share * self.fill_factor * connections / self.warm_up_s
+    }
+
+    /// Seconds until that pace, which rises with its warmth, has brought what a warm server holds.
+    fn refilled_s(&self) -> f64 {
+        // The solution of factor x (share t + (1 - share) t^2 / 2 W) / W = 1.
+        let factor = self.multiple * self.fill_factor;
+        let rise = (1.0 - self.start_share) / (2.0 * self.warm_up_s);
+        let wanted = self.warm_up_s / factor;
+        let root = (self.start_share * self.start_share + 4.0 * rise * wanted).sqrt();
+        (root - self.start_share) / (2.0 * rise)
+    }
+}
+
+/// One figure of cold servers.
+struct ColdRow<'a> {
+    quantity: &'static str,
+    unit: &'static str,
+    value: Box<dyn Fn(&Deployment) -> f64 + 'a>,
+    mechanism: Mechanism,
+}
+
+impl<'a> ColdRow<'a> {
+    fn new(
+        quantity: &'static str,
+        unit: &'static str,
+        value: impl Fn(&Deployment) -> f64 + 'a,
+        mechanism: Mechanism,
+    ) -> Self {
+        ColdRow { quantity, unit, value: Box::new(value), mechanism }
+    }
+
+    /// Over the three numbers of servers.
+    fn told(&self, inputs: &Inputs, fleet: &Deployment) -> String {
+        let cases = fleet.cases(inputs.assumptions, Unknown::Servers);
+        let values: Vec<Option<f64>> = cases.iter().map(|case| Some((self.value)(case))).collect();
+        figures(&values)
+    }
+}
+
+fn cold_rows(cold: &ColdServer) -> Vec<ColdRow<'_>> {
+    let fleet_pace = |fleet: &Deployment| cold.fleet_pace(fleet.server_connections());
+    let pace = mechanism::COLD_PACE;
+    vec![
+        ColdRow::new("attempts from all balancers at a new server's start", "a second", fleet_pace, pace),
+        ColdRow::new("the part of one balancer", "a second", move |f| fleet_pace(f) / f.balancers, pace),
+        ColdRow::new(
+            "put down to chance beyond a second's budget of N: 2 sqrt(N) + 2",
+            "",
+            move |f| 2.0 * fleet_pace(f).sqrt() + 2.0,
+            pace,
+        ),
+        ColdRow::new("until it holds what a warm one holds, at that pace", "s", |_| cold.refilled_s(), pace),
+        ColdRow::new(
+            "attempts to all of a zone's new servers at their start",
+            "a second",
+            move |f| fleet_pace(f) * f.servers / f.zones,
+            mechanism::COLD_SUM,
+        ),
+    ]
+}
+
+/// Cold servers: what the fleet may send one, and each balancer's part.
+pub fn cold_table(inputs: &Inputs, full: &Deployment, tenth: &Deployment) -> String {
+    let cold = ColdServer::new(inputs);
+    let mut table = Table::new(&["figure", "unit", "full size", "a tenth", "mechanism"]);
+    for row in cold_rows(&cold) {
+        let names = [row.quantity, row.unit].map(String::from);
+        let sizes = [row.told(inputs, full), row.told(inputs, tenth)];
+        table.row(names.into_iter().chain(sizes).chain([row.mechanism.told()]));
+    }
+    table.finish()
+}
+
+/// The storms that the stored run has played, as it stored them.
+pub fn measured_table(inputs: &Inputs) -> String {
+    let points: Vec<_> = inputs.run.into_iter().flat_map(|run| run.points(Part::Storm)).collect();
+    if points.is_empty() {
+        return format!("No storm in the stored run: {NOT_MEASURED}.\n");
+    }
+    let mut table = Table::new(&["varied", "size", "figure", "value"]);
+    for point in points {
+        for (name, value) in &point.figures {
+            let size = number(point.size);
+            table.row([point.varied.name().to_string(), size, name.clone(), figure(value.as_f64())]);
+        }
+    }
+    table.finish()
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! (`nettlemux-world`) and the flows in hand (`nettlemux-hand`). Nothing here may know how the decision module decides.
 
 pub mod brains;
+pub mod capacity;
 pub mod check;
 pub mod experiment;
 pub mod figures;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,7 @@
 //! `nettlemux-lab`: the command line of the laboratory. It owns arguments, what is printed and the exit code, and nothing else.
 
+mod capacity_command;
+
 use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -127,6 +129,9 @@
         #[bpaf(external)]
         program: PathBuf,
     },
+    /// Checks the generated blocks of docs/CAPACITY.md against the stored run; exit code 1 if they differ
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity_command::arguments))] capacity_command::Arguments),
     /// A small balancer on sockets that is sound or breaks one rule
     #[bpaf(command("faulty-balancer"), hide)]
     FaultyBalancer {
@@ -319,6 +324,7 @@
             }
             Ok((text, good))
         }
+        Command::Capacity(arguments) => capacity_command::run(&arguments),
         Command::FaultyBalancer { name } => {
             let mischief = Mischief::ALL.into_iter().find(|mischief| mischief.name() == name);
             if mischief.is_none() && name != "sound" {
--- /dev/null
+++ b/crates/lab/tests/capacity.rs
@@ -0,0 +1,361 @@
+//! The capacity page: that the committed one is what the stored run and the assumptions give, that a change of any of the
+//! three is noticed, what is said of bad input, and the arithmetic against figures worked out by hand. The run in
+//! `capacity/synthetic-run.jsonl` is made up, never measured.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use nettlemux_lab::capacity::assumptions::Assumptions;
+use nettlemux_lab::capacity::markdown::{NOT_MEASURED, number};
+use nettlemux_lab::capacity::stored_run::{Part, StoredRun, Varied};
+use nettlemux_lab::capacity::{self, Files};
+
+fn repository() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn committed() -> Files {
+    let docs = repository().join("docs");
+    Files {
+        run: docs.join("scale/run.jsonl"),
+        assumptions: docs.join("scale/assumptions.toml"),
+        page: docs.join("CAPACITY.md"),
+    }
+}
+
+fn synthetic_run() -> String {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/capacity/synthetic-run.jsonl");
+    std::fs::read_to_string(file).unwrap()
+}
+
+/// A folder of its own with the committed page and assumptions and the synthetic run; removed when dropped.
+struct Scratch {
+    folder: PathBuf,
+    files: Files,
+}
+
+impl Scratch {
+    fn new(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("nettlemux-capacity-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let files = Files {
+            run: folder.join("run.jsonl"),
+            assumptions: folder.join("assumptions.toml"),
+            page: folder.join("CAPACITY.md"),
+        };
+        let from = committed();
+        std::fs::copy(&from.assumptions, &files.assumptions).unwrap();
+        std::fs::copy(&from.page, &files.page).unwrap();
+        std::fs::write(&files.run, synthetic_run()).unwrap();
+        Scratch { folder, files }
+    }
+
+    fn page(&self) -> String {
+        std::fs::read_to_string(&self.files.page).unwrap()
+    }
+
+    /// The row of a table that begins with this figure.
+    fn row(&self, quantity: &str) -> String {
+        let begin = format!("| {quantity} |");
+        let page = self.page();
+        let rows: Vec<&str> = page.lines().filter(|line| line.starts_with(&begin)).collect();
+        assert!(!rows.is_empty(), "no row '{quantity}'");
+        rows[0].to_string()
+    }
+
+    fn command(&self, more: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux-lab"));
+        command.arg("capacity").arg("--run").arg(&self.files.run);
+        command.arg("--assumptions").arg(&self.files.assumptions).args(more).arg(&self.files.page);
+        command.output().unwrap()
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn told(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
+}
+
+#[test]
+fn the_committed_page_is_what_the_stored_run_and_the_assumptions_give() {
+    let stale = capacity::check(&committed()).unwrap();
+    assert!(stale.is_empty(), "stale: {stale:?}; `nettlemux-lab capacity --write` writes them anew");
+}
+
+/// Guards against figures in the text that stay as they were when the run changes.
+#[test]
+fn text_by_hand_quotes_no_figures() {
+    let prose = capacity::prose(&committed()).unwrap();
+    let quoting: Vec<&str> =
+        prose.lines().filter(|line| line.contains(|c: char| c.is_ascii_digit())).collect();
+    assert!(quoting.is_empty(), "{quoting:#?}");
+}
+
+#[test]
+fn a_figure_that_is_edited_by_hand_is_noticed_and_written_anew() {
+    let scratch = Scratch::new("edited");
+    assert!(scratch.command(&["--write"]).status.success());
+    let sound = scratch.page();
+    let row = scratch.row("one placement");
+    let edited = row.replacen("752", "75", 1);
+    assert_ne!(row, edited, "the figure stands in the row");
+    std::fs::write(&scratch.files.page, sound.replacen(&row, &edited, 1)).unwrap();
+    let output = scratch.command(&[]);
+    assert_eq!(output.status.code(), Some(1), "{}", told(&output));
+    assert!(told(&output).contains("not as run and assumptions give: balancer\n"), "{}", told(&output));
+    assert!(scratch.command(&["--write"]).status.success());
+    assert_eq!(scratch.page(), sound);
+    assert!(scratch.command(&[]).status.success());
+}
+
+#[test]
+fn a_run_that_changes_makes_the_page_stale() {
+    let scratch = Scratch::new("run-changes");
+    capacity::write(&scratch.files).unwrap();
+    assert!(capacity::check(&scratch.files).unwrap().is_empty());
+    let slope = r#""fit":"place_p50_us","varied":"servers","intercept":2,"slope":0.125"#;
+    let changed = synthetic_run().replacen(slope, &slope.replace("0.125", "0.126"), 1);
+    assert_ne!(changed, synthetic_run(), "the fixture has that slope");
+    std::fs::write(&scratch.files.run, changed).unwrap();
+    let stale = capacity::check(&scratch.files).unwrap();
+    assert!(stale.contains(&"balancer") && stale.contains(&"slopes"), "{stale:?}");
+    std::fs::remove_file(&scratch.files.run).unwrap();
+    assert!(capacity::check(&scratch.files).unwrap().contains(&"run"), "the run is gone");
+}
+
+#[test]
+fn an_assumption_that_changes_makes_the_page_stale() {
+    let scratch = Scratch::new("assumption-changes");
+    capacity::write(&scratch.files).unwrap();
+    let text = std::fs::read_to_string(&scratch.files.assumptions).unwrap();
+    let changed = text.replacen("rack_machines = { value = 40", "rack_machines = { value = 41", 1);
+    assert_ne!(changed, text);
+    std::fs::write(&scratch.files.assumptions, changed).unwrap();
+    let stale = capacity::check(&scratch.files).unwrap();
+    assert_eq!(stale, ["storms at full size", "storms at a tenth", "assumptions"]);
+}
+
+#[test]
+fn without_a_run_no_measured_figure_is_made_up() {
+    let scratch = Scratch::new("no-run");
+    std::fs::remove_file(&scratch.files.run).unwrap();
+    capacity::write(&scratch.files).unwrap();
+    assert!(scratch.page().contains("No run is stored yet"));
+    let measured = ["one placement", "probes, measured", "processor, with the run's few flows"];
+    for quantity in measured {
+        let row = scratch.row(quantity);
+        let full_size = row.split(" | ").nth(3).unwrap();
+        assert_eq!(full_size, NOT_MEASURED, "{row}");
+    }
+}
+
+/// Worked out by hand from the synthetic slopes at 6,000 servers, 1,400 balancers and an hour's life.
+#[test]
+fn figures_are_slope_times_count() {
+    let scratch = Scratch::new("arithmetic");
+    capacity::write(&scratch.files).unwrap();
+    let cases = [
+        // 2 + 0.125 x 3,000, 6,000 and 12,000.
+        ("one placement", "377 / 752 / 1,502"),
+        // 10 + 0.25 x the same.
+        ("probes, measured", "760 / 1,510 / 3,010"),
+        // 300 + 20 x 6,000 + 52 x 3 x (1,510 + 1), and so at the others.
+        ("control bytes, measured, with packet headers", "179,016 / 356,016 / 710,016"),
+        // 12 + 0.002 x servers.
+        ("memory of the process, with the run's few flows", "18 / 24 / 36"),
+        // (800 x servers + 565 x 44,286) / 1e6.
+        ("state of servers and own connections in the module", "27.4 / 29.8 / 34.6"),
+        // 62e6 / 1,400 / 600, 3,600 and 28,800 s.
+        ("new connections", "73.8 / 12.3 / 1.54"),
+        // 752 us x 12.30 a second, in percent of a core.
+        ("placing, over the lives", "5.55 / 0.925 / 0.116"),
+        // 100 + 200 x servers.
+        ("a whole list", "600,100 / 1,200,100 / 2,400,100"),
+        // 62e6 / 1,400.
+        ("own connections", "44,286"),
+        // (20,000 + 200) / 4 in the middle.
+        ("a change of the configuration within its time", "300 / 5,050 / 50,050"),
+    ];
+    for (quantity, expected) in cases {
+        let row = scratch.row(quantity);
+        assert!(row.contains(&format!("| {expected} |")), "{quantity}: {expected} is not in {row}");
+    }
+    // 2 million clients over 1,400 x 30 / 31 balancers; 752 us each.
+    let zone = scratch.row("a zone goes");
+    assert!(zone.contains("| 2,000,000 | 1,476 |") && zone.contains("| 1.11 |"), "{zone}");
+    // 356,016 of 2,000.
+    let first = "Missing first: **bounded candidates and a control budget** (control bytes a second, measured \
+        with few flows: 178 times its budget).";
+    assert!(scratch.page().contains(first));
+    assert!(
+        scratch.page().contains("| balancers | 100 | list_calls | 1,234 |"),
+        "the played storm is listed"
+    );
+}
+
+#[test]
+fn a_stored_run_that_is_faulty_is_named_by_line_and_key() {
+    let head = r#"{"run":"a","machine":{},"text":"0"}"#;
+    let fit =
+        r#"{"run":"a","part":"module","fit":"x","varied":"servers","intercept":1,"slope":2,"residual":0}"#;
+    let point = r#"{"run":"a","part":"module","varied":"servers","size":60,"fixed":{},"figures":{"x":1}}"#;
+    let cases: [(String, &str); 14] = [
+        (String::new(), "run.jsonl: is empty"),
+        (format!("{}\n", &head[..9]), "line 1: no JSON object"),
+        ("[]\n".into(), "line 1: no JSON object"),
+        (head.replace("text", "txt"), "line 1: missing field `text`"),
+        (format!("{head}\n{}", &fit[..40]), "line 2: no JSON object"),
+        (format!("{head}\n{point}\n\n"), "line 3: no JSON object"),
+        (
+            format!("{head}\n{}", fit.replace("\"a\"", "\"b\"")),
+            "line 2: `run` is 'b', the first line's is 'a'",
+        ),
+        (format!("{head}\n{}", fit.replace("slope", "slop")), "line 2: missing field `slope`"),
+        (format!("{head}\n{}", fit.replace(":2", ":\"2\"")), "line 2: `slope` is no number"),
+        (format!("{head}\n{}", fit.replace("module", "modul")), "line 2: unknown variant `modul`"),
+        (format!("{head}\n{fit}\n{fit}"), "line 3: `fit` x over servers in module: stands there already"),
+        (format!("{head}\n{}", point.replace("60", "0")), "line 2: `size` is not over 0"),
+        (format!("{head}\n{}", point.replace(":1}", ":[]}")), "line 2: `figures.x` is no number"),
+        (format!("{head}\n{head}"), "line 2: neither `figures` nor `fit`"),
+    ];
+    for (text, expected) in cases {
+        let fault = StoredRun::parse(Path::new("run.jsonl"), &text).expect_err(expected).to_string();
+        assert!(fault.contains("run.jsonl: ") && fault.contains(expected), "'{fault}' is not '{expected}'");
+    }
+    let run = StoredRun::parse(Path::new("run.jsonl"), &format!("{head}\n{point}\n{fit}\n")).unwrap();
+    assert_eq!(run.fit(Part::Module, Varied::Servers, "x").unwrap().at(10.0), 21.0);
+    assert_eq!(run.range(Part::Module, Varied::Servers), Some((60.0, 60.0)));
+}
+
+#[test]
+fn assumptions_that_are_faulty_are_named_by_line_and_key() {
+    let sound = std::fs::read_to_string(committed().assumptions).unwrap();
+    let line_of = |key: &str| sound.lines().position(|line| line.starts_with(key)).unwrap() + 1;
+    let change = |from: &str, to: &str| {
+        assert!(sound.contains(from), "{from}");
+        sound.replacen(from, to, 1)
+    };
+    let zones = format!("line {}: `zones`: ", line_of("zones ="));
+    let servers = format!("line {}: `servers`: ", line_of("servers ="));
+    let cases = [
+        (change("zones = { value = 31", "zones = { value = 0"), zones.clone() + "`value`: 0 is not over 0"),
+        (
+            change("zones = { value = 31", "zones = { value = inf"),
+            zones.clone() + "`value`: inf is not over 0",
+        ),
+        (change("zones = { value = 31", "zones = { value = \"31\""), zones.clone() + "invalid type: string"),
+        (change("zones = { value = 31", "zones = { vale = 31"), zones.clone() + "unknown field `vale`"),
+        (change("zones = {", "zone = {"), "unknown field `zone`".into()),
+        (change("zones = {", "# zones = {"), "missing field `zones`".into()),
+        (change("\"99 in 100 deliveries\"", "\" \""), "`delivery_limit_ms`: `why` is empty".into()),
+        (change("[3000, 6000, 12000]", "[3000, 6000]"), servers.clone() + "`values` are 2, not 3"),
+        (change("[3000, 6000, 12000]", "[6000, 3000, 12000]"), servers + "`values` don't rise"),
+        (change("[letter]", "[later]"), "unknown field `later`".into()),
+        (change("[letter]", "[letter"), "line ".into()),
+    ];
+    for (text, expected) in cases {
+        let fault =
+            Assumptions::parse(Path::new("assumptions.toml"), &text).expect_err(&expected).to_string();
+        assert!(fault.starts_with("assumptions.toml: "), "{fault}");
+        assert!(fault.contains(&expected), "'{fault}' is not '{expected}'");
+    }
+}
+
+#[test]
+fn a_page_with_a_marker_missing_is_named_and_left_as_it_is() {
+    let marker = "<!-- generated: server -->";
+    let page = std::fs::read_to_string(committed().page).unwrap();
+    let cases = [
+        (page.replace(marker, ""), "the marker '<!-- generated: server -->' is missing"),
+        (
+            page.replace(marker, &marker.repeat(2)),
+            "the marker '<!-- generated: server -->' stands there 2 times",
+        ),
+    ];
+    for (text, expected) in cases {
+        let scratch = Scratch::new("marker");
+        std::fs::write(&scratch.files.page, &text).unwrap();
+        let output = scratch.command(&["--write"]);
+        assert_eq!(output.status.code(), Some(2));
+        assert!(told(&output).contains(&format!("CAPACITY.md: {expected}")), "{}", told(&output));
+        assert_eq!(scratch.page(), text, "nothing was written");
+    }
+}
+
+#[test]
+fn a_faulty_run_ends_the_command_and_leaves_the_page() {
+    let scratch = Scratch::new("cut-off");
+    let before = scratch.page();
+    let run = synthetic_run();
+    std::fs::write(&scratch.files.run, &run[..run.len() - 20]).unwrap();
+    let output = scratch.command(&["--write"]);
+    assert_eq!(output.status.code(), Some(2));
+    let line = format!("run.jsonl: line {}: no JSON object", run.lines().count());
+    assert!(told(&output).contains(&line), "{}", told(&output));
+    assert_eq!(scratch.page(), before);
+}
+
+/// Guards against constants of the program that change while the page goes on with the old ones.
+#[test]
+fn constants_of_the_program_are_as_the_assumptions_repeat_them() {
+    let assumptions = Assumptions::load(&committed().assumptions).unwrap();
+    let code = &assumptions.code;
+    let cases = [
+        (code.probe_interval_longest_s.value, 10.0, "const PROBE_BOUND: Time = 10 * SEC;"),
+        (code.watch_hold_s.value, 1.0, "const HOLD: Time = SEC;"),
+        (code.answer_limit_bytes.value, 4_194_304.0, "const MOST: usize = 4 << 20;"),
+        (code.flow_memory_kb.value, 48.0, "const FLOW: usize = 48 << 10;"),
+        (code.descriptors_standing.value, 16.0, "const STANDING: usize = 16;"),
+        (code.peer_messages_heard_per_second.value, 30.0, "const WORDS: f64 = 30.0;"),
+        (code.peer_message_repeat_s.value, 20.0, "const RETELL: Time = 20 * SEC;"),
+        (code.attempts_in_flight_fleet.value, 600.0, "const CALM_ALL: f64 = 600.0;"),
+        (code.attempts_in_flight_most.value, 8.0, "const CALM: f64 = 8.0;"),
+        (code.cold_fill_factor.value, 4.0, "const FILLS: f64 = 4.0;"),
+        (code.idle_client_s.value, 30.0, "const VANISHED: Time = 30 * SEC;"),
+        (code.silent_server_s.value, 5.0, "const SILENCE: Time = 5 * SEC;"),
+    ];
+    let mut sources = String::new();
+    for package in ["policy", "core"] {
+        read_sources(&repository().join("crates").join(package).join("src"), &mut sources);
+    }
+    for (repeated, value, constant) in cases {
+        assert_eq!(repeated, value, "{constant}");
+        assert!(sources.contains(constant), "'{constant}' has changed: docs/scale/assumptions.toml, [code]");
+    }
+}
+
+fn read_sources(folder: &Path, into: &mut String) {
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        match path.is_dir() {
+            true => read_sources(&path, into),
+            false => *into += &std::fs::read_to_string(path).unwrap(),
+        }
+    }
+}
+
+#[test]
+fn numbers_have_three_digits_and_commas() {
+    let cases = [
+        (0.0, "0"),
+        (1.0, "1"),
+        (0.000_591, "0.000591"),
+        (1.539, "1.54"),
+        (12.0, "12"),
+        (73.81, "73.8"),
+        (99.99, "100"),
+        (999.6, "1,000"),
+        (44_285.7, "44,286"),
+        (13e6, "13,000,000"),
+        (-1_234.0, "-1,234"),
+        (-0.25, "-0.25"),
+    ];
+    for (value, expected) in cases {
+        assert_eq!(number(value), expected, "{value}");
+    }
+}
