--- a/crates/lab/src/file.rs
+++ b/crates/lab/src/file.rs
@@ -11,6 +11,9 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
+/// The key that is named where none is known.
+pub(crate) const WHOLE_FILE: &str = "(whole file)";
+
 /// What is wrong with a scenario, and where.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Faulty {
@@ -31,9 +34,8 @@
 /// Names the file and the key at fault; an unknown key with the nearest known one.
 pub fn load(file: &Path) -> Result<(Scenario, toml::Table), Faulty> {
     let faulty = |key: &str, why: String| Faulty { file: file.into(), key: key.into(), why };
-    let text = std::fs::read_to_string(file).map_err(|e| faulty("(whole file)", e.to_string()))?;
-    let table: toml::Table =
-        text.parse().map_err(|e: toml::de::Error| faulty("(whole file)", e.to_string()))?;
+    let text = std::fs::read_to_string(file).map_err(|e| faulty(WHOLE_FILE, e.to_string()))?;
+    let table: toml::Table = text.parse().map_err(|e: toml::de::Error| faulty(WHOLE_FILE, e.to_string()))?;
     Ok((read(&table, file)?, table))
 }
 
@@ -59,7 +61,7 @@
 }
 
 /// A key and a reason out of what the reader says: it sets names in backticks.
-fn complaint(message: &str) -> (String, String) {
+pub(crate) fn complaint(message: &str) -> (String, String) {
     let mut names = message.split('`').skip(1).step_by(2);
     match (message.starts_with("unknown field"), names.next()) {
         (true, Some(name)) => {
@@ -69,7 +71,7 @@
             (name.to_string(), format!("unknown; {near}"))
         }
         (false, Some(name)) if message.starts_with("missing field") => (name.to_string(), "missing".into()),
-        _ => ("(whole file)".into(), message.trim().to_string()),
+        _ => (WHOLE_FILE.into(), message.trim().to_string()),
     }
 }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,6 +12,11 @@
 use nettlemux_lab::mischief::Mischief;
 use nettlemux_lab::record::{self, Writer};
 use nettlemux_lab::rules::{Rules, Verdict};
+use nettlemux_lab::scale::allocation::CountingAllocator;
+use nettlemux_lab::scale::limits::Limits;
+use nettlemux_lab::scale::measurement::LineWriter;
+use nettlemux_lab::scale::scenario::ScaleScenario;
+use nettlemux_lab::scale::{self, plot, table};
 use nettlemux_lab::simulate::{Who, simulate};
 use nettlemux_lab::sockets::Program;
 use nettlemux_lab::{check, file, sockets};
@@ -19,6 +24,10 @@
 use nettlemux_world::scenario::Scenario;
 use serde_json::json;
 
+/// Counts what the decision module keeps, for scale runs.
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 /// The laboratory of nettlemux: scenarios, experiments, and the judge of the rules
@@ -119,6 +128,20 @@
         #[bpaf(positional("SCENARIO"))]
         scenario: PathBuf,
     },
+    /// Grows one count at a time and measures what a balancer takes and sends at each size
+    #[bpaf(command)]
+    Scale {
+        #[bpaf(external)]
+        program: PathBuf,
+        /// Writes the lines there, the table and the plot beside them
+        #[bpaf(argument("FILE"), fallback(PathBuf::from("scale.jsonl")))]
+        out: PathBuf,
+        /// Names the text that is measured, for the first line
+        #[bpaf(argument("NAME"), fallback(env!("CARGO_PKG_VERSION").to_string()))]
+        text: String,
+        #[bpaf(positional("SCENARIO"))]
+        scenario: PathBuf,
+    },
     /// Runs balancers that break one rule each and fails unless each is caught and a sound one passes
     #[bpaf(command("self-check"))]
     SelfCheck {
@@ -310,6 +333,7 @@
             }
             Ok((died.clone() + &text, good && died.is_empty()))
         }
+        Command::Scale { program, out, text, scenario } => scaled(&scenario, &program, &out, &text),
         Command::SelfCheck { sockets, program } => {
             let (mut text, mut good) = check::self_check()?;
             if sockets {
@@ -329,6 +353,23 @@
     }
 }
 
+/// A scale run. The table and the plot are written also where it ends before its end, from what was measured.
+fn scaled(file: &Path, program: &Path, out: &Path, text: &str) -> Result<(String, bool), String> {
+    let scenario = ScaleScenario::load(file).map_err(|e| e.to_string())?;
+    let at = |path: &Path, e: std::io::Error| format!("{}: {e}", path.display());
+    let mut lines = LineWriter::create(out).map_err(|e| at(out, e))?;
+    let limits = Limits::of(&scenario.limits);
+    let mut run = scale::Run { scenario: &scenario, program: program.into(), limits, out: &mut lines };
+    let ended = run.all(text);
+    let (table_file, plot_file) = scale::beside(out);
+    let told = table::markdown(&lines.lines);
+    std::fs::write(&table_file, &told).map_err(|e| at(&table_file, e))?;
+    let drawn = plot::svg(&lines.lines)?;
+    std::fs::write(&plot_file, drawn).map_err(|e| at(&plot_file, e))?;
+    ended.map_err(|failure| failure.to_string())?;
+    Ok((told, true))
+}
+
 /// One run, to be told.
 struct Told<'a> {
     seed: u64,
--- /dev/null
+++ b/crates/lab/src/scale/decisions.rs
@@ -0,0 +1,285 @@
+//! The decision module and the flow table alone: they are asked in virtual time, by a driver that answers their probes,
+//! makes their connects and asks again when the module wants it. Times are of the real processor, all else is virtual. It
+//! owns the driver and must know of the module only what any caller does.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use nettlemux_hand::{Act, Brain, Hand, Who};
+use nettlemux_policy::{
+    Flow, FlowId, Holds, Listed, MS, Outcome, Place, Policy, Report, Rs, SEC, State, Time, Todo,
+};
+use nettlemux_settings::Settings;
+use nettlemux_world::dice::Dice;
+
+use super::allocation::held_bytes;
+use super::measurement::Figures;
+use super::scenario::{Counts, ModulePart};
+use super::settings::{DEADLINE_MS, SettingsOf, settings};
+
+/// How long before its deadline a flow is answered.
+const MARGIN: Time = 15 * MS;
+/// From a probe to its answer, and from a connect to its connection.
+const PROBE_ROUND_TRIP: Time = MS;
+const CONNECT_TIME: Time = 5 * MS;
+/// Before flows come: the longest probe interval, so that each server has been asked.
+const WARM_UP: Time = 10 * SEC;
+/// After the last flow has come all are answered by then.
+const AFTER: Time = 3 * SEC;
+/// Utilization that servers report lies between these, below all limits of the module.
+const LEAST_LOAD: f64 = 0.25;
+const MOST_LOAD: f64 = 0.45;
+/// The longest call of `place` that is told apart, in nanoseconds.
+const LONGEST_CALL: u64 = 60 * SEC;
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// Measures the module at these counts.
+///
+/// # Errors
+/// The settings can't be used.
+pub fn measure(counts: &Counts, part: &ModulePart, seed: u64) -> Result<Figures, String> {
+    let mut driver = Driver::new(counts, part, seed)?;
+    let server_bytes = driver.list(counts.servers);
+    let (module_bytes, table_bytes) = driver.inherit(counts);
+    driver.run_until(WARM_UP);
+    driver.begin_measuring();
+    driver.arrivals(part);
+    driver.run_until(driver.last_arrival);
+    let measured = (driver.last_arrival - WARM_UP) as f64 / SEC as f64;
+    let probes = driver.probes;
+    driver.run_until(driver.last_arrival + AFTER);
+
+    let calls = driver.calls.borrow();
+    let (placed, asked) = (driver.placed as f64, part.placements as f64);
+    let microseconds = |quantile: f64| calls.times.value_at_quantile(quantile) as f64 / 1e3;
+    Ok(Figures {
+        place_p50_us: Some(microseconds(0.5)),
+        place_p99_us: Some(microseconds(0.99)),
+        place_calls_per_placement: Some(calls.times.len() as f64 / placed.max(1.0)),
+        servers_per_placement: Some(driver.servers_looked_at()),
+        placed_share: Some(placed / asked),
+        probes_per_second: Some(probes as f64 / measured),
+        bytes_per_server: Some(server_bytes / counts.servers as f64),
+        bytes_per_connection: Some(module_bytes / counts.connections as f64),
+        flow_table_bytes_per_connection: Some(table_bytes / counts.connections as f64),
+        ..Figures::default()
+    })
+}
+
+/// What the calls of the module took.
+struct Calls {
+    /// Nanoseconds of each call of `place`.
+    times: Histogram<u64>,
+    /// Bytes that the module took for connections that it inherited.
+    inherited_bytes: i64,
+}
+
+/// The module, with its calls measured.
+struct MeasuredPolicy {
+    policy: Policy,
+    calls: Rc<RefCell<Calls>>,
+}
+
+impl Brain for MeasuredPolicy {
+    fn place(&mut self, now: Time, flow: &Flow) -> Place {
+        let began = Instant::now();
+        let place = self.policy.place(now, flow);
+        let took = began.elapsed().as_nanos() as u64;
+        self.calls.borrow_mut().times.saturating_record(took);
+        place
+    }
+    fn after(&mut self, now: Time, outcome: Outcome) -> Todo {
+        self.policy.after(now, outcome)
+    }
+    fn wait(&self, now: Time) -> Option<Time> {
+        self.policy.wait(now)
+    }
+    fn list(&mut self, now: Time, entries: &[Listed], whole: bool) {
+        self.policy.list(now, entries, whole);
+    }
+    fn list_failed(&mut self, now: Time) {
+        self.policy.list_failed(now);
+    }
+    fn inherit(&mut self, flow: &Flow, rs: Rs) {
+        let before = held_bytes();
+        self.policy.inherit(flow, rs);
+        self.calls.borrow_mut().inherited_bytes += held_bytes() - before;
+    }
+    fn told_load(&mut self, flow: FlowId, load: f64) {
+        self.policy.told_load(flow, load);
+    }
+    fn heard(&mut self, now: Time, word: Holds) {
+        self.policy.heard(now, word);
+    }
+}
+
+/// What comes to pass at a virtual time.
+enum Event {
+    Arrival,
+    ProbeAnswered(Rs),
+    Connected(FlowId),
+}
+
+struct Driver {
+    flow_table: Hand<MeasuredPolicy>,
+    calls: Rc<RefCell<Calls>>,
+    rng: Dice,
+    now: Time,
+    /// When the module wants to be asked again.
+    due: Option<Time>,
+    /// In order of time, and of their making where that is the same.
+    events: BTreeMap<(Time, u64), Event>,
+    next_event: u64,
+    next_flow: FlowId,
+    groups: u64,
+    servers: u64,
+    last_arrival: Time,
+    probes: u64,
+    placed: u64,
+}
+
+impl Driver {
+    fn new(counts: &Counts, part: &ModulePart, seed: u64) -> Result<Self, String> {
+        let of = SettingsOf {
+            balancers: counts.balancers,
+            probe_price: part.probe_price,
+            may_tell: part.may_tell,
+        };
+        let settings = Settings::within(&settings(of)).map_err(|e| e.to_string())?;
+        let policy = settings.policy(seed, MARGIN, true).map_err(|e| e.to_string())?;
+        let calls = Rc::new(RefCell::new(Calls { times: new_histogram(), inherited_bytes: 0 }));
+        Ok(Driver {
+            flow_table: Hand::new(MeasuredPolicy { policy, calls: calls.clone() }),
+            calls,
+            rng: Dice::new(seed, 0),
+            now: 0,
+            due: None,
+            events: BTreeMap::new(),
+            next_event: 0,
+            next_flow: 1,
+            groups: counts.groups,
+            servers: counts.servers,
+            last_arrival: 0,
+            probes: 0,
+            placed: 0,
+        })
+    }
+
+    /// The whole list; returns the bytes that are kept of it.
+    fn list(&mut self, servers: u64) -> f64 {
+        let listed = |rs| Listed { rs, state: State::Ready, weight: 1.0, ..Listed::default() };
+        let entries: Vec<Listed> = (0..servers).map(listed).collect();
+        let before = held_bytes();
+        self.flow_table.list(self.now, &entries, true);
+        (held_bytes() - before) as f64
+    }
+
+    /// Own connections from before; returns the bytes that the module and the flow table keep of them.
+    fn inherit(&mut self, counts: &Counts) -> (f64, f64) {
+        let before = held_bytes();
+        for _ in 0..counts.connections {
+            let flow = self.new_flow(0);
+            let rs = self.rng.below(counts.servers as usize) as Rs;
+            self.flow_table.inherit(flow, rs);
+        }
+        let all = (held_bytes() - before) as f64;
+        let module = self.calls.borrow().inherited_bytes as f64;
+        (module, all - module)
+    }
+
+    fn new_flow(&mut self, taken: Time) -> Flow {
+        let id = self.next_flow;
+        self.next_flow += 1;
+        let group = Some(format!("g{}", self.rng.below(self.groups as usize)));
+        Flow { id, group, taken, give_up: taken + DEADLINE_MS * MS, ..Flow::default() }
+    }
+
+    fn begin_measuring(&mut self) {
+        self.calls.borrow_mut().times.reset();
+        (self.probes, self.placed) = (0, 0);
+    }
+
+    fn arrivals(&mut self, part: &ModulePart) {
+        let apart = (SEC as f64 / part.placements_per_second) as Time;
+        for number in 1..=part.placements {
+            self.last_arrival = self.now + number * apart;
+            self.plan(self.last_arrival, Event::Arrival);
+        }
+    }
+
+    fn plan(&mut self, at: Time, event: Event) {
+        self.events.insert((at, self.next_event), event);
+        self.next_event += 1;
+    }
+
+    fn run_until(&mut self, end: Time) {
+        loop {
+            if let Some(wait) = self.flow_table.wait(self.now) {
+                // As the balancer does: never at once again.
+                let at = self.now + wait.max(MS);
+                self.due = Some(self.due.map_or(at, |due| due.min(at)));
+            }
+            let event_at = self.events.first_key_value().map(|((at, _), _)| *at);
+            let next = [event_at, self.due].into_iter().flatten().min();
+            let Some(next) = next.filter(|next| *next <= end) else { break };
+            self.now = self.now.max(next);
+            if event_at == Some(next) {
+                let (_, event) = self.events.pop_first().expect("it was looked at");
+                self.handle(event);
+            }
+            if self.due.is_some_and(|due| due <= self.now) {
+                self.due = None;
+                let mut acts = Vec::new();
+                self.flow_table.elapsed(self.now, &mut acts);
+                self.carry_out(acts);
+            }
+        }
+        self.now = self.now.max(end);
+    }
+
+    fn handle(&mut self, event: Event) {
+        let (now, mut acts) = (self.now, Vec::new());
+        match event {
+            Event::Arrival => {
+                let flow = self.new_flow(now);
+                self.flow_table.take(now, flow, Who::default(), &mut acts);
+            }
+            Event::ProbeAnswered(rs) => {
+                let load = self.rng.between(LEAST_LOAD, MOST_LOAD);
+                let report = Report { beta: Some(load), connections: None };
+                self.flow_table.probed(now, rs, true, report, &mut acts);
+            }
+            Event::Connected(id) => self.flow_table.established(now, id, CONNECT_TIME, &mut acts),
+        }
+        self.carry_out(acts);
+    }
+
+    fn carry_out(&mut self, acts: Vec<Act>) {
+        for act in acts {
+            match act {
+                Act::Connect { flow, .. } => {
+                    self.placed += 1;
+                    self.plan(self.now + CONNECT_TIME, Event::Connected(flow));
+                }
+                Act::Probe { rs } => {
+                    self.probes += 1;
+                    self.plan(self.now + PROBE_ROUND_TRIP, Event::ProbeAnswered(rs));
+                }
+                Act::Reject { .. } | Act::Abort { .. } | Act::Move { .. } => {}
+                Act::CallOff { .. } | Act::AskList | Act::Tell(_) => {}
+            }
+        }
+    }
+
+    /// The module has no count of the servers that it looks at today: it walks its whole list.
+    fn servers_looked_at(&self) -> f64 {
+        self.servers as f64
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_max(LONGEST_CALL, SIGNIFICANT_DIGITS).expect("bounds that hold")
+}
--- /dev/null
+++ b/crates/lab/src/scale/measurement.rs
@@ -0,0 +1,292 @@
+//! What a scale run writes: one JSON object a line, each whole and flushed before the next size begins, so that a run that
+//! is cut off leaves whole lines only. It owns the form, which docs/operators/scale.md describes.
+
+use std::fs::File;
+use std::io::{self, Write};
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+
+use super::scenario::Counts;
+
+/// The part of a run that a measurement is from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Part {
+    Module,
+    Sockets,
+    Storm,
+}
+
+impl Part {
+    pub fn name(self) -> &'static str {
+        match self {
+            Part::Module => "module",
+            Part::Sockets => "sockets",
+            Part::Storm => "storm",
+        }
+    }
+}
+
+/// The count that grows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Varied {
+    Servers,
+    Balancers,
+    Connections,
+    Groups,
+    ChangesPerSecond,
+}
+
+impl Varied {
+    pub fn name(self) -> &'static str {
+        match self {
+            Varied::Servers => "servers",
+            Varied::Balancers => "balancers",
+            Varied::Connections => "connections",
+            Varied::Groups => "groups",
+            Varied::ChangesPerSecond => "changes_per_second",
+        }
+    }
+}
+
+/// The figures of one measurement; those that weren't measured are left out. Figures a second and of a balancer are the
+/// mean of the real balancers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Figures {
+    /// Time of one call of `place`, median and 99th percentile.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub place_p50_us: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub place_p99_us: Option<f64>,
+    /// Calls of `place` for each flow that was placed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub place_calls_per_placement: Option<f64>,
+    /// Servers that one call of `place` can look at: the length of the list.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub servers_per_placement: Option<f64>,
+    /// Part of the flows that were given a server.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub placed_share: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub probes_per_second: Option<f64>,
+    /// Bytes that the module keeps of each listed server, of each own connection, and the flow table of each flow.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub bytes_per_server: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub bytes_per_connection: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub flow_table_bytes_per_connection: Option<f64>,
+    /// Payload of probes and of the list, both ways.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub control_bytes_per_second: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub probe_bytes_per_second: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub list_bytes_per_second: Option<f64>,
+    /// Of the whole list, or in a storm of all calls by all balancers.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub list_bytes: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub list_calls_per_second: Option<f64>,
+    /// Calls that discovery answers a second, of all balancers.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub discovery_calls_per_second: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cpu_percent_of_core: Option<f64>,
+    /// Resident at the end, and at most.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub memory_mb: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub memory_peak_mb: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub descriptors: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub connects_per_second: Option<f64>,
+    /// Clients' connections that were up when the measurement began.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub connections_up: Option<f64>,
+    /// From a change at discovery until the new server gets its first probe or connect.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub change_seen_ms_p50: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub change_seen_ms_p99: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub changes_seen: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub changes_unseen: Option<f64>,
+    /// In a storm, summed over the fleet.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub list_calls: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub connections_lost: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub connects_first: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub connects_returning: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub connects_retried: Option<f64>,
+    /// Connections at each listed server before the storm and after it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub server_connections_mean: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub server_connections_max_before: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub server_connections_max: Option<f64>,
+    /// The most connects that any server was sent within a second, and any server that was new.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub server_connects_in_a_second_max: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub new_server_connects_in_a_second_max: Option<f64>,
+    /// From the loss of a connection until its client holds another.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub placed_again_ms_p50: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub placed_again_ms_p99: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub placed_again_share: Option<f64>,
+}
+
+impl Figures {
+    /// Names and values of those that were measured.
+    pub fn measured(&self) -> Vec<(String, f64)> {
+        let value = serde_json::to_value(self).unwrap_or_default();
+        let pairs = value.as_object().into_iter().flatten();
+        pairs.filter_map(|(name, value)| Some((name.clone(), value.as_f64()?))).collect()
+    }
+}
+
+/// The machine that a run was made on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Machine {
+    pub cores: u64,
+    pub memory_mb: u64,
+    pub descriptors: u64,
+}
+
+/// One line of a run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Line {
+    /// The first one.
+    Start {
+        run: String,
+        machine: Machine,
+        text: String,
+    },
+    Measurement {
+        run: String,
+        part: Part,
+        varied: Varied,
+        size: f64,
+        fixed: Fixed,
+        figures: Figures,
+    },
+    /// A straight line through the sizes of one count; `residual` is the root mean square of what it misses by.
+    Fit {
+        run: String,
+        part: Part,
+        fit: String,
+        varied: Varied,
+        intercept: f64,
+        slope: f64,
+        residual: f64,
+    },
+}
+
+/// The counts of a measurement, and what else was set.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Fixed {
+    #[serde(flatten)]
+    pub counts: Counted,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub real_balancers: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub hollow_balancers: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub probe_price: Option<f64>,
+    /// In a storm: balancers that were killed, or servers that were replaced.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub killed: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub replaced: Option<u64>,
+}
+
+impl Fixed {
+    pub fn new(counts: Counts) -> Self {
+        let counts = Counted::from(counts);
+        Fixed {
+            counts,
+            real_balancers: None,
+            hollow_balancers: None,
+            probe_price: None,
+            killed: None,
+            replaced: None,
+        }
+    }
+}
+
+/// [`Counts`] as they are written inside of other keys.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Counted {
+    pub servers: u64,
+    pub balancers: u64,
+    pub connections: u64,
+    pub groups: u64,
+    pub changes_per_second: f64,
+}
+
+impl From<Counts> for Counted {
+    fn from(counts: Counts) -> Self {
+        let Counts { servers, balancers, connections, groups, changes_per_second } = counts;
+        Counted { servers, balancers, connections, groups, changes_per_second }
+    }
+}
+
+/// Writes lines, each with one call and flushed.
+pub struct LineWriter<W: Write> {
+    out: W,
+    /// What was written, for the table and the plot.
+    pub lines: Vec<Line>,
+}
+
+impl LineWriter<File> {
+    /// Writes to a new file.
+    ///
+    /// # Errors
+    /// It can't be made.
+    pub fn create(path: &Path) -> io::Result<Self> {
+        Ok(LineWriter::new(File::create(path)?))
+    }
+}
+
+impl<W: Write> LineWriter<W> {
+    pub fn new(out: W) -> Self {
+        LineWriter { out, lines: Vec::new() }
+    }
+
+    /// Writes one line.
+    ///
+    /// # Errors
+    /// As writing has them.
+    pub fn write(&mut self, line: Line) -> io::Result<()> {
+        let mut text = serde_json::to_string(&line)?;
+        text.push('\n');
+        // Whole in one call: guards against a half line where the run is ended between two.
+        self.out.write_all(text.as_bytes())?;
+        self.out.flush()?;
+        self.lines.push(line);
+        Ok(())
+    }
+}
+
+/// Reads the lines of a run.
+///
+/// # Errors
+/// Names the line that is none.
+pub fn read(text: &str) -> Result<Vec<Line>, String> {
+    let lines = text.lines().enumerate();
+    lines.map(|(at, line)| serde_json::from_str(line).map_err(|e| format!("line {}: {e}", at + 1))).collect()
+}
--- /dev/null
+++ b/crates/lab/src/scale/plot.rs
@@ -0,0 +1,87 @@
+//! The plot of a run: for each part and count that grew, the figures that a budget stands against, over the sizes, both axes
+//! logarithmic. It is made from the run's lines alone.
+
+use plotters::coord::Shift;
+use plotters::prelude::*;
+
+use super::measurement::{Line, Part, Varied};
+use super::table::{kinds, points};
+
+/// What is drawn of each part.
+const MODULE_FIGURES: [&str; 4] = ["place_p50_us", "place_p99_us", "probes_per_second", "bytes_per_server"];
+const SOCKET_FIGURES: [&str; 5] = [
+    "control_bytes_per_second",
+    "probes_per_second",
+    "cpu_percent_of_core",
+    "memory_mb",
+    "change_seen_ms_p99",
+];
+const COLORS: [RGBColor; 5] = [BLUE, RED, GREEN, MAGENTA, BLACK];
+const PANEL_WIDTH: u32 = 520;
+const PANEL_HEIGHT: u32 = 320;
+const COLUMNS: usize = 2;
+/// The least value that is drawn where an axis is logarithmic.
+const LEAST: f64 = 0.01;
+
+/// Draws a run as SVG.
+///
+/// # Errors
+/// As drawing has them.
+pub fn svg(lines: &[Line]) -> Result<String, String> {
+    let kinds: Vec<(Part, Varied)> =
+        kinds(lines).into_iter().filter(|(part, _)| *part != Part::Storm).collect();
+    let rows = kinds.len().div_ceil(COLUMNS).max(1);
+    let size = (PANEL_WIDTH * COLUMNS as u32, PANEL_HEIGHT * rows as u32);
+    let mut text = String::new();
+    {
+        let root = SVGBackend::with_string(&mut text, size).into_drawing_area();
+        root.fill(&WHITE).map_err(|e| e.to_string())?;
+        let panels = root.split_evenly((rows, COLUMNS));
+        for (kind, panel) in kinds.iter().zip(&panels) {
+            draw(panel, lines, *kind).map_err(|e| format!("{} by {}: {e}", kind.0.name(), kind.1.name()))?;
+        }
+        root.present().map_err(|e| e.to_string())?;
+    }
+    Ok(text)
+}
+
+type Panel<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+
+fn draw(panel: &Panel, lines: &[Line], kind: (Part, Varied)) -> Result<(), Box<dyn std::error::Error>> {
+    let series = series(lines, kind);
+    let values = || series.iter().flat_map(|(_, points)| points);
+    let bounds = |of: fn(&(f64, f64)) -> f64| {
+        let least = values().map(of).fold(f64::INFINITY, f64::min).max(LEAST);
+        let most = values().map(of).fold(LEAST, f64::max);
+        least / 1.5..most.max(least) * 1.5
+    };
+    let mut chart = ChartBuilder::on(panel)
+        .caption(format!("{}, by {}", kind.0.name(), kind.1.name()), ("sans-serif", 16))
+        .margin(10)
+        .x_label_area_size(28)
+        .y_label_area_size(64)
+        .build_cartesian_2d(bounds(|point| point.0).log_scale(), bounds(|point| point.1).log_scale())?;
+    chart.configure_mesh().x_desc(kind.1.name()).light_line_style(TRANSPARENT).draw()?;
+    for ((name, points), color) in series.iter().zip(COLORS) {
+        let line = chart.draw_series(LineSeries::new(points.iter().copied(), color).point_size(3))?;
+        line.label(name.as_str()).legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK.mix(0.3)).draw()?;
+    Ok(())
+}
+
+/// A figure with its points.
+type Series = (String, Vec<(f64, f64)>);
+
+fn series(lines: &[Line], kind: (Part, Varied)) -> Vec<Series> {
+    let names: &[&str] = if kind.0 == Part::Module { &MODULE_FIGURES } else { &SOCKET_FIGURES };
+    let points = points(lines, kind);
+    let of = |name: &&str| {
+        let value = |(size, figures): &(f64, Vec<(String, f64)>)| {
+            let value = figures.iter().find(|(figure, _)| figure == name)?.1;
+            Some((*size, value.max(LEAST)))
+        };
+        (name.to_string(), points.iter().filter_map(value).collect::<Vec<_>>())
+    };
+    names.iter().map(of).filter(|(_, points)| !points.is_empty()).collect()
+}
--- /dev/null
+++ b/crates/lab/src/scale/processes.rs
@@ -0,0 +1,231 @@
+//! Real balancers: each a process with its configuration and log in the run's folder, and what the system says of it. It
+//! ends only what it has started, and gives its files back.
+
+use std::fs::{self, File};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering::Relaxed};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// A balancer must be ready by then.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+const READY_INTERVAL: Duration = Duration::from_millis(20);
+const PING_TIMEOUT: Duration = Duration::from_millis(500);
+/// What a balancer is told that it may use: more than it needs, so that memory is measured and not bounded.
+const MEMORY_MB: u64 = 1024;
+/// Lines of a dead balancer's log that are told.
+const LOG_LINES: usize = 20;
+/// Balancers listen from this port on, each size at the next one: guards against connections that linger from the last.
+const FIRST_PORT: u16 = 7000;
+static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+
+/// A folder of the run's own, removed with all in it at the end.
+pub struct RunFolder {
+    path: PathBuf,
+}
+
+impl RunFolder {
+    /// Makes it.
+    ///
+    /// # Errors
+    /// Names the folder that can't be made.
+    pub fn new() -> Result<Self, String> {
+        static MADE: AtomicU16 = AtomicU16::new(0);
+        let number = MADE.fetch_add(1, Relaxed);
+        let path = std::env::temp_dir().join(format!("nettlemux-scale-{}-{number}", std::process::id()));
+        fs::create_dir_all(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Ok(RunFolder { path })
+    }
+}
+
+impl Drop for RunFolder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.path);
+    }
+}
+
+/// How all real balancers of one size are started.
+pub struct Launch {
+    pub program: PathBuf,
+    pub discovery: SocketAddr,
+    pub descriptors: u64,
+    pub settings: Value,
+    pub seed: u64,
+    port: u16,
+}
+
+impl Launch {
+    pub fn new(program: &Path, discovery: SocketAddr, descriptors: u64, settings: Value, seed: u64) -> Self {
+        let port = NEXT_PORT.fetch_add(1, Relaxed);
+        Launch { program: program.into(), discovery, descriptors, settings, seed, port }
+    }
+}
+
+/// What the system says of a balancer's process.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    pub cpu_seconds: f64,
+    pub memory_mb: f64,
+    pub memory_peak_mb: f64,
+    pub descriptors: f64,
+}
+
+/// One real balancer.
+pub struct RealBalancer {
+    pub address: SocketAddr,
+    number: usize,
+    config: PathBuf,
+    log: PathBuf,
+    program: PathBuf,
+    child: Mutex<Option<Child>>,
+    ready: AtomicBool,
+}
+
+impl RealBalancer {
+    /// Starts the one with that number; it isn't ready yet.
+    ///
+    /// # Errors
+    /// Names the program or the file at fault.
+    pub fn start(number: usize, launch: &Launch, folder: &RunFolder) -> Result<Self, String> {
+        let process = std::process::id();
+        let [second, third] = [96 + process % 32, 1 + process / 32 % 250].map(|byte| byte as u8);
+        let address = SocketAddr::from((Ipv4Addr::new(127, second, third, 1 + number as u8), launch.port));
+        let seed = (number as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ launch.seed;
+        let config = json!({
+            "name": format!("b{number}"),
+            "listen": address.to_string(),
+            "discovery": launch.discovery.to_string(),
+            "seed": format!("{seed:016x}"),
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": launch.descriptors},
+            "settings": launch.settings,
+        });
+        let path = folder.path.join(format!("b{number}.json"));
+        fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
+        let balancer = RealBalancer {
+            address,
+            number,
+            config: path,
+            log: folder.path.join(format!("b{number}.log")),
+            program: launch.program.clone(),
+            child: Mutex::new(None),
+            ready: AtomicBool::new(false),
+        };
+        balancer.spawn()?;
+        Ok(balancer)
+    }
+
+    /// Starts its process, at first or after [`RealBalancer::kill`].
+    ///
+    /// # Errors
+    /// Names the program or the file at fault.
+    pub fn spawn(&self) -> Result<(), String> {
+        let log = File::options().create(true).append(true).open(&self.log);
+        let log = log.map_err(|e| format!("{}: {e}", self.log.display()))?;
+        let copy = log.try_clone().map_err(|e| format!("{}: {e}", self.log.display()))?;
+        let mut command = Command::new(&self.program);
+        command.args(["serve", "--log", "warn", "--config"]).arg(&self.config);
+        command.stdin(Stdio::null()).stdout(copy).stderr(log);
+        let child = command.spawn().map_err(|e| format!("{}: {e}", self.program.display()))?;
+        *self.child() = Some(child);
+        Ok(())
+    }
+
+    /// Waits until it answers.
+    ///
+    /// # Errors
+    /// It doesn't in time; with the end of its log.
+    pub async fn wait_until_ready(&self) -> Result<(), String> {
+        let ready = async {
+            while !answers_ping(self.address).await {
+                tokio::time::sleep(READY_INTERVAL).await;
+            }
+        };
+        let in_time = tokio::time::timeout(READY_TIMEOUT, ready).await.is_ok();
+        self.ready.store(in_time, Relaxed);
+        if in_time {
+            Ok(())
+        } else {
+            Err(format!("balancer {} isn't ready:\n{}", self.number, self.log_end()))
+        }
+    }
+
+    /// Whether clients may be sent to it.
+    pub fn ready(&self) -> bool {
+        self.ready.load(Relaxed)
+    }
+
+    /// Ends it at once.
+    pub fn kill(&self) {
+        self.ready.store(false, Relaxed);
+        if let Some(mut child) = self.child().take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// That it has ended by itself, with the end of its log.
+    pub fn died(&self) -> Option<String> {
+        let ended = self.child().as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))));
+        ended.then(|| format!("balancer {} died:\n{}", self.number, self.log_end()))
+    }
+
+    /// What it uses; nothing where it doesn't run.
+    pub fn usage(&self) -> Usage {
+        let Some(id) = self.child().as_ref().map(Child::id) else { return Usage::default() };
+        let read = |name: &str| fs::read_to_string(format!("/proc/{id}/{name}")).unwrap_or_default();
+        let status = read("status");
+        let megabytes = |name: &str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(name));
+            let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+            kilobytes.unwrap_or(0.0) / 1024.0
+        };
+        Usage {
+            cpu_seconds: cpu_seconds(&read("stat")),
+            memory_mb: megabytes("VmRSS:"),
+            memory_peak_mb: megabytes("VmHWM:"),
+            descriptors: fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count) as f64,
+        }
+    }
+
+    fn child(&self) -> std::sync::MutexGuard<'_, Option<Child>> {
+        self.child.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn log_end(&self) -> String {
+        let text = fs::read(&self.log).unwrap_or_default();
+        let text = String::from_utf8_lossy(&text);
+        let lines: Vec<&str> = text.lines().collect();
+        lines[lines.len().saturating_sub(LOG_LINES)..].join("\n")
+    }
+}
+
+impl Drop for RealBalancer {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// User and system time in `/proc/PID/stat`: the 12th and 13th word after the program's name in brackets.
+fn cpu_seconds(stat: &str) -> f64 {
+    let words: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let ticks = |at: usize| words.get(at).and_then(|word| word.parse::<f64>().ok()).unwrap_or(0.0);
+    (ticks(11) + ticks(12)) / rustix::param::clock_ticks_per_second() as f64
+}
+
+async fn answers_ping(address: SocketAddr) -> bool {
+    let ask = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        stream.write_all(b"PING\r\n").await.ok()?;
+        let mut answer = [0; 6];
+        stream.read_exact(&mut answer).await.ok()?;
+        (&answer == b"PONG\r\n").then_some(())
+    };
+    matches!(tokio::time::timeout(PING_TIMEOUT, ask).await, Ok(Some(())))
+}
--- /dev/null
+++ b/crates/lab/src/scale/scenario.rs
@@ -0,0 +1,258 @@
+//! Scale scenarios: which counts are fixed, which grow and to what. It owns the names of their keys and the errors that
+//! name file, key and reason. It must never run anything.
+
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+
+use super::measurement::Varied;
+use crate::file::{self, Faulty};
+
+/// A scenario as its file has it. A part that is left out isn't run.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ScaleScenario {
+    /// The name of the run in all its lines.
+    pub name: String,
+    #[serde(default)]
+    pub seed: u64,
+    #[serde(default)]
+    pub limits: LimitKeys,
+    pub module: Option<ModulePart>,
+    pub sockets: Option<SocketPart>,
+    pub storm: Option<StormPart>,
+}
+
+/// What the laboratory and its processes may take, beside what the system allows.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitKeys {
+    pub memory_mb: u64,
+    pub processes: u64,
+    /// Of each process; the system's limit where this is larger or left out.
+    pub descriptors: Option<u64>,
+}
+
+impl Default for LimitKeys {
+    fn default() -> Self {
+        LimitKeys { memory_mb: 12 * 1024, processes: 200, descriptors: None }
+    }
+}
+
+/// The counts that a run is made at.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Counts {
+    pub servers: u64,
+    /// All balancers that share the servers, real and hollow.
+    pub balancers: u64,
+    /// Own connections of each real balancer.
+    pub connections: u64,
+    pub groups: u64,
+    #[serde(default)]
+    pub changes_per_second: f64,
+}
+
+impl Counts {
+    /// The same with one of them at this size.
+    pub fn with(mut self, varied: Varied, size: f64) -> Self {
+        match varied {
+            Varied::Servers => self.servers = size as u64,
+            Varied::Balancers => self.balancers = size as u64,
+            Varied::Connections => self.connections = size as u64,
+            Varied::Groups => self.groups = size as u64,
+            Varied::ChangesPerSecond => self.changes_per_second = size,
+        }
+        self
+    }
+}
+
+/// The sizes of each count that grows, one count at a time.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Sizes {
+    pub servers: Vec<f64>,
+    pub balancers: Vec<f64>,
+    pub connections: Vec<f64>,
+    pub groups: Vec<f64>,
+    pub changes_per_second: Vec<f64>,
+}
+
+impl Sizes {
+    /// Each count with its sizes, in the order in which they are run.
+    pub fn all(&self) -> [(Varied, &[f64]); 5] {
+        [
+            (Varied::Servers, &self.servers),
+            (Varied::Balancers, &self.balancers),
+            (Varied::Connections, &self.connections),
+            (Varied::Groups, &self.groups),
+            (Varied::ChangesPerSecond, &self.changes_per_second),
+        ]
+    }
+}
+
+/// The decision module and the flow table alone.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModulePart {
+    pub fixed: Counts,
+    #[serde(default)]
+    pub sizes: Sizes,
+    /// Flows that are placed at each size.
+    pub placements: u64,
+    /// New flows a second of virtual time.
+    pub placements_per_second: f64,
+    /// What a probe costs, in flows.
+    #[serde(default)]
+    pub probe_price: f64,
+    /// Whether balancers tell one another what is held where.
+    #[serde(default)]
+    pub may_tell: bool,
+}
+
+/// Real balancers beside hollow ones, on sockets.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SocketPart {
+    pub fixed: Counts,
+    #[serde(default)]
+    pub sizes: Sizes,
+    pub real_balancers: u64,
+    /// Hollow balancers are no more than this, also where more are told to share the servers.
+    pub hollow_limit: u64,
+    pub hollow_connections: u64,
+    /// Probes a second of each hollow balancer.
+    pub hollow_probes_per_second: f64,
+    #[serde(default)]
+    pub probe_price: f64,
+    /// Mean life of a client's connection.
+    pub connection_seconds: f64,
+    pub settle_seconds: f64,
+    pub measure_seconds: f64,
+}
+
+/// Many balancers killed at once, and many servers replaced at once.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StormPart {
+    pub fixed: Counts,
+    pub real_balancers: u64,
+    pub hollow_connections: u64,
+    pub hollow_probes_per_second: f64,
+    /// Balancers that are killed in the first storm.
+    pub killed: u64,
+    /// Servers that are replaced in the second.
+    pub replaced: u64,
+    pub settle_seconds: f64,
+    pub measure_seconds: f64,
+}
+
+impl ScaleScenario {
+    /// Reads a scenario's file.
+    ///
+    /// # Errors
+    /// Names the file and the key at fault; an unknown key with the nearest known one.
+    pub fn load(file: &Path) -> Result<Self, Faulty> {
+        let whole = |why: String| Faulty { file: file.into(), key: file::WHOLE_FILE.into(), why };
+        let text = std::fs::read_to_string(file).map_err(|e| whole(e.to_string()))?;
+        Self::parse(&text, file)
+    }
+
+    /// Reads a scenario's text; `file` is named in errors.
+    ///
+    /// # Errors
+    /// As [`ScaleScenario::load`].
+    pub fn parse(text: &str, file: &Path) -> Result<Self, Faulty> {
+        let faulty = |key: String, why: String| Faulty { file: file.into(), key, why };
+        let scenario: Self = toml::from_str(text).map_err(|error| {
+            let (key, why) = file::complaint(error.message());
+            // A value of the wrong kind is told by its place alone: the line names its key.
+            let line_key = error.span().and_then(|span| key_at(text, span.start));
+            match line_key {
+                Some(line_key) if key == file::WHOLE_FILE => faulty(line_key, why),
+                _ => faulty(key, why),
+            }
+        })?;
+        scenario.check().map_err(|(key, why)| faulty(key, why))?;
+        Ok(scenario)
+    }
+
+    fn check(&self) -> Result<(), (String, String)> {
+        if let Some(module) = &self.module {
+            check_counts("module", &module.fixed, &module.sizes)?;
+            positive("module.placements", module.placements as f64)?;
+            positive("module.placements_per_second", module.placements_per_second)?;
+        }
+        if let Some(sockets) = &self.sockets {
+            check_counts("sockets", &sockets.fixed, &sockets.sizes)?;
+            positive("sockets.real_balancers", sockets.real_balancers as f64)?;
+            positive("sockets.connection_seconds", sockets.connection_seconds)?;
+            seconds("sockets.settle_seconds", sockets.settle_seconds)?;
+            seconds("sockets.measure_seconds", sockets.measure_seconds)?;
+        }
+        if let Some(storm) = &self.storm {
+            check_counts("storm", &storm.fixed, &Sizes::default())?;
+            at_most(
+                "storm.real_balancers",
+                storm.real_balancers,
+                "storm.fixed.balancers",
+                storm.fixed.balancers,
+            )?;
+            at_most("storm.killed", storm.killed, "storm.fixed.balancers", storm.fixed.balancers - 1)?;
+            at_most("storm.replaced", storm.replaced, "storm.fixed.servers", storm.fixed.servers - 1)?;
+            seconds("storm.settle_seconds", storm.settle_seconds)?;
+            seconds("storm.measure_seconds", storm.measure_seconds)?;
+        }
+        Ok(())
+    }
+}
+
+/// A single phase takes no longer than this: a run is bounded in time.
+const SECONDS_LIMIT: f64 = 60.0;
+/// Sizes beyond this are a slip of the pen.
+const SIZE_LIMIT: f64 = 1e8;
+
+type Complaint = (String, String);
+
+fn positive(key: &str, value: f64) -> Result<(), Complaint> {
+    let good = value.is_finite() && value > 0.0 && value <= SIZE_LIMIT;
+    if good { Ok(()) } else { Err((key.into(), format!("{value} isn't between 0 and {SIZE_LIMIT}"))) }
+}
+
+fn seconds(key: &str, value: f64) -> Result<(), Complaint> {
+    let good = value.is_finite() && value > 0.0 && value <= SECONDS_LIMIT;
+    if good {
+        Ok(())
+    } else {
+        Err((key.into(), format!("{value} isn't between 0 and {SECONDS_LIMIT} seconds")))
+    }
+}
+
+fn at_most(key: &str, value: u64, other: &str, limit: u64) -> Result<(), Complaint> {
+    if value <= limit {
+        Ok(())
+    } else {
+        Err((key.into(), format!("{value} is too many for {other}: {limit} at most")))
+    }
+}
+
+fn check_counts(part: &str, fixed: &Counts, sizes: &Sizes) -> Result<(), Complaint> {
+    positive(&format!("{part}.fixed.servers"), fixed.servers as f64)?;
+    positive(&format!("{part}.fixed.balancers"), fixed.balancers as f64)?;
+    positive(&format!("{part}.fixed.connections"), fixed.connections as f64)?;
+    positive(&format!("{part}.fixed.groups"), fixed.groups as f64)?;
+    for (varied, sizes) in sizes.all() {
+        for size in sizes {
+            positive(&format!("{part}.sizes.{}", varied.name()), *size)?;
+        }
+    }
+    Ok(())
+}
+
+/// The key of the line that this byte of the text is in.
+fn key_at(text: &str, at: usize) -> Option<String> {
+    let line_start = text[..at].rfind('\n').map_or(0, |newline| newline + 1);
+    let line = text[line_start..].lines().next()?;
+    let (key, _) = line.split_once('=')?;
+    Some(key.trim().to_string())
+}
