--- a/crates/lab/src/capacity/gaps.rs
+++ b/crates/lab/src/capacity/gaps.rs
@@ -5,11 +5,10 @@
 use super::markdown::{Table, figure, number};
 use super::mechanism::{self, Mechanism};
 use super::needs::{
-    change_bytes_per_second, entry_bytes, least_probes, least_probes_percent, measured_control_bytes,
-    placement_percent, probe_bytes, whole_list_bytes,
+    change_bytes_per_second, control_memory_mb, entry_bytes, least_probes, module_probes, placement_percent,
+    probe_bytes, probes_percent, whole_list_bytes,
 };
 use super::row::Inputs;
-use super::stored_run::{Part, Varied};
 
 /// How often a need arises.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -93,18 +92,27 @@
 fn constant_gaps(inputs: &Inputs, fleet: &Deployment) -> Vec<Gap> {
     let letter = &inputs.assumptions.letter;
     let (bytes, percent) = (letter.control_bytes_per_second.value, letter.control_percent_of_core.value);
-    let processor = inputs.slope(Part::Sockets, Varied::Servers, "cpu_percent_of_core").at(fleet.servers);
-    let probes = least_probes(inputs, fleet) * probe_bytes(inputs);
+    let of_module = module_probes(inputs, fleet);
+    let least = least_probes(inputs, fleet);
     let gap = |need_name, need, budget| {
         let (remedy, when) = (Remedy::CandidatesAndBudget, When::Always);
         Gap { remedy, need_name, when, need, budget }
     };
     vec![
-        gap("control bytes a second, measured with few flows", measured_control_bytes(inputs, fleet), bytes),
-        gap("bytes a second of probes at the longest interval", Some(probes), bytes),
-        gap("% of a core of a balancer, measured with few flows", processor, percent),
-        gap("% of a core for probes at the longest interval", least_probes_percent(inputs, fleet), percent),
+        gap(
+            "bytes a second of the module's probes, measured with the operators' own connections",
+            of_module.map(|probes| probes * probe_bytes(inputs)),
+            bytes,
+        ),
+        gap("bytes a second of probes at the longest interval", Some(least * probe_bytes(inputs)), bytes),
+        gap(
+            "% of a core for the module's probes",
+            of_module.and_then(|probes| probes_percent(inputs, probes)),
+            percent,
+        ),
+        gap("% of a core for probes at the longest interval", probes_percent(inputs, least), percent),
         gap("% of a core for placing", placement_percent(inputs, fleet), percent),
+        gap("MB for control", control_memory_mb(inputs, fleet), letter.control_memory_mb.value),
     ]
 }
 
--- a/crates/lab/src/capacity/mechanism.rs
+++ b/crates/lab/src/capacity/mechanism.rs
@@ -38,6 +38,10 @@
 /// Bounds how many balancers keep a connection for probes to one server.
 pub const PROBE_CONNECTIONS: Mechanism =
     Mechanism::Missing("fewer balancers that keep a connection to each server, crates/core/src/probe.rs");
+/// Bounds memory for probes.
+pub const STACK_PER_PROBE: Mechanism = Mechanism::Missing(
+    "fewer servers that are probed; each open probe has a stack, crates/core/src/probe.rs",
+);
 /// Brings a whole list within the budget.
 pub const WHOLE_LIST: Mechanism = Mechanism::Missing(
     "a whole list in parts, or from a neighbour; crates/core/src/discovery.rs reads it in one answer",
--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -109,15 +109,27 @@
 
 fn slopes_text(run: Option<&StoredRun>) -> String {
     let Some(run) = run else { return format!("{NOT_MEASURED}\n") };
-    let mut table =
-        Table::new(&["run", "part", "figure", "varied", "sizes", "intercept", "slope", "residual"]);
+    let mut table = Table::new(&["run", "part", "figure", "varied", "intercept", "slope", "residual"]);
     for fit in run.fits() {
-        let range = run.range(fit.part, fit.varied);
-        let range =
-            range.map_or(String::new(), |(least, most)| format!("{} to {}", number(least), number(most)));
         let names = [run.name.as_str(), fit.part.name(), fit.figure.as_str(), fit.varied.name()];
         let fitted = [fit.intercept, fit.slope, fit.residual].map(number);
-        table.row(names.map(String::from).into_iter().chain([range]).chain(fitted));
+        table.row(names.map(String::from).into_iter().chain(fitted));
+    }
+    format!("{}\n{}", sizes_text(run), table.finish())
+}
+
+/// What was varied, and what was fixed meanwhile.
+fn sizes_text(run: &StoredRun) -> String {
+    let mut table = Table::new(&["part", "varied", "from", "to", "fixed at the first size"]);
+    for ((part, varied), (least, most)) in run.ranges() {
+        let first = run.points(part).find(|point| point.varied == varied);
+        let fixed = first.into_iter().flat_map(|point| &point.fixed);
+        let fixed: Vec<String> = fixed
+            .filter(|(key, _)| key.as_str() != varied.name())
+            .map(|(key, value)| format!("{key} {value}"))
+            .collect();
+        let names = [part.name(), varied.name()].map(String::from);
+        table.row(names.into_iter().chain([number(least), number(most), fixed.join(", ")]));
     }
     table.finish()
 }
--- a/crates/lab/src/capacity/needs.rs
+++ b/crates/lab/src/capacity/needs.rs
@@ -11,10 +11,49 @@
 pub const BYTES_PER_KB: f64 = 1e3;
 pub const PERCENT: f64 = 100.0;
 
-/// Bytes of a probe with its packet headers.
+/// Bytes of a probe with its packet headers: the payload as measured, else as assumed.
 pub fn probe_bytes(inputs: &Inputs) -> f64 {
     let assumed = &inputs.assumptions.assumed;
-    assumed.probe_payload_bytes.value + assumed.probe_packets.value * assumed.packet_header_bytes.value
+    let payload = probe_payload(inputs).unwrap_or(assumed.probe_payload_bytes.value);
+    payload + assumed.probe_packets.value * assumed.packet_header_bytes.value
+}
+
+/// Payload of a probe more, as the run has it.
+fn probe_payload(inputs: &Inputs) -> Option<f64> {
+    per_probe(inputs, "probe_bytes_per_second")
+}
+
+/// What a probe more a second adds to a figure: the ratio of both slopes over servers.
+fn per_probe(inputs: &Inputs, figure: &'static str) -> Option<f64> {
+    let slope = |figure| inputs.slope(Part::Sockets, Varied::Servers, figure).per_unit();
+    ratio(slope(figure)?, slope("probes_per_second")?)
+}
+
+/// Processor time of setting a connection up, in percent of a core for each a second: the ratio of both slopes over
+/// connections.
+pub fn percent_per_set_up(inputs: &Inputs) -> Option<f64> {
+    let slope = |figure| inputs.slope(Part::Sockets, Varied::Connections, figure).per_unit();
+    ratio(slope("cpu_percent_of_core")?, slope("connects_per_second")?)
+}
+
+fn ratio(of: f64, to: f64) -> Option<f64> {
+    (to > 0.0).then(|| of / to)
+}
+
+/// How the page tells of the bytes of a probe.
+pub fn probe_bytes_basis(inputs: &Inputs) -> String {
+    let assumed = &inputs.assumptions.assumed;
+    let headers = assumed.probe_packets.value * assumed.packet_header_bytes.value;
+    let headers = format!("{} of packet headers (*assumed*)", number(headers));
+    match probe_payload(inputs) {
+        Some(payload) => format!("{} (measured, ratio of slopes) + {headers}", number(payload)),
+        None => format!("{} (*assumed*) + {headers}", number(assumed.probe_payload_bytes.value)),
+    }
+}
+
+/// Probes a second of the decision module alone, with as many own connections as the operators have told.
+pub fn module_probes(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
+    inputs.slope(Part::Module, Varied::Servers, "probes_per_second").at(fleet.servers)
 }
 
 /// Bytes of a call for the list that brings nothing, with its packet headers.
@@ -74,13 +113,9 @@
     Some(place * fleet.own_placements_per_second() / MICROSECONDS_PER_SECOND * PERCENT)
 }
 
-/// Processor time of a balancer that probes as [`least_probes`] has it, in percent of a core: what a probe more took in
-/// the run, times the probes.
-pub fn least_probes_percent(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
-    let over_servers = |figure| inputs.slope(Part::Sockets, Varied::Servers, figure).per_unit();
-    let probes = over_servers("probes_per_second")?;
-    let percent_per_probe = over_servers("cpu_percent_of_core")? / probes;
-    (probes > 0.0).then(|| percent_per_probe * least_probes(inputs, fleet))
+/// Processor time of so many probes a second, in percent of a core: what a probe more took in the run, times the probes.
+pub fn probes_percent(inputs: &Inputs, probes: f64) -> Option<f64> {
+    Some(per_probe(inputs, "cpu_percent_of_core")? * probes)
 }
 
 /// Bytes of one change of the configuration as it comes to one balancer.
@@ -100,3 +135,16 @@
     let rest = 1.0 - code.probe_descriptor_part.value.recip() - code.waiting_descriptor_part.value.recip();
     (flows + code.descriptors_standing.value) / rest
 }
+
+/// The module's state of own connections.
+pub fn own_state_mb(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
+    let of_connection = inputs.slope(Part::Module, Varied::Connections, "bytes_per_connection");
+    let own = fleet.own_connections();
+    Some(of_connection.at(own)? * own / BYTES_PER_MB)
+}
+
+/// Memory for control: the process as it was on sockets with few flows, and the module's state of own connections.
+pub fn control_memory_mb(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
+    let process = inputs.slope(Part::Sockets, Varied::Servers, "memory_mb").at(fleet.servers)?;
+    Some(process + own_state_mb(inputs, fleet)?)
+}
--- a/crates/lab/src/capacity/roles/balancer.rs
+++ b/crates/lab/src/capacity/roles/balancer.rs
@@ -1,132 +1,194 @@
 //! One balancer: control, placing, lists and settings, flows.
 
-use crate::capacity::deployment::Unknown;
+use crate::capacity::deployment::{Deployment, Unknown};
 use crate::capacity::markdown::number;
 use crate::capacity::mechanism::{self, Mechanism};
 use crate::capacity::needs::{
     BYTES_PER_KB, BYTES_PER_MB, MICROSECONDS_PER_SECOND, PERCENT, SECONDS_PER_DAY, change_bytes_per_second,
-    change_message_bytes, descriptors_needed, entry_bytes, least_probes, least_probes_percent, list_basis,
-    list_changes_per_day, measured_control_bytes, placement_percent, probe_bytes, watch_bytes,
-    whole_list_bytes,
+    change_message_bytes, control_memory_mb, descriptors_needed, entry_bytes, least_probes, list_basis,
+    list_changes_per_day, measured_control_bytes, module_probes, own_state_mb, percent_per_set_up,
+    placement_percent, probe_bytes, probe_bytes_basis, probes_percent, watch_bytes, whole_list_bytes,
 };
 use crate::capacity::row::{Inputs, Row};
 use crate::capacity::stored_run::{Part, Varied};
 
 /// One balancer.
 pub fn rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
-    [control_rows(inputs), placement_rows(inputs), list_rows(inputs), flow_rows(inputs)]
-        .into_iter()
-        .flatten()
-        .collect()
+    let kinds = [
+        probe_rows(inputs),
+        state_rows(inputs),
+        peer_rows(inputs),
+        placement_rows(inputs),
+        list_rows(inputs),
+        configuration_rows(inputs),
+        flow_rows(inputs),
+    ];
+    kinds.into_iter().flatten().collect()
 }
 
-fn control_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
-    let (letter, assumed, code) =
-        (&inputs.assumptions.letter, &inputs.assumptions.assumed, &inputs.assumptions.code);
+/// Probes three times: as the module asks for them with the operators' own connections, as its longest interval gives them
+/// at least, and as counted on sockets.
+fn probe_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
+    let (letter, code) = (&inputs.assumptions.letter, &inputs.assumptions.code);
+    let of_module = inputs.slope(Part::Module, Varied::Servers, "probes_per_second");
     let sockets = |figure| inputs.slope(Part::Sockets, Varied::Servers, figure);
-    let (probes, cpu) = (sockets("probes_per_second"), sockets("cpu_percent_of_core"));
-    let (memory, descriptors) = (sockets("memory_mb"), sockets("descriptors"));
-    let of_connection = inputs.slope(Part::Module, Varied::Connections, "bytes_per_connection");
-    let of_server = inputs.slope(Part::Module, Varied::Servers, "bytes_per_server");
+    let (on_sockets, processor) = (sockets("probes_per_second"), sockets("cpu_percent_of_core"));
     let bytes = letter.control_bytes_per_second.value;
+    let percent = letter.control_percent_of_core.value;
     let probes_paid_for = bytes / probe_bytes(inputs);
-    let pays = "crates/policy/src/policy.rs `probe_every`, crates/core/src/probe.rs";
+    let a_probe = format!("probes x {} bytes", number(probe_bytes(inputs)));
+    let ratio = "those probes x the ratio of slopes of processor and probes over servers (measured, sockets)";
+    let longest =
+        format!("servers held, by chance / {} s (code)", number(code.probe_interval_longest_s.value));
+    let row = |quantity, unit, basis: &str, value: ProbeValue<'a>, budget| {
+        Row::new(quantity, unit, basis, value, mechanism::CONTROL_BUDGET)
+            .over(Unknown::Servers)
+            .within(budget)
+    };
     vec![
         Row::new(
-            "probes, measured",
+            "one probe",
+            "bytes",
+            probe_bytes_basis(inputs),
+            |_| Some(probe_bytes(inputs)),
+            Mechanism::Present("one line each way, crates/core/src/probe.rs"),
+        ),
+        row(
+            "probes of the module with the operators' own connections",
             "a second",
-            probes.told(),
-            move |f| probes.at(f.servers),
-            mechanism::CONTROL_BUDGET,
-        )
-        .over(Unknown::Servers)
-        .within(probes_paid_for),
-        Row::new(
-            "probes at the longest interval of all servers that hold own connections",
+            &of_module.told(),
+            Box::new(|f| module_probes(inputs, f)),
+            probes_paid_for,
+        ),
+        row(
+            "bytes of the module's probes",
             "a second",
-            format!(
-                "servers held / {} s (code); each spread by chance",
-                number(code.probe_interval_longest_s.value)
-            ),
-            |f| Some(least_probes(inputs, f)),
-            mechanism::CONTROL_BUDGET,
-        )
-        .over(Unknown::Servers)
-        .within(probes_paid_for),
-        Row::new(
-            "control bytes, measured, with packet headers",
+            &a_probe,
+            Box::new(|f| Some(module_probes(inputs, f)? * probe_bytes(inputs))),
+            bytes,
+        ),
+        row(
+            "processor for the module's probes",
+            "% of a core",
+            ratio,
+            Box::new(|f| probes_percent(inputs, module_probes(inputs, f)?)),
+            percent,
+        ),
+        row(
+            "probes at the longest interval",
             "a second",
-            format!(
-                "{} + packets x {} (headers *assumed*)",
-                sockets("control_bytes_per_second").told(),
-                number(assumed.packet_header_bytes.value)
-            ),
-            |f| measured_control_bytes(inputs, f),
-            mechanism::CONTROL_BUDGET,
-        )
-        .over(Unknown::Servers)
-        .within(bytes),
-        Row::new(
-            "bytes of probes at that interval",
+            &longest,
+            Box::new(|f| Some(least_probes(inputs, f))),
+            probes_paid_for,
+        ),
+        row(
+            "bytes of probes at the longest interval",
+            "a second",
+            &a_probe,
+            Box::new(|f| Some(least_probes(inputs, f) * probe_bytes(inputs))),
+            bytes,
+        ),
+        row(
+            "processor for probes at the longest interval",
+            "% of a core",
+            ratio,
+            Box::new(|f| probes_percent(inputs, least_probes(inputs, f))),
+            percent,
+        ),
+        row(
+            "probes on sockets, at the run's price",
+            "a second",
+            &on_sockets.told(),
+            Box::new(move |f| on_sockets.at(f.servers)),
+            probes_paid_for,
+        ),
+        row(
+            "control bytes on sockets, at the run's price",
             "a second",
-            format!("probes x {} bytes (*assumed*)", number(probe_bytes(inputs))),
-            |f| Some(least_probes(inputs, f) * probe_bytes(inputs)),
-            mechanism::CONTROL_BUDGET,
+            &format!("{} + packet headers (*assumed*)", sockets("control_bytes_per_second").told()),
+            Box::new(|f| measured_control_bytes(inputs, f)),
+            bytes,
+        ),
+        row(
+            "processor on sockets, at the run's price",
+            "% of a core",
+            &processor.told(),
+            Box::new(move |f| processor.at(f.servers)),
+            percent,
+        ),
+    ]
+}
+
+/// Works a figure of probes out for a fleet.
+type ProbeValue<'a> = Box<dyn Fn(&Deployment) -> Option<f64> + 'a>;
+
+/// What a balancer holds of servers and of its own connections.
+fn state_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
+    let memory_budget = inputs.assumptions.letter.control_memory_mb.value;
+    let sockets = |figure| inputs.slope(Part::Sockets, Varied::Servers, figure);
+    let (memory, descriptors) = (sockets("memory_mb"), sockets("descriptors"));
+    let of_server = inputs.slope(Part::Module, Varied::Servers, "bytes_per_server");
+    let of_connection = inputs.slope(Part::Module, Varied::Connections, "bytes_per_connection");
+    let in_table = inputs.slope(Part::Module, Varied::Connections, "flow_table_bytes_per_connection");
+    vec![
+        Row::new(
+            "memory of the process on sockets, with the run's few flows",
+            "MB",
+            memory.told(),
+            move |f| memory.at(f.servers),
+            mechanism::STACK_PER_PROBE,
         )
         .over(Unknown::Servers)
-        .within(bytes),
+        .within(memory_budget),
         Row::new(
-            "processor, with the run's few flows",
-            "% of a core",
-            cpu.told(),
-            move |f| cpu.at(f.servers),
-            mechanism::CONTROL_BUDGET,
+            "the module's state of servers",
+            "MB",
+            format!("{} x servers", of_server.told()),
+            move |f| Some(of_server.at(f.servers)? * f.servers / BYTES_PER_MB),
+            Mechanism::Present("crates/policy/src/policy.rs `Server`"),
         )
         .over(Unknown::Servers)
-        .within(letter.control_percent_of_core.value),
+        .within(memory_budget),
         Row::new(
-            "processor for probes at the longest interval",
-            "% of a core",
-            "slope of processor / slope of probes, over servers x those probes",
-            |f| least_probes_percent(inputs, f),
-            mechanism::CONTROL_BUDGET,
+            "the module's state of own connections",
+            "MB",
+            format!("{} x own connections", of_connection.told()),
+            |f| own_state_mb(inputs, f),
+            Mechanism::Present("crates/policy/src/policy.rs `Book`"),
         )
-        .over(Unknown::Servers)
-        .within(letter.control_percent_of_core.value),
+        .within(memory_budget),
         Row::new(
-            "memory of the process, with the run's few flows",
+            "the flow table",
             "MB",
-            memory.told(),
-            move |f| memory.at(f.servers),
-            Mechanism::Present(
-                "state is bounded by the list and by `limits.memory_mb`, crates/core/src/pool.rs",
-            ),
+            format!("{} x own connections", in_table.told()),
+            move |f| Some(in_table.at(f.own_connections())? * f.own_connections() / BYTES_PER_MB),
+            Mechanism::Present("crates/hand/src/lib.rs"),
         )
-        .over(Unknown::Servers)
-        .within(letter.control_memory_mb.value),
+        .within(memory_budget),
         Row::new(
-            "state of servers and own connections in the module",
+            "memory for control: the process on sockets and the module's own connections",
             "MB",
-            format!("{}; {}", of_server.told(), of_connection.told()),
-            move |f| {
-                let servers = of_server.at(f.servers)? * f.servers;
-                let connections = of_connection.at(f.own_connections())? * f.own_connections();
-                Some((servers + connections) / BYTES_PER_MB)
-            },
-            Mechanism::Present("crates/policy/src/policy.rs `Server`, `Book`"),
+            "sum of both rows above",
+            |f| control_memory_mb(inputs, f),
+            mechanism::STACK_PER_PROBE,
         )
         .over(Unknown::Servers)
-        .within(letter.control_memory_mb.value),
+        .within(memory_budget),
         Row::new(
-            "descriptors for control, with the run's few flows",
+            "descriptors on sockets, with the run's few flows",
             "",
             descriptors.told(),
             move |f| descriptors.at(f.servers),
-            Mechanism::Present(
-                "a sixteenth of `limits.sockets`; probes in turn past that, crates/core/src/probe.rs",
-            ),
+            mechanism::PROBE_CONNECTIONS,
         )
         .over(Unknown::Servers),
+    ]
+}
+
+/// What balancers would have to tell one another, were they to agree on holders that way.
+fn peer_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
+    let code = &inputs.assumptions.code;
+    vec![
         Row::new(
             "messages between balancers that would be needed",
             "a second",
@@ -142,13 +204,6 @@
             |f| Some(f.shards / inputs.assumptions.code.peer_message_groups.value),
             Mechanism::Partial("sixteen bits a group, `Holds` in crates/policy/src/types.rs"),
         ),
-        Row::new(
-            "bytes that pay for probes",
-            "a probe",
-            "payload + packets x header (*assumed*)",
-            |_| Some(probe_bytes(inputs)),
-            Mechanism::Present(pays),
-        ),
     ]
 }
 
@@ -157,6 +212,7 @@
     let module = |figure| inputs.slope(Part::Module, Varied::Servers, figure);
     let (place, looked_at) = (module("place_p50_us"), module("servers_per_placement"));
     let calls = module("place_calls_per_placement");
+    let placed = module("placed_share");
     let share = format!("{} x new connections a second, one call each", place.told());
     vec![
         Row::new(
@@ -183,6 +239,14 @@
             mechanism::BOUNDED_CANDIDATES,
         )
         .over(Unknown::Servers),
+        Row::new(
+            "part of new connections that are placed",
+            "",
+            placed.told(),
+            move |f| placed.at(f.servers),
+            mechanism::BOUNDED_CANDIDATES,
+        )
+        .over(Unknown::Servers),
         Row::new(
             "calls for one placement",
             "",
@@ -299,6 +363,14 @@
             Mechanism::Present("crates/core/src/discovery.rs, crates/core/src/desk.rs"),
         )
         .within(told_within * 1e3),
+    ]
+}
+
+/// Changes of the configuration as they would come to one balancer.
+fn configuration_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
+    let letter = &inputs.assumptions.letter;
+    let bytes = letter.control_bytes_per_second.value;
+    vec![
         Row::new(
             "a change of the configuration within its time",
             "bytes a second",
@@ -321,6 +393,7 @@
 }
 
 fn flow_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
+    let memory = inputs.slope(Part::Sockets, Varied::Connections, "memory_mb");
     let (assumed, code) = (&inputs.assumptions.assumed, &inputs.assumptions.code);
     vec![
         Row::new(
@@ -343,6 +416,13 @@
             },
             mechanism::SHARES,
         ),
+        Row::new(
+            "memory of flows, by slope",
+            "MB",
+            format!("slope x own connections of {}; beside the control budget", memory.told()),
+            move |f| Some(memory.per_unit()? * f.own_connections()),
+            mechanism::SHARES,
+        ),
         Row::new(
             "`limits.sockets` that this takes",
             "descriptors",
@@ -361,6 +441,14 @@
             Mechanism::Present("probes in turn where there are too few, crates/core/src/probe.rs"),
         )
         .over(Unknown::Servers),
+        Row::new(
+            "processor for setting connections up",
+            "% of a core",
+            "new connections x the ratio of slopes of processor and connects over connections (measured, sockets)",
+            |f| Some(percent_per_set_up(inputs)? * f.own_placements_per_second()),
+            Mechanism::Present("crates/core/src/chain.rs"),
+        )
+        .over(Unknown::ConnectionLife),
         Row::new(
             "deliveries",
             "a second",
--- a/crates/lab/src/capacity/roles/server.rs
+++ b/crates/lab/src/capacity/roles/server.rs
@@ -10,7 +10,7 @@
 /// One server, as far as balancers load it.
 pub fn rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
     let assumed = &inputs.assumptions.assumed;
-    let probes = inputs.slope(Part::Sockets, Varied::Servers, "probes_per_second");
+    let probes = inputs.slope(Part::Module, Varied::Servers, "probes_per_second");
     let probes_here = move |f: &Deployment| Some(probes.at(f.servers)? * f.balancers / f.servers);
     let least_here = |f: &Deployment| least_probes(inputs, f) * f.balancers / f.servers;
     vec![
@@ -23,7 +23,7 @@
         )
         .over(Unknown::Servers),
         Row::new(
-            "probes, measured",
+            "the module's probes, of all balancers",
             "a second",
             format!("{} x balancers / servers", probes.told()),
             probes_here,
@@ -31,7 +31,7 @@
         )
         .over(Unknown::Servers),
         Row::new(
-            "probes at the longest interval",
+            "probes at the longest interval, of all balancers",
             "a second",
             "a balancer's x balancers / servers (code)",
             move |f| Some(least_here(f)),
@@ -41,7 +41,7 @@
         Row::new(
             "bytes of those probes",
             "a second",
-            format!("probes x {} bytes (*assumed*)", number(probe_bytes(inputs))),
+            format!("probes x {} bytes", number(probe_bytes(inputs))),
             move |f| Some(least_here(f) * probe_bytes(inputs)),
             mechanism::FLEET_PROBE_BUDGET,
         )
--- a/crates/lab/src/capacity/row.rs
+++ b/crates/lab/src/capacity/row.rs
@@ -49,8 +49,9 @@
         let Some(fit) = self.fit else { return format!("{figure} over {count} ({part}): *not measured*") };
         let range = self.measured_to.map_or(String::new(), |most| format!(", to {}", number(most)));
         let sign = if fit.intercept < 0.0 { "-" } else { "+" };
-        let (slope, intercept) = (number(fit.slope), number(fit.intercept.abs()));
-        format!("{figure} = {slope} x {count} {sign} {intercept} (measured, {part}{range})")
+        let [slope, intercept, residual] = [fit.slope, fit.intercept.abs(), fit.residual].map(number);
+        let source = format!("measured, {part}{range}, residual {residual}");
+        format!("{figure} = {slope} x {count} {sign} {intercept} ({source})")
     }
 }
 
--- a/crates/lab/src/capacity/stored_run.rs
+++ b/crates/lab/src/capacity/stored_run.rs
@@ -168,6 +168,11 @@
         self.ranges.get(&(part, varied)).copied()
     }
 
+    /// The smallest and the largest size of each count that was varied.
+    pub fn ranges(&self) -> impl Iterator<Item = ((Part, Varied), (f64, f64))> {
+        self.ranges.iter().map(|(key, range)| (*key, *range))
+    }
+
     fn take(&mut self, value: Value, file: &Path, line: usize) -> Result<(), Fault> {
         if value.get("fit").is_some() {
             let fit: Fit = typed(file, line, value)?;
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -146,7 +146,8 @@
     std::fs::remove_file(&scratch.files.run).unwrap();
     capacity::write(&scratch.files).unwrap();
     assert!(scratch.page().contains("No run is stored yet"));
-    let measured = ["one placement", "probes, measured", "processor, with the run's few flows"];
+    let measured =
+        ["one placement", "probes on sockets, at the run's price", "processor for the module's probes"];
     for quantity in measured {
         let row = scratch.row(quantity);
         let full_size = row.split(" | ").nth(3).unwrap();
@@ -162,14 +163,24 @@
     let cases = [
         // 2 + 0.125 x 3,000, 6,000 and 12,000.
         ("one placement", "377 / 752 / 1,502"),
-        // 10 + 0.25 x the same.
-        ("probes, measured", "760 / 1,510 / 3,010"),
+        // 5 / 0.25 of payload and 3 x 52 of headers.
+        ("one probe", "176"),
+        // 50 + 0.05 x servers.
+        ("probes of the module with the operators' own connections", "200 / 350 / 650"),
+        ("bytes of the module's probes", "35,200 / 61,600 / 114,400"),
+        // 0.0025 / 0.25 % of a core a probe.
+        ("processor for the module's probes", "2 / 3.5 / 6.5"),
+        // 10 + 0.25 x servers.
+        ("probes on sockets, at the run's price", "760 / 1,510 / 3,010"),
         // 300 + 20 x 6,000 + 52 x 3 x (1,510 + 1), and so at the others.
-        ("control bytes, measured, with packet headers", "179,016 / 356,016 / 710,016"),
+        ("control bytes on sockets, at the run's price", "179,016 / 356,016 / 710,016"),
         // 12 + 0.002 x servers.
-        ("memory of the process, with the run's few flows", "18 / 24 / 36"),
-        // (800 x servers + 565 x 44,286) / 1e6.
-        ("state of servers and own connections in the module", "27.4 / 29.8 / 34.6"),
+        ("memory of the process on sockets, with the run's few flows", "18 / 24 / 36"),
+        // 800 x servers, and 565 x 44,286.
+        ("the module's state of servers", "2.4 / 4.8 / 9.6"),
+        ("the module's state of own connections", "25"),
+        // 0.0125 / 0.125 % of a core for each, times new connections a second.
+        ("processor for setting connections up", "7.38 / 1.23 / 0.154"),
         // 62e6 / 1,400 / 600, 3,600 and 28,800 s.
         ("new connections", "73.8 / 12.3 / 1.54"),
         // 752 us x 12.30 a second, in percent of a core.
@@ -188,9 +199,9 @@
     // 2 million clients over 1,400 x 30 / 31 balancers; 752 us each.
     let zone = scratch.row("a zone goes");
     assert!(zone.contains("| 2,000,000 | 1,476 |") && zone.contains("| 1.11 |"), "{zone}");
-    // 356,016 of 2,000.
-    let first = "Missing first: **bounded candidates and a control budget** (control bytes a second, measured \
-        with few flows: 178 times its budget).";
+    // 6,000 x (1 - e^-7.38) / 10 s x 176 bytes of 2,000.
+    let first = "Missing first: **bounded candidates and a control budget** (bytes a second of probes at the longest \
+        interval: 52.8 times its budget). Runner-up: **a whole list in parts";
     assert!(scratch.page().contains(first));
     assert!(
         scratch.page().contains("| balancers | 100 | list_calls | 1,234 |"),
