--- a/crates/lab/src/capacity/assumptions.rs
+++ b/crates/lab/src/capacity/assumptions.rs
@@ -14,7 +14,7 @@
 /// A value with its reason.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(try_from = "RawValue")]
-pub struct Known {
+pub struct Parameter {
     pub value: f64,
     pub why: String,
 }
@@ -41,12 +41,12 @@
     why: String,
 }
 
-impl TryFrom<RawValue> for Known {
+impl TryFrom<RawValue> for Parameter {
     type Error = String;
     fn try_from(raw: RawValue) -> Result<Self, String> {
         check_value(raw.value, "value")?;
         check_reason(&raw.why)?;
-        Ok(Known { value: raw.value, why: raw.why })
+        Ok(Parameter { value: raw.value, why: raw.why })
     }
 }
 
@@ -105,7 +105,7 @@
     };
 }
 
-impl Known {
+impl Parameter {
     fn entry(&self, section: &'static str, key: &'static str) -> Entry<'_> {
         Entry { section, key, values: vec![self.value], why: &self.why }
     }
@@ -119,12 +119,12 @@
 
 section!(
     /// What the operators have said of the fleet ahead.
-    Letter, "letter", Known,
+    Requirements, "requirements", Parameter,
     [
         balancers, connections, shards, largest_topic_listeners, deliveries_per_second, delivery_limit_ms,
         regions, zones, configuration_changes_per_day, configuration_limit_s, control_percent_of_core,
         control_memory_mb, control_bytes_per_second, control_machines, failures_per_day, restarts_per_day,
-        racks_per_year, zones_per_year, region_cuts_per_year, zone_clients, ready_within_s, told_within_s,
+        racks_per_year, zones_per_year, region_cuts_per_year, zone_clients, ready_within_s, change_known_within_s,
     ]
 );
 
@@ -136,7 +136,7 @@
 
 section!(
     /// Constants of the program.
-    Code, "code", Known,
+    Code, "code", Parameter,
     [
         probe_interval_longest_s, watch_hold_s, answer_limit_bytes, flow_memory_kb, descriptors_per_flow,
         descriptors_standing, probe_descriptor_part, waiting_descriptor_part, peer_messages_heard_per_second,
@@ -147,7 +147,7 @@
 
 section!(
     /// What is taken for granted until it is measured or told.
-    Assumed, "assumed", Known,
+    Assumed, "assumed", Parameter,
     [
         packet_header_bytes, probe_payload_bytes, probe_packets, watch_payload_bytes, watch_packets,
         list_entry_bytes, list_changes_per_failure, list_changes_per_restart, control_message_header_bytes,
@@ -161,7 +161,7 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Assumptions {
-    pub letter: Letter,
+    pub requirements: Requirements,
     pub unknown: Unknowns,
     pub code: Code,
     pub assumed: Assumed,
@@ -195,8 +195,12 @@
 
     /// All entries, section by section.
     pub fn entries(&self) -> Vec<Entry<'_>> {
-        let sections =
-            [self.letter.entries(), self.unknown.entries(), self.code.entries(), self.assumed.entries()];
+        let sections = [
+            self.requirements.entries(),
+            self.unknown.entries(),
+            self.code.entries(),
+            self.assumed.entries(),
+        ];
         sections.into_iter().flatten().collect()
     }
 }
--- a/crates/lab/src/capacity/deployment.rs
+++ b/crates/lab/src/capacity/deployment.rs
@@ -40,23 +40,23 @@
 impl Deployment {
     /// A part of the operators' fleet with the middle value of each unknown.
     pub fn new(assumptions: &Assumptions, scale: f64) -> Self {
-        let (letter, unknown) = (&assumptions.letter, &assumptions.unknown);
+        let (requirements, unknown) = (&assumptions.requirements, &assumptions.unknown);
         Deployment {
             scale,
-            balancers: letter.balancers.value * scale,
+            balancers: requirements.balancers.value * scale,
             servers: unknown.servers.values[MIDDLE] * scale,
-            connections: letter.connections.value * scale,
-            shards: letter.shards.value * scale,
-            largest_topic_listeners: letter.largest_topic_listeners.value * scale,
-            deliveries_per_second: letter.deliveries_per_second.value * scale,
-            configuration_changes_per_day: letter.configuration_changes_per_day.value * scale,
+            connections: requirements.connections.value * scale,
+            shards: requirements.shards.value * scale,
+            largest_topic_listeners: requirements.largest_topic_listeners.value * scale,
+            deliveries_per_second: requirements.deliveries_per_second.value * scale,
+            configuration_changes_per_day: requirements.configuration_changes_per_day.value * scale,
             // There are no parts of a machine.
-            control_machines: (letter.control_machines.value * scale).ceil(),
-            failures_per_day: letter.failures_per_day.value * scale,
-            restarts_per_day: letter.restarts_per_day.value * scale,
-            zone_clients: letter.zone_clients.value * scale,
-            zones: letter.zones.value,
-            regions: letter.regions.value,
+            control_machines: (requirements.control_machines.value * scale).ceil(),
+            failures_per_day: requirements.failures_per_day.value * scale,
+            restarts_per_day: requirements.restarts_per_day.value * scale,
+            zone_clients: requirements.zone_clients.value * scale,
+            zones: requirements.zones.value,
+            regions: requirements.regions.value,
             connection_life_s: unknown.connection_life_s.values[MIDDLE],
             change_bytes: unknown.change_bytes.values[MIDDLE],
             return_spread_s: unknown.return_spread_s.values[MIDDLE],
--- a/crates/lab/src/capacity/gaps.rs
+++ b/crates/lab/src/capacity/gaps.rs
@@ -18,7 +18,7 @@
 }
 
 impl When {
-    fn told(self) -> &'static str {
+    fn describe(self) -> &'static str {
         match self {
             When::Always => "every second",
             When::OnEvent => "on an event",
@@ -74,7 +74,7 @@
         !self.remedy.is_built() && self.times_budget().is_some_and(|times| times > 1.0)
     }
 
-    fn told(&self) -> String {
+    fn describe(&self) -> String {
         let times = figure(self.times_budget());
         format!("**{}** ({}: {times} times its budget)", self.remedy.name(), self.need_name)
     }
@@ -90,8 +90,9 @@
 }
 
 fn constant_gaps(inputs: &Inputs, fleet: &Deployment) -> Vec<Gap> {
-    let letter = &inputs.assumptions.letter;
-    let (bytes, percent) = (letter.control_bytes_per_second.value, letter.control_percent_of_core.value);
+    let requirements = &inputs.assumptions.requirements;
+    let (bytes, percent) =
+        (requirements.control_bytes_per_second.value, requirements.control_percent_of_core.value);
     let of_module = module_probes(inputs, fleet);
     let least = least_probes(inputs, fleet);
     let gap = |need_name, need, budget| {
@@ -112,23 +113,23 @@
         ),
         gap("% of a core for probes at the longest interval", probes_percent(inputs, least), percent),
         gap("% of a core for placing", placement_percent(inputs, fleet), percent),
-        gap("MB for control", control_memory_mb(inputs, fleet), letter.control_memory_mb.value),
+        gap("MB for control", control_memory_mb(inputs, fleet), requirements.control_memory_mb.value),
     ]
 }
 
 fn event_gaps(inputs: &Inputs, fleet: &Deployment) -> Vec<Gap> {
-    let letter = &inputs.assumptions.letter;
+    let requirements = &inputs.assumptions.requirements;
     let change = change_bytes_per_second(inputs, fleet);
-    let list = whole_list_bytes(inputs, fleet.servers) / letter.ready_within_s.value;
-    let zone = fleet.servers / fleet.zones * entry_bytes(inputs) / letter.told_within_s.value;
+    let list = whole_list_bytes(inputs, fleet.servers) / requirements.ready_within_s.value;
+    let zone = fleet.servers / fleet.zones * entry_bytes(inputs) / requirements.change_known_within_s.value;
     let gap = |remedy, need_name, need| {
-        let budget = letter.control_bytes_per_second.value;
+        let budget = requirements.control_bytes_per_second.value;
         Gap { remedy, need_name, when: When::OnEvent, need: Some(need), budget }
     };
     vec![
         gap(Remedy::ConfigurationChanges, "bytes a second of a change within its time", change),
         gap(Remedy::ListPace, "bytes a second of a whole list within the time to be ready", list),
-        gap(Remedy::ListPace, "bytes a second as a zone's servers go, within the time to be told", zone),
+        gap(Remedy::ListPace, "bytes a second as a zone's servers go, within the time to be known", zone),
     ]
 }
 
@@ -142,7 +143,7 @@
     for gap in &all {
         let small = at_tenth.iter().find(|small| small.need_name == gap.need_name);
         let state = if gap.remedy.is_built() { "in the code" } else { "*missing*" };
-        let names = [gap.remedy.name(), state, gap.need_name, gap.when.told()];
+        let names = [gap.remedy.name(), state, gap.need_name, gap.when.describe()];
         let values = [figure(gap.need), number(gap.budget), figure(gap.times_budget())];
         let last = [figure(small.and_then(Gap::times_budget))];
         table.row(names.map(String::from).into_iter().chain(values).chain(last));
@@ -155,7 +156,8 @@
         return "Nothing that is known passes its budget.\n".into();
     };
     let next = all.iter().find(|gap| gap.is_open() && gap.remedy != first.remedy);
-    let next = next
-        .map_or("No runner-up passes its budget.".to_string(), |next| format!("Runner-up: {}.", next.told()));
-    format!("Missing first: {}. {next}\n", first.told())
+    let next = next.map_or("No runner-up passes its budget.".to_string(), |next| {
+        format!("Runner-up: {}.", next.describe())
+    });
+    format!("Missing first: {}. {next}\n", first.describe())
 }
--- a/crates/lab/src/capacity/markdown.rs
+++ b/crates/lab/src/capacity/markdown.rs
@@ -74,9 +74,9 @@
 
 /// Several values of a figure; one where all are alike.
 pub fn figures(values: &[Option<f64>]) -> String {
-    let told: Vec<String> = values.iter().map(|value| figure(*value)).collect();
-    match told.windows(2).all(|pair| pair[0] == pair[1]) {
-        true => told.into_iter().next().unwrap_or_default(),
-        false => told.join(" / "),
+    let texts: Vec<String> = values.iter().map(|value| figure(*value)).collect();
+    match texts.windows(2).all(|pair| pair[0] == pair[1]) {
+        true => texts.into_iter().next().unwrap_or_default(),
+        false => texts.join(" / "),
     }
 }
--- a/crates/lab/src/capacity/mechanism.rs
+++ b/crates/lab/src/capacity/mechanism.rs
@@ -16,7 +16,7 @@
 
 impl Mechanism {
     /// How the page tells of it.
-    pub fn told(self) -> String {
+    pub fn describe(self) -> String {
         match self {
             Mechanism::Present(what) => what.to_string(),
             Mechanism::Partial(what) => format!("in part: {what}"),
--- a/crates/lab/src/capacity/needs.rs
+++ b/crates/lab/src/capacity/needs.rs
@@ -91,7 +91,7 @@
 pub fn list_basis(inputs: &Inputs) -> String {
     let slope = inputs.slope(Part::Sockets, Varied::Servers, "list_bytes");
     match slope.per_unit() {
-        Some(_) => slope.told(),
+        Some(_) => slope.describe(),
         None => {
             let entry = number(inputs.assumptions.assumed.list_entry_bytes.value);
             format!("{entry} bytes x servers (*assumed*)")
@@ -125,7 +125,7 @@
 
 /// Bytes a second at one balancer while a change has to come into force.
 pub fn change_bytes_per_second(inputs: &Inputs, fleet: &Deployment) -> f64 {
-    change_message_bytes(inputs, fleet) / inputs.assumptions.letter.configuration_limit_s.value
+    change_message_bytes(inputs, fleet) / inputs.assumptions.requirements.configuration_limit_s.value
 }
 
 /// Descriptors that the process has to be allowed, as they are shared out: flows, probes, clients that wait.
--- a/crates/lab/src/capacity/roles/balancer.rs
+++ b/crates/lab/src/capacity/roles/balancer.rs
@@ -29,12 +29,12 @@
 /// Probes three times: as the module asks for them with the operators' own connections, as its longest interval gives them
 /// at least, and as counted on sockets.
 fn probe_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
-    let (letter, code) = (&inputs.assumptions.letter, &inputs.assumptions.code);
+    let (requirements, code) = (&inputs.assumptions.requirements, &inputs.assumptions.code);
     let of_module = inputs.slope(Part::Module, Varied::Servers, "probes_per_second");
     let sockets = |figure| inputs.slope(Part::Sockets, Varied::Servers, figure);
     let (on_sockets, processor) = (sockets("probes_per_second"), sockets("cpu_percent_of_core"));
-    let bytes = letter.control_bytes_per_second.value;
-    let percent = letter.control_percent_of_core.value;
+    let bytes = requirements.control_bytes_per_second.value;
+    let percent = requirements.control_percent_of_core.value;
     let probes_paid_for = bytes / probe_bytes(inputs);
     let a_probe = format!("probes x {} bytes", number(probe_bytes(inputs)));
     let ratio = "those probes x the ratio of slopes of processor and probes over servers (measured, sockets)";
@@ -56,7 +56,7 @@
         row(
             "probes of the module with the operators' own connections",
             "a second",
-            &of_module.told(),
+            &of_module.describe(),
             Box::new(|f| module_probes(inputs, f)),
             probes_paid_for,
         ),
@@ -98,21 +98,21 @@
         row(
             "probes on sockets, at the run's price",
             "a second",
-            &on_sockets.told(),
+            &on_sockets.describe(),
             Box::new(move |f| on_sockets.at(f.servers)),
             probes_paid_for,
         ),
         row(
             "control bytes on sockets, at the run's price",
             "a second",
-            &format!("{} + packet headers (*assumed*)", sockets("control_bytes_per_second").told()),
+            &format!("{} + packet headers (*assumed*)", sockets("control_bytes_per_second").describe()),
             Box::new(|f| measured_control_bytes(inputs, f)),
             bytes,
         ),
         row(
             "processor on sockets, at the run's price",
             "% of a core",
-            &processor.told(),
+            &processor.describe(),
             Box::new(move |f| processor.at(f.servers)),
             percent,
         ),
@@ -124,7 +124,7 @@
 
 /// What a balancer holds of servers and of its own connections.
 fn state_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
-    let memory_budget = inputs.assumptions.letter.control_memory_mb.value;
+    let memory_budget = inputs.assumptions.requirements.control_memory_mb.value;
     let sockets = |figure| inputs.slope(Part::Sockets, Varied::Servers, figure);
     let (memory, descriptors) = (sockets("memory_mb"), sockets("descriptors"));
     let of_server = inputs.slope(Part::Module, Varied::Servers, "bytes_per_server");
@@ -134,7 +134,7 @@
         Row::new(
             "memory of the process on sockets, with the run's few flows",
             "MB",
-            memory.told(),
+            memory.describe(),
             move |f| memory.at(f.servers),
             mechanism::STACK_PER_PROBE,
         )
@@ -143,7 +143,7 @@
         Row::new(
             "the module's state of servers",
             "MB",
-            format!("{} x servers", of_server.told()),
+            format!("{} x servers", of_server.describe()),
             move |f| Some(of_server.at(f.servers)? * f.servers / BYTES_PER_MB),
             Mechanism::Present("crates/policy/src/policy.rs `Server`"),
         )
@@ -152,7 +152,7 @@
         Row::new(
             "the module's state of own connections",
             "MB",
-            format!("{} x own connections", of_connection.told()),
+            format!("{} x own connections", of_connection.describe()),
             |f| own_state_mb(inputs, f),
             Mechanism::Present("crates/policy/src/policy.rs `Book`"),
         )
@@ -160,7 +160,7 @@
         Row::new(
             "the flow table",
             "MB",
-            format!("{} x own connections", in_table.told()),
+            format!("{} x own connections", in_table.describe()),
             move |f| Some(in_table.at(f.own_connections())? * f.own_connections() / BYTES_PER_MB),
             Mechanism::Present("crates/hand/src/lib.rs"),
         )
@@ -177,7 +177,7 @@
         Row::new(
             "descriptors on sockets, with the run's few flows",
             "",
-            descriptors.told(),
+            descriptors.describe(),
             move |f| descriptors.at(f.servers),
             mechanism::PROBE_CONNECTIONS,
         )
@@ -208,12 +208,12 @@
 }
 
 fn placement_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
-    let letter = &inputs.assumptions.letter;
+    let requirements = &inputs.assumptions.requirements;
     let module = |figure| inputs.slope(Part::Module, Varied::Servers, figure);
     let (place, looked_at) = (module("place_p50_us"), module("servers_per_placement"));
     let calls = module("place_calls_per_placement");
     let placed = module("placed_share");
-    let share = format!("{} x new connections a second, one call each", place.told());
+    let share = format!("{} x new connections a second, one call each", place.describe());
     vec![
         Row::new(
             "new connections",
@@ -226,7 +226,7 @@
         Row::new(
             "servers looked at for one placement",
             "",
-            looked_at.told(),
+            looked_at.describe(),
             move |f| looked_at.at(f.servers),
             mechanism::BOUNDED_CANDIDATES,
         )
@@ -234,7 +234,7 @@
         Row::new(
             "one placement",
             "us",
-            place.told(),
+            place.describe(),
             move |f| place.at(f.servers),
             mechanism::BOUNDED_CANDIDATES,
         )
@@ -242,7 +242,7 @@
         Row::new(
             "part of new connections that are placed",
             "",
-            placed.told(),
+            placed.describe(),
             move |f| placed.at(f.servers),
             mechanism::BOUNDED_CANDIDATES,
         )
@@ -250,7 +250,7 @@
         Row::new(
             "calls for one placement",
             "",
-            calls.told(),
+            calls.describe(),
             move |f| calls.at(f.servers),
             mechanism::BOUNDED_CANDIDATES,
         )
@@ -263,7 +263,7 @@
             mechanism::BOUNDED_CANDIDATES,
         )
         .over(Unknown::Servers)
-        .within(letter.control_percent_of_core.value),
+        .within(requirements.control_percent_of_core.value),
         Row::new(
             "placing, over the lives",
             "% of a core",
@@ -272,7 +272,7 @@
             mechanism::BOUNDED_CANDIDATES,
         )
         .over(Unknown::ConnectionLife)
-        .within(letter.control_percent_of_core.value),
+        .within(requirements.control_percent_of_core.value),
         Row::new(
             "listeners of the largest topic at one balancer",
             "",
@@ -292,11 +292,11 @@
 }
 
 fn list_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
-    let (letter, code) = (&inputs.assumptions.letter, &inputs.assumptions.code);
-    let bytes = letter.control_bytes_per_second.value;
+    let (requirements, code) = (&inputs.assumptions.requirements, &inputs.assumptions.code);
+    let bytes = requirements.control_bytes_per_second.value;
     let seen = inputs.slope(Part::Sockets, Varied::ChangesPerSecond, "change_seen_ms_p99");
     let seen_over_servers = inputs.slope(Part::Sockets, Varied::Servers, "change_seen_ms_p99");
-    let told_within = letter.told_within_s.value;
+    let change_known_within = requirements.change_known_within_s.value;
     vec![
         Row::new(
             "watching a list that doesn't change",
@@ -331,17 +331,22 @@
         Row::new(
             "a whole list within the time to be ready",
             "bytes a second",
-            format!("a whole list / {} s", number(letter.ready_within_s.value)),
-            |f| Some(whole_list_bytes(inputs, f.servers) / inputs.assumptions.letter.ready_within_s.value),
+            format!("a whole list / {} s", number(requirements.ready_within_s.value)),
+            |f| {
+                Some(
+                    whole_list_bytes(inputs, f.servers)
+                        / inputs.assumptions.requirements.ready_within_s.value,
+                )
+            },
             mechanism::WHOLE_LIST,
         )
         .over(Unknown::Servers)
         .within(bytes),
         Row::new(
-            "a zone's servers that go, within the time to be told",
+            "a zone's servers that go, within the time to be known",
             "bytes a second",
-            format!("servers / zones x an entry / {} s", number(told_within)),
-            move |f| Some(f.servers / f.zones * entry_bytes(inputs) / told_within),
+            format!("servers / zones x an entry / {} s", number(change_known_within)),
+            move |f| Some(f.servers / f.zones * entry_bytes(inputs) / change_known_within),
             mechanism::LIST_CHANGES,
         )
         .over(Unknown::Servers)
@@ -349,32 +354,32 @@
         Row::new(
             "a change of the list until it is acted on, over the servers",
             "ms",
-            seen_over_servers.told(),
+            seen_over_servers.describe(),
             move |f| seen_over_servers.at(f.servers),
             Mechanism::Present("crates/core/src/discovery.rs, crates/core/src/desk.rs"),
         )
         .over(Unknown::Servers)
-        .within(told_within * 1e3),
+        .within(change_known_within * 1e3),
         Row::new(
             "the same, over the changes of an ordinary day",
             "ms",
-            seen.told(),
+            seen.describe(),
             move |f| seen.at(list_changes_per_day(inputs, f) / SECONDS_PER_DAY),
             Mechanism::Present("crates/core/src/discovery.rs, crates/core/src/desk.rs"),
         )
-        .within(told_within * 1e3),
+        .within(change_known_within * 1e3),
     ]
 }
 
 /// Changes of the configuration as they would come to one balancer.
 fn configuration_rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
-    let letter = &inputs.assumptions.letter;
-    let bytes = letter.control_bytes_per_second.value;
+    let requirements = &inputs.assumptions.requirements;
+    let bytes = requirements.control_bytes_per_second.value;
     vec![
         Row::new(
             "a change of the configuration within its time",
             "bytes a second",
-            format!("(change + head) / {} s (three sizes)", number(letter.configuration_limit_s.value)),
+            format!("(change + head) / {} s (three sizes)", number(requirements.configuration_limit_s.value)),
             |f| Some(change_bytes_per_second(inputs, f)),
             mechanism::CONFIGURATION,
         )
@@ -419,7 +424,7 @@
         Row::new(
             "memory of flows, by slope",
             "MB",
-            format!("slope x own connections of {}; beside the control budget", memory.told()),
+            format!("slope x own connections of {}; beside the control budget", memory.describe()),
             move |f| Some(memory.per_unit()? * f.own_connections()),
             mechanism::SHARES,
         ),
@@ -476,6 +481,6 @@
             |_| None,
             Mechanism::Present("lines go on as they come, crates/core/src/relay.rs"),
         )
-        .within(inputs.assumptions.letter.delivery_limit_ms.value),
+        .within(inputs.assumptions.requirements.delivery_limit_ms.value),
     ]
 }
--- a/crates/lab/src/capacity/roles/clients.rs
+++ b/crates/lab/src/capacity/roles/clients.rs
@@ -37,7 +37,13 @@
             },
             mechanism::RELAY,
         ),
-        Row::new("deliveries", "a second", "as told", |f| Some(f.deliveries_per_second), mechanism::RELAY),
+        Row::new(
+            "deliveries",
+            "a second",
+            "as required",
+            |f| Some(f.deliveries_per_second),
+            mechanism::RELAY,
+        ),
         Row::new(
             "bytes of deliveries",
             "MB a second",
--- a/crates/lab/src/capacity/roles/control.rs
+++ b/crates/lab/src/capacity/roles/control.rs
@@ -8,8 +8,8 @@
 
 /// The machines that are set aside for control: what they would do.
 pub fn rows<'a>(inputs: &'a Inputs) -> Vec<Row<'a>> {
-    let letter = &inputs.assumptions.letter;
-    let within = letter.configuration_limit_s.value;
+    let requirements = &inputs.assumptions.requirements;
+    let within = requirements.configuration_limit_s.value;
     vec![
         Row::new(
             "balancers that one watches over",
--- a/crates/lab/src/capacity/roles/discovery.rs
+++ b/crates/lab/src/capacity/roles/discovery.rs
@@ -15,7 +15,7 @@
         Row::new(
             "calls, measured of a balancer",
             "a second",
-            format!("{} x balancers", calls.told()),
+            format!("{} x balancers", calls.describe()),
             move |f| Some(calls.at(f.servers)? * f.balancers),
             mechanism::AGENTS,
         )
@@ -23,7 +23,7 @@
         Row::new(
             "calls, measured of all",
             "a second",
-            answered.told(),
+            answered.describe(),
             move |f| answered.at(f.balancers),
             mechanism::AGENTS,
         ),
@@ -72,11 +72,11 @@
         )
         .over(Unknown::Servers),
         Row::new(
-            "the same within the time to be told",
+            "the same within the time to be known",
             "MB a second",
-            format!("/ {} s", number(inputs.assumptions.letter.told_within_s.value)),
+            format!("/ {} s", number(inputs.assumptions.requirements.change_known_within_s.value)),
             |f| {
-                let within = inputs.assumptions.letter.told_within_s.value;
+                let within = inputs.assumptions.requirements.change_known_within_s.value;
                 Some(whole_list_bytes(inputs, f.servers) * f.balancers / within / BYTES_PER_MB)
             },
             mechanism::WHOLE_LISTS_OF_ALL,
--- a/crates/lab/src/capacity/roles/server.rs
+++ b/crates/lab/src/capacity/roles/server.rs
@@ -25,7 +25,7 @@
         Row::new(
             "the module's probes, of all balancers",
             "a second",
-            format!("{} x balancers / servers", probes.told()),
+            format!("{} x balancers / servers", probes.describe()),
             probes_here,
             mechanism::FLEET_PROBE_BUDGET,
         )
--- a/crates/lab/src/capacity/row.rs
+++ b/crates/lab/src/capacity/row.rs
@@ -44,7 +44,7 @@
     }
 
     /// How the page tells of it.
-    pub fn told(&self) -> String {
+    pub fn describe(&self) -> String {
         let (figure, count, part) = (self.figure, self.varied.name(), self.part.name());
         let Some(fit) = self.fit else { return format!("{figure} over {count} ({part}): *not measured*") };
         let range = self.measured_to.map_or(String::new(), |most| format!(", to {}", number(most)));
@@ -56,7 +56,7 @@
 }
 
 /// Works a figure out for a fleet.
-type Value<'a> = Box<dyn Fn(&Deployment) -> Option<f64> + 'a>;
+type Formula<'a> = Box<dyn Fn(&Deployment) -> Option<f64> + 'a>;
 
 /// One figure of a role.
 pub struct Row<'a> {
@@ -65,7 +65,7 @@
     /// Slope x count, or the assumption.
     pub basis: String,
     pub varies: Option<Unknown>,
-    pub value: Value<'a>,
+    pub value: Formula<'a>,
     pub budget: Option<f64>,
     pub mechanism: Mechanism,
 }
@@ -128,7 +128,7 @@
                 (Some(_), Some(share)) => format!("x {}", number(share)),
                 _ => String::new(),
             },
-            row.mechanism.told(),
+            row.mechanism.describe(),
         ]);
     }
     table.finish()
--- a/crates/lab/src/capacity/storms.rs
+++ b/crates/lab/src/capacity/storms.rs
@@ -18,7 +18,7 @@
     servers_lost: fn(&Inputs, &Deployment) -> f64,
     clients: fn(&Inputs, &Deployment) -> f64,
     /// Whether clients are told to go, and needn't notice a silence first.
-    told: bool,
+    announced: bool,
 }
 
 fn none(_: &Inputs, _: &Deployment) -> f64 {
@@ -48,7 +48,7 @@
         balancers_lost: one,
         servers_lost: none,
         clients: |_, f| f.own_connections(),
-        told: false,
+        announced: false,
     },
     Storm {
         name: "a server fails",
@@ -56,7 +56,7 @@
         balancers_lost: none,
         servers_lost: one,
         clients: |_, f| f.server_connections(),
-        told: false,
+        announced: false,
     },
     Storm {
         name: "a balancer is restarted or replaced",
@@ -64,7 +64,7 @@
         balancers_lost: one,
         servers_lost: none,
         clients: |_, f| f.own_connections(),
-        told: true,
+        announced: true,
     },
     Storm {
         name: "a server is restarted or replaced",
@@ -72,40 +72,40 @@
         balancers_lost: none,
         servers_lost: one,
         clients: |_, f| f.server_connections(),
-        told: true,
+        announced: true,
     },
     Storm {
         name: "a rack of balancers goes",
-        per_year: |i, _| i.assumptions.letter.racks_per_year.value,
+        per_year: |i, _| i.assumptions.requirements.racks_per_year.value,
         balancers_lost: rack,
         servers_lost: none,
         clients: |i, f| rack(i, f) * f.own_connections(),
-        told: false,
+        announced: false,
     },
     Storm {
         name: "a rack of servers goes",
-        per_year: |i, _| i.assumptions.letter.racks_per_year.value,
+        per_year: |i, _| i.assumptions.requirements.racks_per_year.value,
         balancers_lost: none,
         servers_lost: rack,
         clients: |i, f| rack(i, f) * f.server_connections(),
-        told: false,
+        announced: false,
     },
     Storm {
         name: "a zone goes",
-        per_year: |i, _| i.assumptions.letter.zones_per_year.value,
+        per_year: |i, _| i.assumptions.requirements.zones_per_year.value,
         balancers_lost: |_, f| f.balancers / f.zones,
         servers_lost: |_, f| f.servers / f.zones,
         clients: |_, f| f.zone_clients,
-        told: false,
+        announced: false,
     },
     Storm {
         name: "a region and the others lose each other",
-        per_year: |i, _| i.assumptions.letter.region_cuts_per_year.value,
+        per_year: |i, _| i.assumptions.requirements.region_cuts_per_year.value,
         balancers_lost: none,
         servers_lost: none,
         // Those that cross on the way in and those that cross on the way out.
         clients: |i, f| 2.0 * i.assumptions.assumed.crossing_share.value * f.connections / f.regions,
-        told: false,
+        announced: false,
     },
 ];
 
@@ -155,7 +155,7 @@
 
     /// Seconds until all are placed again; at least, where the time to decide was not measured.
     fn placed_s(&self, inputs: &Inputs, fleet: &Deployment, window_s: f64) -> f64 {
-        let notice = if self.told { 0.0 } else { inputs.assumptions.assumed.notice_s.value };
+        let notice = if self.announced { 0.0 } else { inputs.assumptions.assumed.notice_s.value };
         let decide = self.decide_s(inputs, fleet).unwrap_or(0.0);
         let slowest = fleet.return_spread_s.max(window_s).max(self.set_up_s(inputs, fleet)).max(decide);
         notice + slowest
@@ -199,7 +199,7 @@
     };
     let entries = storm.list_entries(inputs, fleet);
     let bytes = entries * entry_bytes(inputs);
-    let budget = inputs.assumptions.letter.control_bytes_per_second.value;
+    let budget = inputs.assumptions.requirements.control_bytes_per_second.value;
     let least = if storm.decide_s(inputs, fleet).is_none() { "at least " } else { "" };
     vec![
         storm.name.to_string(),
@@ -276,7 +276,7 @@
     }
 
     /// Over the three numbers of servers.
-    fn told(&self, inputs: &Inputs, fleet: &Deployment) -> String {
+    fn describe(&self, inputs: &Inputs, fleet: &Deployment) -> String {
         let cases = fleet.cases(inputs.assumptions, Unknown::Servers);
         let values: Vec<Option<f64>> = cases.iter().map(|case| Some((self.value)(case))).collect();
         figures(&values)
@@ -311,8 +311,8 @@
     let mut table = Table::new(&["figure", "unit", "full size", "a tenth", "mechanism"]);
     for row in cold_rows(&cold) {
         let names = [row.quantity, row.unit].map(String::from);
-        let sizes = [row.told(inputs, full), row.told(inputs, tenth)];
-        table.row(names.into_iter().chain(sizes).chain([row.mechanism.told()]));
+        let sizes = [row.describe(inputs, full), row.describe(inputs, tenth)];
+        table.row(names.into_iter().chain(sizes).chain([row.mechanism.describe()]));
     }
     table.finish()
 }
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -77,7 +77,7 @@
     }
 }
 
-fn told(output: &Output) -> String {
+fn text_of(output: &Output) -> String {
     String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
 }
 
@@ -106,8 +106,8 @@
     assert_ne!(row, edited, "the figure stands in the row");
     std::fs::write(&scratch.files.page, sound.replacen(&row, &edited, 1)).unwrap();
     let output = scratch.command(&[]);
-    assert_eq!(output.status.code(), Some(1), "{}", told(&output));
-    assert!(told(&output).contains("not as run and assumptions give: balancer\n"), "{}", told(&output));
+    assert_eq!(output.status.code(), Some(1), "{}", text_of(&output));
+    assert!(text_of(&output).contains("not as run and assumptions give: balancer\n"), "{}", text_of(&output));
     assert!(scratch.command(&["--write"]).status.success());
     assert_eq!(scratch.page(), sound);
     assert!(scratch.command(&[]).status.success());
@@ -266,8 +266,8 @@
         (change("\"99 in 100 deliveries\"", "\" \""), "`delivery_limit_ms`: `why` is empty".into()),
         (change("[3000, 6000, 12000]", "[3000, 6000]"), servers.clone() + "`values` are 2, not 3"),
         (change("[3000, 6000, 12000]", "[6000, 3000, 12000]"), servers + "`values` don't rise"),
-        (change("[letter]", "[later]"), "unknown field `later`".into()),
-        (change("[letter]", "[letter"), "line ".into()),
+        (change("[requirements]", "[requirement]"), "unknown field `requirement`".into()),
+        (change("[requirements]", "[letter"), "line ".into()),
     ];
     for (text, expected) in cases {
         let fault =
@@ -293,7 +293,7 @@
         std::fs::write(&scratch.files.page, &text).unwrap();
         let output = scratch.command(&["--write"]);
         assert_eq!(output.status.code(), Some(2));
-        assert!(told(&output).contains(&format!("CAPACITY.md: {expected}")), "{}", told(&output));
+        assert!(text_of(&output).contains(&format!("CAPACITY.md: {expected}")), "{}", text_of(&output));
         assert_eq!(scratch.page(), text, "nothing was written");
     }
 }
@@ -307,7 +307,7 @@
     let output = scratch.command(&["--write"]);
     assert_eq!(output.status.code(), Some(2));
     let line = format!("run.jsonl: line {}: no JSON object", run.lines().count());
-    assert!(told(&output).contains(&line), "{}", told(&output));
+    assert!(text_of(&output).contains(&line), "{}", text_of(&output));
     assert_eq!(scratch.page(), before);
 }
 
