--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -3,6 +3,7 @@
 //! stale. It must never measure anything.
 
 pub mod assumptions;
+mod cold_servers;
 pub mod deployment;
 mod fault;
 mod gaps;
@@ -94,7 +95,7 @@
         role("clients", roles::clients::rows(&inputs)),
         Block { name: "storms at full size", text: storms::table(&inputs, &full) },
         Block { name: "storms at a tenth", text: storms::table(&inputs, &tenth) },
-        Block { name: "cold servers", text: storms::cold_table(&inputs, &full, &tenth) },
+        Block { name: "cold servers", text: cold_servers::table(&inputs, &full, &tenth) },
         Block { name: "measured storms", text: storms::measured_table(&inputs) },
         Block { name: "slopes", text: slopes_text(run) },
         Block { name: "assumptions", text: assumptions_text(assumptions) },
