--- a/crates/lab/src/scale/decisions.rs
+++ b/crates/lab/src/scale/decisions.rs
@@ -46,7 +46,8 @@
     let (module_bytes, table_bytes) = driver.inherit(counts);
     driver.run_until(WARM_UP);
     driver.begin_measuring();
-    driver.arrivals(part);
+    driver.plan_arrivals(part);
+    driver.plan_changes(counts.changes_per_second);
     driver.run_until(driver.last_arrival);
     let measured = (driver.last_arrival - WARM_UP) as f64 / SEC as f64;
     let probes = driver.probes;
@@ -121,6 +122,8 @@
     Arrival,
     ProbeAnswered(Rs),
     Connected(FlowId),
+    /// A server is replaced.
+    ListChange,
 }
 
 struct Driver {
@@ -136,6 +139,8 @@
     next_flow: FlowId,
     groups: u64,
     servers: u64,
+    /// The longest listed server; those from here on are listed, as many as there are.
+    first_server: Rs,
     last_arrival: Time,
     probes: u64,
     placed: u64,
@@ -162,6 +167,7 @@
             next_flow: 1,
             groups: counts.groups,
             servers: counts.servers,
+            first_server: 0,
             last_arrival: 0,
             probes: 0,
             placed: 0,
@@ -202,7 +208,15 @@
         (self.probes, self.placed) = (0, 0);
     }
 
-    fn arrivals(&mut self, part: &ModulePart) {
+    fn plan_changes(&mut self, per_second: f64) {
+        let until = self.last_arrival;
+        let number = ((until - self.now) as f64 / SEC as f64 * per_second) as u64;
+        for change in 1..=number {
+            self.plan(self.now + (until - self.now) * change / number, Event::ListChange);
+        }
+    }
+
+    fn plan_arrivals(&mut self, part: &ModulePart) {
         let apart = (SEC as f64 / part.placements_per_second) as Time;
         for number in 1..=part.placements {
             self.last_arrival = self.now + number * apart;
@@ -252,6 +266,13 @@
                 let report = Report { beta: Some(load), connections: None };
                 self.flow_table.probed(now, rs, true, report, &mut acts);
             }
+            Event::ListChange => {
+                let gone = Listed { rs: self.first_server, ..Listed::default() };
+                let rs = self.first_server + self.servers;
+                let ready = Listed { rs, state: State::Ready, weight: 1.0, started: now, ..gone };
+                self.first_server += 1;
+                self.flow_table.list(now, &[gone, ready], false);
+            }
             Event::Connected(id) => self.flow_table.established(now, id, CONNECT_TIME, &mut acts),
         }
         self.carry_out(acts);
--- a/crates/lab/src/scale/measurement.rs
+++ b/crates/lab/src/scale/measurement.rs
@@ -182,7 +182,7 @@
         varied: Varied,
         size: f64,
         fixed: Fixed,
-        figures: Figures,
+        figures: Box<Figures>,
     },
     /// A straight line through the sizes of one count; `residual` is the root mean square of what it misses by.
     Fit {
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -229,7 +229,7 @@
 
     fn write_measurement(&mut self, at: At, fixed: Fixed, figures: &Figures) -> Result<(), Failure> {
         let At { part, varied, size, .. } = at;
-        let (run, figures) = (self.scenario.name.clone(), figures.clone());
+        let (run, figures) = (self.scenario.name.clone(), Box::new(figures.clone()));
         self.write(Line::Measurement { run, part, varied, size, fixed, figures })
     }
 
--- a/crates/lab/src/scale/steady.rs
+++ b/crates/lab/src/scale/steady.rs
@@ -57,9 +57,7 @@
     let before = Counted::now(&fleet);
     let replaced = change_steadily(&mut fleet, plan.counts.changes_per_second, part.measure_seconds).await;
     let after = Counted::now(&fleet);
-    if !replaced.is_empty() {
-        tokio::time::sleep(SEEN_WITHIN).await;
-    }
+    wait_until_seen(&fleet, &replaced).await;
     fleet.all_alive()?;
     let mut figures = rates(&before, &after, plan.real as f64);
     figures.list_bytes = Some(fleet.discovery.whole_bytes() as f64);
@@ -86,6 +84,15 @@
     replaced
 }
 
+/// Until each new server has been seen, or for as long as that may take.
+async fn wait_until_seen(fleet: &Fleet, replaced: &[Replacement]) {
+    let until = Instant::now() + SEEN_WITHIN;
+    let unseen = || replaced.iter().any(|new| fleet.servers.first_seen(new.server).is_none());
+    while unseen() && Instant::now() < until {
+        tokio::time::sleep(STEP).await;
+    }
+}
+
 fn rates(before: &Counted, after: &Counted, real: f64) -> Figures {
     let seconds = (after.at - before.at).as_secs_f64();
     let of_each = |before: u64, after: u64| Some((after - before) as f64 / seconds / real);
