--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -80,12 +80,12 @@
 }
 
 fn blocks(assumptions: &Assumptions, run: Option<&StoredRun>) -> Vec<Block> {
-    let inputs = Inputs { assumptions, run };
+    let inputs = Inputs::new(assumptions, run);
     let full = Deployment::new(assumptions, 1.0);
     let tenth = Deployment::new(assumptions, TENTH);
     let role =
         |name, rows: Vec<row::Row>| Block { name, text: row::table(&rows, assumptions, &full, &tenth) };
-    vec![
+    let mut blocks = vec![
         Block { name: "run", text: run_text(run) },
         Block { name: "first missing", text: gaps::ranking(&inputs, &full, &tenth) },
         role("balancer", roles::balancer::rows(&inputs)),
@@ -97,23 +97,27 @@
         Block { name: "storms at a tenth", text: storms::table(&inputs, &tenth) },
         Block { name: "cold servers", text: cold_servers::table(&inputs, &full, &tenth) },
         Block { name: "measured storms", text: storms::measured_table(&inputs) },
-        Block { name: "slopes", text: slopes_text(run) },
         Block { name: "assumptions", text: assumptions_text(assumptions) },
-    ]
+    ];
+    // Last, when all have asked for theirs.
+    blocks.push(Block { name: "slopes", text: slopes_text(&inputs) });
+    blocks
 }
 
 fn run_text(run: Option<&StoredRun>) -> String {
     let Some(run) = run else { return format!("No run is stored yet: every slope is {NOT_MEASURED}.\n") };
     let machine: Vec<String> = run.machine.iter().map(|(key, value)| format!("{key} {value}")).collect();
-    format!("Run `{}` of commit `{}`, on a machine with {}.\n", run.name, run.text, machine.join(", "))
+    format!("Run `{}` of text `{}`, on a machine with {}.\n", run.name, run.text, machine.join(", "))
 }
 
-fn slopes_text(run: Option<&StoredRun>) -> String {
-    let Some(run) = run else { return format!("{NOT_MEASURED}\n") };
+/// The lines that the other blocks have used.
+fn slopes_text(inputs: &Inputs) -> String {
+    let Some(run) = inputs.run else { return format!("{NOT_MEASURED}\n") };
     let mut table = Table::new(&["run", "part", "figure", "varied", "intercept", "slope", "residual"]);
-    for fit in run.fits() {
-        let names = [run.name.as_str(), fit.part.name(), fit.figure.as_str(), fit.varied.name()];
-        let fitted = [fit.intercept, fit.slope, fit.residual].map(number);
+    for slope in inputs.used() {
+        let names = [run.name.as_str(), slope.part.name(), slope.figure, slope.varied.name()];
+        let fitted = slope.fit().map(|fit| [fit.intercept, fit.slope, fit.residual].map(number));
+        let fitted = fitted.unwrap_or([NOT_MEASURED; 3].map(String::from));
         table.row(names.map(String::from).into_iter().chain(fitted));
     }
     format!("{}\n{}", sizes_text(run), table.finish())
--- a/crates/lab/src/capacity/row.rs
+++ b/crates/lab/src/capacity/row.rs
@@ -1,5 +1,8 @@
 //! One figure of a role: how it is worked out, what it may be and what carries it in the code.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+
 use super::assumptions::Assumptions;
 use super::deployment::{Deployment, Unknown};
 use super::markdown::{Table, figures, number};
@@ -11,43 +14,64 @@
     pub assumptions: &'a Assumptions,
     /// None until there is a stored run.
     pub run: Option<&'a StoredRun>,
+    /// Figures of the run that were asked for.
+    used: RefCell<BTreeSet<(Part, Varied, &'static str)>>,
 }
 
-impl Inputs<'_> {
+impl<'a> Inputs<'a> {
+    /// Nothing has been asked for yet.
+    pub fn new(assumptions: &'a Assumptions, run: Option<&'a StoredRun>) -> Self {
+        Inputs { assumptions, run, used: RefCell::default() }
+    }
+
     /// The slope of a figure, or that no run has it.
-    pub fn slope(&self, part: Part, varied: Varied, figure: &'static str) -> Slope<'_> {
-        let fit = self.run.and_then(|run| run.fit(part, varied, figure));
-        let measured_to = self.run.and_then(|run| run.range(part, varied)).map(|(_, most)| most);
-        Slope { part, varied, figure, fit, measured_to }
+    pub fn slope(&self, part: Part, varied: Varied, figure: &'static str) -> Slope<'a> {
+        self.used.borrow_mut().insert((part, varied, figure));
+        Slope { part, varied, figure, run: self.run }
+    }
+
+    /// Slopes of all figures that were asked for so far.
+    pub fn used(&self) -> Vec<Slope<'a>> {
+        let used = self.used.borrow();
+        used.iter().map(|&(part, varied, figure)| Slope { part, varied, figure, run: self.run }).collect()
     }
 }
 
 /// A figure over a count, as the stored run has it.
 #[derive(Clone, Copy)]
 pub struct Slope<'a> {
-    part: Part,
-    varied: Varied,
-    figure: &'static str,
-    fit: Option<&'a Fit>,
-    measured_to: Option<f64>,
+    pub part: Part,
+    pub varied: Varied,
+    pub figure: &'static str,
+    run: Option<&'a StoredRun>,
 }
 
-impl Slope<'_> {
+impl<'a> Slope<'a> {
     /// The figure at a count; none where it was not measured.
     pub fn at(&self, count: f64) -> Option<f64> {
-        self.fit.map(|fit| fit.at(count))
+        self.run?.at(self.part, self.varied, self.figure, count)
     }
 
     /// The slope alone.
     pub fn per_unit(&self) -> Option<f64> {
-        self.fit.map(|fit| fit.slope)
+        self.fit().map(|fit| fit.slope)
+    }
+
+    /// The fitted line.
+    pub fn fit(&self) -> Option<&'a Fit> {
+        self.run?.fit(self.part, self.varied, self.figure)
+    }
+
+    /// The largest measured size.
+    fn measured_to(&self) -> Option<f64> {
+        self.run?.range(self.part, self.varied).map(|(_, most)| most)
     }
 
     /// How the page tells of it.
     pub fn describe(&self) -> String {
         let (figure, count, part) = (self.figure, self.varied.name(), self.part.name());
-        let Some(fit) = self.fit else { return format!("{figure} over {count} ({part}): *not measured*") };
-        let range = self.measured_to.map_or(String::new(), |most| format!(", to {}", number(most)));
+        let Some(fit) = self.fit() else { return format!("{figure} over {count} ({part}): *not measured*") };
+        let range = self.measured_to().map_or(String::new(), |most| format!(", to {}", number(most)));
         let sign = if fit.intercept < 0.0 { "-" } else { "+" };
         let [slope, intercept, residual] = [fit.slope, fit.intercept.abs(), fit.residual].map(number);
         let source = format!("measured, {part}{range}, residual {residual}");
--- a/crates/lab/src/capacity/stored_run.rs
+++ b/crates/lab/src/capacity/stored_run.rs
@@ -153,9 +153,26 @@
         self.fits.get(&(part, varied, figure.to_string()))
     }
 
-    /// All fitted lines in order of part, varied count and figure.
-    pub fn fits(&self) -> impl Iterator<Item = &Fit> {
-        self.fits.values()
+    /// A figure at a count: read between the two measured sizes around it, or on the fitted line outside of all sizes.
+    pub fn at(&self, part: Part, varied: Varied, figure: &str, count: f64) -> Option<f64> {
+        let between = self.measured(part, varied, figure);
+        let pairs = between.iter().zip(between.iter().skip(1));
+        let around = pairs.into_iter().find(|((least, _), (most, _))| (*least..=*most).contains(&count));
+        match around {
+            Some(((size, value), (next_size, next_value))) if next_size > size => {
+                Some(value + (next_value - value) * (count - size) / (next_size - size))
+            }
+            _ => self.fit(part, varied, figure).map(|fit| fit.at(count)),
+        }
+    }
+
+    /// A figure at each measured size, from the smallest on.
+    fn measured(&self, part: Part, varied: Varied, figure: &str) -> Vec<(f64, f64)> {
+        let points = self.points(part).filter(|point| point.varied == varied);
+        let value = |point: &Point| Some((point.size, point.figures.get(figure)?.as_f64()?));
+        let mut measured: Vec<(f64, f64)> = points.filter_map(value).collect();
+        measured.sort_by(|a, b| a.0.total_cmp(&b.0));
+        measured
     }
 
     /// All measured points of a part, in the order of the run.
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -243,6 +243,35 @@
     assert_eq!(run.range(Part::Module, Varied::Servers), Some((60.0, 60.0)));
 }
 
+/// Guards against a line through all sizes that is under 0 at small ones, where the program's figure bends.
+#[test]
+fn a_figure_is_read_between_measured_sizes_and_on_the_line_beyond() {
+    let point = |size: f64, value: &str| {
+        format!(
+            r#"{{"run":"a","part":"module","varied":"servers","size":{size},"fixed":{{}},"figures":{{"x":{value}}}}}"#
+        )
+    };
+    let lines = [
+        r#"{"run":"a","machine":{},"text":"0"}"#.to_string(),
+        // Out of order, and one size at which it was not measured.
+        point(100.0, "30"),
+        point(10.0, "2"),
+        point(40.0, "null"),
+        point(20.0, "4"),
+        r#"{"run":"a","part":"module","fit":"x","varied":"servers","intercept":-5,"slope":0.5,"residual":1}"#
+            .into(),
+    ];
+    let run = StoredRun::parse(Path::new("run.jsonl"), &lines.join("\n")).unwrap();
+    let at = |count| run.at(Part::Module, Varied::Servers, "x", count);
+    let cases =
+        [(10.0, 2.0), (15.0, 3.0), (20.0, 4.0), (60.0, 17.0), (100.0, 30.0), (200.0, 95.0), (2.0, -4.0)];
+    for (count, expected) in cases {
+        assert_eq!(at(count), Some(expected), "{count}");
+    }
+    assert_eq!(run.at(Part::Module, Varied::Servers, "y", 15.0), None);
+    assert_eq!(run.at(Part::Module, Varied::Groups, "x", 15.0), None);
+}
+
 #[test]
 fn assumptions_that_are_faulty_are_named_by_line_and_key() {
     let sound = std::fs::read_to_string(committed().assumptions).unwrap();
