--- a/crates/lab/src/scale/decisions.rs
+++ b/crates/lab/src/scale/decisions.rs
@@ -55,11 +55,12 @@
 
     let calls = driver.calls.borrow();
     let (placed, asked) = (driver.placed as f64, part.placements as f64);
-    let microseconds = |quantile: f64| calls.times.value_at_quantile(quantile) as f64 / 1e3;
+    let microseconds = |quantile: f64| calls.placing.value_at_quantile(quantile) as f64 / 1e3;
     Ok(Figures {
         place_p50_us: Some(microseconds(0.5)),
         place_p99_us: Some(microseconds(0.99)),
-        place_calls_per_placement: Some(calls.times.len() as f64 / placed.max(1.0)),
+        place_us_per_flow: Some(calls.nanoseconds as f64 / 1e3 / asked),
+        place_calls_per_placement: Some(calls.number as f64 / placed.max(1.0)),
         servers_per_placement: Some(driver.servers_looked_at()),
         placed_share: Some(placed / asked),
         probes_per_second: Some(probes as f64 / measured),
@@ -72,12 +73,22 @@
 
 /// What the calls of the module took.
 struct Calls {
-    /// Nanoseconds of each call of `place`.
-    times: Histogram<u64>,
+    /// Nanoseconds of each call of `place` that gave a server. One that holds a flow may be a glance only.
+    placing: Histogram<u64>,
+    /// All calls of `place`, and their nanoseconds.
+    number: u64,
+    nanoseconds: u64,
     /// Bytes that the module took for connections that it inherited.
     inherited_bytes: i64,
 }
 
+impl Calls {
+    fn new() -> Self {
+        let placing = Histogram::new_with_max(LONGEST_CALL, SIGNIFICANT_DIGITS).expect("bounds that hold");
+        Calls { placing, number: 0, nanoseconds: 0, inherited_bytes: 0 }
+    }
+}
+
 /// The module, with its calls measured.
 struct MeasuredPolicy {
     policy: Policy,
@@ -89,7 +100,12 @@
         let began = Instant::now();
         let place = self.policy.place(now, flow);
         let took = began.elapsed().as_nanos() as u64;
-        self.calls.borrow_mut().times.saturating_record(took);
+        let mut calls = self.calls.borrow_mut();
+        (calls.number, calls.nanoseconds) = (calls.number + 1, calls.nanoseconds + took);
+        if let Place::To(..) = place {
+            calls.placing.saturating_record(took);
+        }
+        drop(calls);
         place
     }
     fn after(&mut self, now: Time, outcome: Outcome) -> Todo {
@@ -155,7 +171,7 @@
         };
         let settings = Settings::within(&settings(of)).map_err(|e| e.to_string())?;
         let policy = settings.policy(seed, MARGIN, true).map_err(|e| e.to_string())?;
-        let calls = Rc::new(RefCell::new(Calls { times: new_histogram(), inherited_bytes: 0 }));
+        let calls = Rc::new(RefCell::new(Calls::new()));
         Ok(Driver {
             flow_table: Hand::new(MeasuredPolicy { policy, calls: calls.clone() }),
             calls,
@@ -204,7 +220,8 @@
     }
 
     fn begin_measuring(&mut self) {
-        self.calls.borrow_mut().times.reset();
+        let inherited_bytes = self.calls.borrow().inherited_bytes;
+        *self.calls.borrow_mut() = Calls { inherited_bytes, ..Calls::new() };
         (self.probes, self.placed) = (0, 0);
     }
 
@@ -300,7 +317,3 @@
         self.servers as f64
     }
 }
-
-fn new_histogram() -> Histogram<u64> {
-    Histogram::new_with_max(LONGEST_CALL, SIGNIFICANT_DIGITS).expect("bounds that hold")
-}
--- a/crates/lab/src/scale/measurement.rs
+++ b/crates/lab/src/scale/measurement.rs
@@ -56,11 +56,14 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Figures {
-    /// Time of one call of `place`, median and 99th percentile.
+    /// Time of one call of `place` that gave a server, median and 99th percentile.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub place_p50_us: Option<f64>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub place_p99_us: Option<f64>,
+    /// Time of all calls of `place` for one flow, those that held it too: the mean.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub place_us_per_flow: Option<f64>,
     /// Calls of `place` for each flow that was placed.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub place_calls_per_placement: Option<f64>,
--- a/crates/lab/src/scale/plot.rs
+++ b/crates/lab/src/scale/plot.rs
@@ -8,7 +8,8 @@
 use super::table::{kinds, points};
 
 /// What is drawn of each part.
-const MODULE_FIGURES: [&str; 4] = ["place_p50_us", "place_p99_us", "probes_per_second", "bytes_per_server"];
+const MODULE_FIGURES: [&str; 5] =
+    ["place_p50_us", "place_p99_us", "place_us_per_flow", "probes_per_second", "bytes_per_server"];
 const SOCKET_FIGURES: [&str; 5] = [
     "control_bytes_per_second",
     "probes_per_second",
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -211,13 +211,13 @@
 
 #[test]
 fn a_size_that_would_pass_the_memory_limit_is_named_and_not_begun() {
-    let text = only("module").replacen("[20, 60, 120, 240]", "[20, 1_000_000, 60]", 1);
-    let (lines, output) = scale("memory", &format!("{text}\n[limits]\nmemory_mb = 200\n"));
+    let text = only("module").replacen("[20, 60, 120, 240]", "[20, 4_000, 60]", 1);
+    let (lines, output) = scale("memory", &format!("{text}\n[limits]\nmemory_mb = 70\n"));
     assert_eq!(measured_sizes(&lines), [20.0], "the size before it stands");
     assert_eq!(output.status.code(), Some(2));
     let told = said(&output);
-    assert!(told.contains("module with servers = 1000000 would pass the limit of memory (MB)"), "{told}");
-    assert!(told.contains("200 allowed; stopped before it"), "{told}");
+    assert!(told.contains("module with servers = 4000 would pass the limit of memory (MB)"), "{told}");
+    assert!(told.contains("needs 80, 70 allowed; stopped before it"), "{told}");
 }
 
 /// There is no such balancer: had anything been started the error would name its file.
