--- a/crates/lab/src/capacity/needs.rs
+++ b/crates/lab/src/capacity/needs.rs
@@ -107,10 +107,15 @@
     (failures + restarts) * fleet.servers / fleet.machines()
 }
 
-/// Processor time of placing, in percent of a core: one look for each new connection.
+/// Processor time of placing one new connection, all calls together, in microseconds.
+pub fn placement_us(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
+    inputs.slope(Part::Module, Varied::Servers, "place_us_per_flow").at(fleet.servers)
+}
+
+/// Processor time of placing, in percent of a core.
 pub fn placement_percent(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
-    let place = inputs.slope(Part::Module, Varied::Servers, "place_p50_us").at(fleet.servers)?;
-    Some(place * fleet.own_placements_per_second() / MICROSECONDS_PER_SECOND * PERCENT)
+    let seconds = placement_us(inputs, fleet)? / MICROSECONDS_PER_SECOND;
+    Some(seconds * fleet.own_placements_per_second() * PERCENT)
 }
 
 /// Processor time of so many probes a second, in percent of a core: what a probe more took in the run, times the probes.
--- a/crates/lab/src/capacity/roles/balancer.rs
+++ b/crates/lab/src/capacity/roles/balancer.rs
@@ -7,7 +7,8 @@
     BYTES_PER_KB, BYTES_PER_MB, MICROSECONDS_PER_SECOND, PERCENT, SECONDS_PER_DAY, change_bytes_per_second,
     change_message_bytes, control_memory_mb, descriptors_needed, entry_bytes, least_probes, list_basis,
     list_changes_per_day, measured_control_bytes, module_probes, own_state_mb, percent_per_set_up,
-    placement_percent, probe_bytes, probe_bytes_basis, probes_percent, watch_bytes, whole_list_bytes,
+    placement_percent, placement_us, probe_bytes, probe_bytes_basis, probes_percent, watch_bytes,
+    whole_list_bytes,
 };
 use crate::capacity::row::{Inputs, Row};
 use crate::capacity::stored_run::{Part, Varied};
@@ -212,8 +213,9 @@
     let module = |figure| inputs.slope(Part::Module, Varied::Servers, figure);
     let (place, looked_at) = (module("place_p50_us"), module("servers_per_placement"));
     let calls = module("place_calls_per_placement");
+    let per_flow = module("place_us_per_flow");
     let placed = module("placed_share");
-    let share = format!("{} x new connections a second, one call each", place.describe());
+    let share = format!("{} x new connections a second", per_flow.describe());
     vec![
         Row::new(
             "new connections",
@@ -239,6 +241,14 @@
             mechanism::BOUNDED_CANDIDATES,
         )
         .over(Unknown::Servers),
+        Row::new(
+            "all calls for one new connection",
+            "us",
+            per_flow.describe(),
+            |f| placement_us(inputs, f),
+            mechanism::BOUNDED_CANDIDATES,
+        )
+        .over(Unknown::Servers),
         Row::new(
             "part of new connections that are placed",
             "",
--- a/crates/lab/src/capacity/storms.rs
+++ b/crates/lab/src/capacity/storms.rs
@@ -2,9 +2,9 @@
 
 use super::deployment::{Deployment, Unknown};
 use super::markdown::{NOT_MEASURED, Table, figure, figures, number};
-use super::needs::{BYTES_PER_MB, MICROSECONDS_PER_SECOND, entry_bytes};
+use super::needs::{BYTES_PER_MB, MICROSECONDS_PER_SECOND, entry_bytes, placement_us};
 use super::row::Inputs;
-use super::stored_run::{Part, Varied};
+use super::stored_run::Part;
 
 const DAYS_PER_YEAR: f64 = 365.0;
 const MS_PER_SECOND: f64 = 1e3;
@@ -146,9 +146,9 @@
         self.clients_at_a_server(inputs, fleet) / inputs.assumptions.assumed.server_attempts_per_second.value
     }
 
-    /// Seconds of a whole core for one look at each.
+    /// Seconds of a whole core to place them all, at the time that one takes in quiet operation.
     fn decide_s(&self, inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
-        let place = inputs.slope(Part::Module, Varied::Servers, "place_p50_us").at(fleet.servers)?;
+        let place = placement_us(inputs, fleet)?;
         Some(self.clients_at_a_balancer(inputs, fleet) * place / MICROSECONDS_PER_SECOND)
     }
 
@@ -176,7 +176,7 @@
         "for one surviving balancer",
         "attempts a second there",
         "attempts a second at a surviving server",
-        "a core's seconds to decide, one look each",
+        "a core's seconds to decide",
         "s until placed again, window never halved",
         "s until placed again, halved at the start",
         "list bytes for one balancer",
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -183,8 +183,10 @@
         ("processor for setting connections up", "7.38 / 1.23 / 0.154"),
         // 62e6 / 1,400 / 600, 3,600 and 28,800 s.
         ("new connections", "73.8 / 12.3 / 1.54"),
-        // 752 us x 12.30 a second, in percent of a core.
-        ("placing, over the lives", "5.55 / 0.925 / 0.116"),
+        // 4 + 0.25 x servers.
+        ("all calls for one new connection", "754 / 1,504 / 3,004"),
+        // 1,504 us x new connections a second, in percent of a core.
+        ("placing, over the lives", "11.1 / 1.85 / 0.231"),
         // 100 + 200 x servers.
         ("a whole list", "600,100 / 1,200,100 / 2,400,100"),
         // 62e6 / 1,400.
@@ -196,9 +198,9 @@
         let row = scratch.row(quantity);
         assert!(row.contains(&format!("| {expected} |")), "{quantity}: {expected} is not in {row}");
     }
-    // 2 million clients over 1,400 x 30 / 31 balancers; 752 us each.
+    // 2 million clients over 1,400 x 30 / 31 balancers; 1,504 us each.
     let zone = scratch.row("a zone goes");
-    assert!(zone.contains("| 2,000,000 | 1,476 |") && zone.contains("| 1.11 |"), "{zone}");
+    assert!(zone.contains("| 2,000,000 | 1,476 |") && zone.contains("| 2.22 |"), "{zone}");
     // 6,000 x (1 - e^-7.38) / 10 s x 176 bytes of 2,000.
     let first = "Missing first: **bounded candidates and a control budget** (bytes a second of probes at the longest \
         interval, without a control budget: 52.8 times its budget). Runner-up: **a whole list in parts";
