--- a/crates/lab/src/scale/limits.rs
+++ b/crates/lab/src/scale/limits.rs
@@ -99,6 +99,12 @@
     memory_mb("MemTotal:")
 }
 
+/// The system's load average of the last minute.
+pub fn load_average() -> Option<f64> {
+    let text = std::fs::read_to_string("/proc/loadavg").ok()?;
+    text.split_whitespace().next()?.parse().ok()
+}
+
 fn memory_mb(name: &str) -> Option<u64> {
     let text = std::fs::read_to_string("/proc/meminfo").ok()?;
     let line = text.lines().find_map(|line| line.strip_prefix(name))?;
--- a/crates/lab/src/scale/measurement.rs
+++ b/crates/lab/src/scale/measurement.rs
@@ -167,6 +167,9 @@
     pub cores: u64,
     pub memory_mb: u64,
     pub descriptors: u64,
+    /// Processes that ran or waited on it in the minute before: a busy machine's times are no good.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub load_average: Option<f64>,
 }
 
 /// One line of a run.
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -107,7 +107,8 @@
 /// The machine that this runs on.
 pub fn machine(limits: &Limits) -> Machine {
     let cores = std::thread::available_parallelism().map_or(1, |cores| cores.get() as u64);
-    Machine { cores, memory_mb: limits::total_memory_mb().unwrap_or(0), descriptors: limits.descriptors }
+    let memory_mb = limits::total_memory_mb().unwrap_or(0);
+    Machine { cores, memory_mb, descriptors: limits.descriptors, load_average: limits::load_average() }
 }
 
 impl<W: Write> Run<'_, W> {
--- a/crates/lab/src/scale/table.rs
+++ b/crates/lab/src/scale/table.rs
@@ -17,6 +17,9 @@
                 "# Scale run `{run}`\n\nMeasured on {cores} cores with {memory} MB, {descriptors} descriptors a process, at {text}."
             )
             .expect("a string takes all");
+            if let Some(load) = machine.load_average {
+                writeln!(out, "Load average at the start: {load}.").expect("a string takes all");
+            }
         }
     }
     for (part, varied) in kinds(lines) {
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -284,7 +284,7 @@
 fn lines() -> Vec<Line> {
     let counts = Counts { servers: 60, balancers: 4, connections: 9, groups: 2, changes_per_second: 0.5 };
     let run = || "test".to_string();
-    let machine = Machine { cores: 8, memory_mb: 1000, descriptors: 20 };
+    let machine = Machine { cores: 8, memory_mb: 1000, descriptors: 20, load_average: Some(0.5) };
     let mut lines = vec![Line::Start { run: run(), machine, text: "abc".into() }];
     for (size, bytes) in [(60.0, 100.0), (600.0, 1000.0), (3000.0, 0.0)] {
         let figures = Figures {
@@ -334,7 +334,7 @@
     let text: Vec<String> = lines().iter().map(|line| serde_json::to_string(line).unwrap()).collect();
     assert_eq!(
         text[0],
-        r#"{"run":"test","machine":{"cores":8,"memory_mb":1000,"descriptors":20},"text":"abc"}"#
+        r#"{"run":"test","machine":{"cores":8,"memory_mb":1000,"descriptors":20,"load_average":0.5},"text":"abc"}"#
     );
     assert_eq!(
         text[1],
@@ -393,6 +393,17 @@
     assert_eq!(least_squares(&[]), None);
 }
 
+/// Guards against a stored run that nobody can read any more, or a table that isn't its own.
+#[test]
+fn the_stored_run_is_read_and_its_table_is_made_from_it() {
+    let stored = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/scale");
+    let text = std::fs::read_to_string(stored.join("run.jsonl")).unwrap();
+    let lines = measurement::read(&text).unwrap();
+    assert!(matches!(lines[0], Line::Start { .. }));
+    let markdown = std::fs::read_to_string(stored.join("run.md")).unwrap();
+    assert_eq!(table::markdown(&lines), markdown);
+}
+
 #[test]
 fn the_table_and_the_plot_are_made_from_the_lines_alone() {
     let markdown = table::markdown(&lines());
