--- /dev/null
+++ b/crates/lab/src/capacity/needs.rs
@@ -0,0 +1,155 @@
+//! What several roles and the ranking work out alike: bytes of probes and lists, processor time of placing, changes.
+
+use super::deployment::Deployment;
+use super::markdown::number;
+use super::row::Inputs;
+use super::stored_run::{Part, Varied};
+
+pub const SECONDS_PER_DAY: f64 = 86_400.0;
+pub const MICROSECONDS_PER_SECOND: f64 = 1e6;
+pub const BYTES_PER_MB: f64 = 1e6;
+pub const BYTES_PER_KB: f64 = 1e3;
+pub const PERCENT: f64 = 100.0;
+
+/// Bytes of a probe with its packet headers: the payload as measured, else as assumed.
+pub fn probe_bytes(inputs: &Inputs) -> f64 {
+    let assumed = &inputs.assumptions.assumed;
+    let payload = probe_payload(inputs).unwrap_or(assumed.probe_payload_bytes.value);
+    payload + assumed.probe_packets.value * assumed.packet_header_bytes.value
+}
+
+/// Payload of a probe more, as the run has it.
+fn probe_payload(inputs: &Inputs) -> Option<f64> {
+    per_probe(inputs, "probe_bytes_per_second")
+}
+
+/// What a probe more a second adds to a figure: the ratio of both slopes over servers.
+fn per_probe(inputs: &Inputs, figure: &'static str) -> Option<f64> {
+    let slope = |figure| inputs.slope(Part::Sockets, Varied::Servers, figure).per_unit();
+    ratio(slope(figure)?, slope("probes_per_second")?)
+}
+
+/// Processor time of setting a connection up, in percent of a core for each a second: the ratio of both slopes over
+/// connections.
+pub fn percent_per_set_up(inputs: &Inputs) -> Option<f64> {
+    let slope = |figure| inputs.slope(Part::Sockets, Varied::Connections, figure).per_unit();
+    ratio(slope("cpu_percent_of_core")?, slope("connects_per_second")?)
+}
+
+fn ratio(of: f64, to: f64) -> Option<f64> {
+    (to > 0.0).then(|| of / to)
+}
+
+/// How the page tells of the bytes of a probe.
+pub fn probe_bytes_basis(inputs: &Inputs) -> String {
+    let assumed = &inputs.assumptions.assumed;
+    let headers = assumed.probe_packets.value * assumed.packet_header_bytes.value;
+    let headers = format!("{} of packet headers (*assumed*)", number(headers));
+    match probe_payload(inputs) {
+        Some(payload) => format!("{} (measured, ratio of slopes) + {headers}", number(payload)),
+        None => format!("{} (*assumed*) + {headers}", number(assumed.probe_payload_bytes.value)),
+    }
+}
+
+/// Probes a second of the decision module alone, with as many own connections as the operators have told.
+pub fn module_probes(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
+    inputs.slope(Part::Module, Varied::Servers, "probes_per_second").at(fleet.servers)
+}
+
+/// Bytes of a call for the list that brings nothing, with its packet headers.
+pub fn watch_bytes(inputs: &Inputs) -> f64 {
+    let assumed = &inputs.assumptions.assumed;
+    assumed.watch_payload_bytes.value + assumed.watch_packets.value * assumed.packet_header_bytes.value
+}
+
+/// Probes a second of a balancer that probes each server that holds a connection of its own at the longest interval.
+pub fn least_probes(inputs: &Inputs, fleet: &Deployment) -> f64 {
+    fleet.servers_held() / inputs.assumptions.code.probe_interval_longest_s.value
+}
+
+/// Payload and packet headers of a balancer's control, as measured and extrapolated.
+pub fn measured_control_bytes(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
+    let assumed = &inputs.assumptions.assumed;
+    let over_servers = |figure| inputs.slope(Part::Sockets, Varied::Servers, figure).at(fleet.servers);
+    let probes = over_servers("probes_per_second")? * assumed.probe_packets.value;
+    let calls = over_servers("list_calls_per_second")? * assumed.watch_packets.value;
+    Some(over_servers("control_bytes_per_second")? + (probes + calls) * assumed.packet_header_bytes.value)
+}
+
+/// Bytes of a whole list: measured, else by the assumed size of an entry.
+pub fn whole_list_bytes(inputs: &Inputs, servers: f64) -> f64 {
+    let slope = inputs.slope(Part::Sockets, Varied::Servers, "list_bytes");
+    slope.at(servers).unwrap_or(servers * inputs.assumptions.assumed.list_entry_bytes.value)
+}
+
+/// Bytes of one entry of the list: measured, else assumed.
+pub fn entry_bytes(inputs: &Inputs) -> f64 {
+    let slope = inputs.slope(Part::Sockets, Varied::Servers, "list_bytes");
+    slope.per_unit().unwrap_or(inputs.assumptions.assumed.list_entry_bytes.value)
+}
+
+pub fn list_basis(inputs: &Inputs) -> String {
+    let slope = inputs.slope(Part::Sockets, Varied::Servers, "list_bytes");
+    match slope.per_unit() {
+        Some(_) => slope.describe(),
+        None => {
+            let entry = number(inputs.assumptions.assumed.list_entry_bytes.value);
+            format!("{entry} bytes x servers (*assumed*)")
+        }
+    }
+}
+
+/// Changes of the list a day: of servers only, in proportion to their part of all machines.
+pub fn list_changes_per_day(inputs: &Inputs, fleet: &Deployment) -> f64 {
+    let assumed = &inputs.assumptions.assumed;
+    let failures = fleet.failures_per_day * assumed.list_changes_per_failure.value;
+    let restarts = fleet.restarts_per_day * assumed.list_changes_per_restart.value;
+    (failures + restarts) * fleet.servers / fleet.machines()
+}
+
+/// Processor time of placing one new connection, all calls together, in microseconds.
+pub fn placement_us(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
+    inputs.slope(Part::Module, Varied::Servers, "place_us_per_flow").at(fleet.servers)
+}
+
+/// Processor time of placing, in percent of a core.
+pub fn placement_percent(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
+    let seconds = placement_us(inputs, fleet)? / MICROSECONDS_PER_SECOND;
+    Some(seconds * fleet.own_placements_per_second() * PERCENT)
+}
+
+/// Processor time of so many probes a second, in percent of a core: what a probe more took in the run, times the probes.
+pub fn probes_percent(inputs: &Inputs, probes: f64) -> Option<f64> {
+    Some(per_probe(inputs, "cpu_percent_of_core")? * probes)
+}
+
+/// Bytes of one change of the configuration as it comes to one balancer.
+pub fn change_message_bytes(inputs: &Inputs, fleet: &Deployment) -> f64 {
+    fleet.change_bytes + inputs.assumptions.assumed.control_message_header_bytes.value
+}
+
+/// Bytes a second at one balancer while a change has to come into force.
+pub fn change_bytes_per_second(inputs: &Inputs, fleet: &Deployment) -> f64 {
+    change_message_bytes(inputs, fleet) / inputs.assumptions.requirements.configuration_limit_s.value
+}
+
+/// Descriptors that the process has to be allowed, as they are shared out: flows, probes, clients that wait.
+pub fn descriptors_needed(inputs: &Inputs, fleet: &Deployment) -> f64 {
+    let code = &inputs.assumptions.code;
+    let flows = fleet.own_connections() * code.descriptors_per_flow.value;
+    let rest = 1.0 - code.probe_descriptor_part.value.recip() - code.waiting_descriptor_part.value.recip();
+    (flows + code.descriptors_standing.value) / rest
+}
+
+/// The module's state of own connections.
+pub fn own_state_mb(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
+    let of_connection = inputs.slope(Part::Module, Varied::Connections, "bytes_per_connection");
+    let own = fleet.own_connections();
+    Some(of_connection.at(own)? * own / BYTES_PER_MB)
+}
+
+/// Memory for control: the process as it was on sockets with few flows, and the module's state of own connections.
+pub fn control_memory_mb(inputs: &Inputs, fleet: &Deployment) -> Option<f64> {
+    let process = inputs.slope(Part::Sockets, Varied::Servers, "memory_mb").at(fleet.servers)?;
+    Some(process + own_state_mb(inputs, fleet)?)
+}
