--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -333,7 +333,8 @@
         self.draining = draining.map(|server| server.listed.rs).collect();
         let drains = !self.drained(now).is_empty();
         self.leaving = self.leaving.or(drains.then_some(now + LEAVE));
-        self.next_probe = self.due(now);
+        // Not put off: guards against a list that changes many times a second and probes that never come due.
+        self.next_probe = self.due(now).map(|due| self.next_probe.map_or(due, |at| at.min(due)));
     }
 
     /// Keeps what the news say of a long list.
@@ -489,10 +490,9 @@
         // holders of the flow's group take more, against common work that is paid for on every server.
         let name = flow.group.as_ref().map_or(0, |group| hash_name(group));
         let told = self.tells && flow.group.is_some() && self.holders.knows(name as u16);
-        let holds = |server: &Server| match told {
-            true => self.holders.holds(now, name as u16, server.listed.rs),
-            false => !self.tells && holders.is_some_and(|holders| holders.contains_key(&server.listed.rs)),
-        };
+        let ours = |rs: Rs| !self.tells && holders.is_some_and(|holders| holders.contains_key(&rs));
+        let others = |rs: Rs| told && self.holders.holds(now, name as u16, rs);
+        let holds = |server: &Server| ours(server.listed.rs) || others(server.listed.rs);
         let is_near = |server: &Server| server.listed.hall == self.hall;
         // Guards against many balancers that each hold few of a group and spread it: they agree on an order
         // of servers for it, whose first is its home, with room but for a few more on the same figure.
@@ -508,8 +508,7 @@
             () if told && self.book.told.is_empty() => NEW,
             () => T_H.min(worth + NEW),
         };
-        let mut least = f64::INFINITY;
-        let mut open = healthy;
+        let (mut least, mut open) = (f64::INFINITY, healthy);
         open.retain(|seen| {
             let ahead = if unknown(seen.0) { 0.0 } else { expected(seen) };
             least = least.min(ahead);
@@ -608,7 +607,7 @@
                     }
                 }
             }
-            Outcome::Elapsed => (self.held, self.look) = (0, None),
+            Outcome::Elapsed => (self.held, self.look) = (0, self.look.filter(|at| *at > now)),
         }
         if self.next_probe.is_some_and(|at| at <= now) {
             todo.probe = if self.long.is_some() { self.probe_some(now) } else { self.probe_due(now) };
