--- a/crates/policy/tests/long_lists.rs
+++ b/crates/policy/tests/long_lists.rs
@@ -110,22 +110,31 @@
 #[test]
 fn candidates_that_are_all_full_let_the_whole_list_be_looked_at_but_seldom() {
     let list = servers(600);
-    let mut policy = balancer(1, 3);
+    let mut long = nettlemux_candidates::LongList::default();
+    list.iter().for_each(|server| long.update(server.rs, server.hall, server.weight, true));
+    // Few other balancers, as each of ours is taken for one of each of them.
+    let mut policy = balancer(1, 3).among(4.0, false);
     policy.list(T0, &list, true);
-    let group = of_group(T0, 1, "one");
-    // All that are asked are full, until there is nobody left to ask but the rest of the list.
-    let mut placed = BTreeMap::new();
-    for id in 0..200 {
-        let now = T0 + id * 10 * MS;
-        let flow = Flow { id, taken: now, give_up: now + 2 * SEC, ..group.clone() };
-        for rs in policy.after(now, Outcome::Elapsed).probe {
-            policy.after(now, Outcome::Probed { rs, passed: true, report: beta(0.79) });
-        }
-        if let Place::To(rs, ..) = policy.place(now, &flow) {
-            *placed.entry(rs).or_insert(0) += 1;
+    let roomy = |rs: &Rs| (500..510).contains(rs);
+    for rs in 0..600 {
+        let figure = beta(if roomy(&rs) { 0.1 } else { 0.79 });
+        policy.after(T0, Outcome::Probed { rs, passed: true, report: figure });
+    }
+    // Groups that have none of those with room among their candidates.
+    let key = |name: &String| nettlemux_candidates::hash_name(name);
+    let away = |name: &String| !long.scope(key(name), 3, true, [].into_iter()).iter().any(roomy);
+    let groups: Vec<String> = names(200).into_iter().filter(away).take(20).collect();
+    assert_eq!(groups.len(), 20);
+    let mut placed = Vec::new();
+    for (id, group) in groups.iter().enumerate() {
+        let (id, now) = (id as FlowId, T0 + (1 + id as Time) * MS);
+        if let Place::To(rs, ..) = policy.place(now, &of_group(now, id, group)) {
+            policy.after(now, Outcome::Established { flow: id, took: MS });
+            placed.push(rs);
         }
     }
-    assert!(!placed.is_empty(), "the whole list has room");
+    assert!(placed.iter().all(roomy), "{placed:?}");
+    assert_eq!(placed.len(), 2, "as often as the whole list may be looked at: {placed:?}");
 }
 
 #[test]
