--- a/crates/candidates/src/lib.rs
+++ b/crates/candidates/src/lib.rs
@@ -27,6 +27,6 @@
 
 pub use budget::Budget;
 pub use hash::{hash, hash_name, usable_weight};
-pub use long_list::{LongList, WHOLE_LIST};
-pub use probes::ProbeQueue;
+pub use long_list::{LongList, MOST_CANDIDATES, WHOLE_LIST};
+pub use probes::{PROBES_A_SECOND, ProbeQueue};
 pub use zones::{Candidates, ServerId, ZoneId};
--- a/crates/candidates/src/long_list.rs
+++ b/crates/candidates/src/long_list.rs
@@ -7,9 +7,10 @@
 /// Lists up to here are looked at whole: twice what the budget probes within 10 s, the longest interval of
 /// probes, as those without connections of ours are asked only when a flow may go there.
 pub const WHOLE_LIST: usize = (2 * PROBES_A_SECOND * 10) as usize;
-/// Candidates of a key at least, and at most.
+/// Candidates of a key at least.
 const CANDIDATES: usize = 16;
-const MOST_CANDIDATES: usize = 48;
+/// Candidates of a key at most, and own holders that are looked at beside them.
+pub const MOST_CANDIDATES: usize = 48;
 /// One more candidate for so many own connections of the key.
 const ONE_MORE_FOR: usize = 8;
 /// Walks over the whole list a second: one takes some 2 ms at 12,000 servers.
--- a/crates/candidates/src/probes.rs
+++ b/crates/candidates/src/probes.rs
@@ -9,8 +9,8 @@
 const CONTROL_BYTES: u64 = 2_000;
 /// What a probe and its answer are taken to cost with all headers: assumed, see `docs/design/candidates.md`.
 const PROBE_BYTES: u64 = 200;
-/// Probes a second.
-pub(crate) const PROBES_A_SECOND: u64 = CONTROL_BYTES / PROBE_BYTES;
+/// Probes a second on a long list; as many may be saved up.
+pub const PROBES_A_SECOND: u64 = CONTROL_BYTES / PROBE_BYTES;
 /// Half of them are for flows that wait for a figure, half for servers that hold own connections: flows alone
 /// would use up all, and nothing hot would be found. As many may go at once as in a second.
 const EACH_HALF: f64 = PROBES_A_SECOND as f64 / 2.0;
--- /dev/null
+++ b/crates/lab/src/scale/looked_at.rs
@@ -0,0 +1,94 @@
+//! How many servers the decision module looks at for one placement. The module has no counter, so this is worked out
+//! afterwards: news of the list and own connections are noted while the module is measured, then played to a
+//! [`LongList`] of the same crate as the module's, which gives the servers that each flow could go to. It owns the
+//! notes and the rule of `Policy::place` on which servers are looked at next.
+
+use std::collections::BTreeMap;
+
+use nettlemux_candidates::{LongList, WHOLE_LIST, hash_name};
+use nettlemux_policy::{Listed, Rs, State};
+
+/// The zone of the measured balancer, as [`super::settings`] has it.
+const OWN_ZONE: u64 = 0;
+
+/// What came to the module, in its order.
+pub enum Note {
+    /// Entries of the list, new or changed.
+    List(Vec<Listed>),
+    /// An own connection of a group, from before.
+    Held(String, Rs),
+    /// A flow of a group was given this server.
+    Placed(String, Rs),
+}
+
+/// The mean of servers looked at for a placement, or none where nothing was placed. `tells` is whether balancers tell one
+/// another what is held where: far candidates are looked at first then.
+pub fn servers_per_placement(notes: &[Note], tells: bool) -> Option<f64> {
+    let mut known = Known { tells, ..Known::default() };
+    let (mut looked_at, mut placements) = (0, 0);
+    for note in notes {
+        match note {
+            Note::List(entries) => known.list(entries),
+            Note::Held(group, server) => known.hold(group, *server),
+            Note::Placed(group, server) => {
+                looked_at += known.looked_at(group, *server);
+                placements += 1;
+                known.hold(group, *server);
+            }
+        }
+    }
+    (placements > 0).then(|| looked_at as f64 / placements as f64)
+}
+
+/// What the module knows by then.
+#[derive(Default)]
+struct Known {
+    tells: bool,
+    servers: BTreeMap<Rs, Listed>,
+    /// None while the list is looked at whole.
+    long: Option<LongList>,
+    /// Own connections of each group, and of each server.
+    holders: BTreeMap<String, BTreeMap<Rs, usize>>,
+    held: BTreeMap<Rs, usize>,
+}
+
+impl Known {
+    /// As the module does: a server that has gone stays known while it holds own connections.
+    fn list(&mut self, entries: &[Listed]) {
+        self.servers.extend(entries.iter().map(|entry| (entry.rs, *entry)));
+        if self.servers.len() > WHOLE_LIST {
+            let known = self.long.is_some();
+            let long = self.long.get_or_insert_default();
+            let all = || self.servers.values().copied().collect();
+            let news: Vec<Listed> = if known { entries.to_vec() } else { all() };
+            for entry in news {
+                long.update(entry.rs, entry.hall, entry.weight, entry.state == State::Ready);
+            }
+        } else {
+            self.long = None;
+        }
+        let held = &self.held;
+        self.servers.retain(|server, entry| entry.state != State::Gone || held.contains_key(server));
+    }
+
+    fn hold(&mut self, group: &str, server: Rs) {
+        *self.holders.entry(group.to_owned()).or_default().entry(server).or_default() += 1;
+        *self.held.entry(server).or_default() += 1;
+    }
+
+    /// Servers looked at for a flow that went there: near candidates and holders; far ones as well where it went to none
+    /// of those; and the whole list where it went to none of these either.
+    fn looked_at(&self, group: &str, went_to: Rs) -> usize {
+        let Some(long) = &self.long else { return self.servers.len() };
+        let mut looked_at = 0;
+        for far in [self.tells, true] {
+            let holders = self.holders.get(group).into_iter().flatten();
+            let scope = long.scope(hash_name(group), OWN_ZONE, far, holders);
+            looked_at += scope.len();
+            if scope.contains(&went_to) {
+                return looked_at;
+            }
+        }
+        looked_at + self.servers.len()
+    }
+}
--- a/crates/lab/src/scale/measurement.rs
+++ b/crates/lab/src/scale/measurement.rs
@@ -67,7 +67,7 @@
     /// Calls of `place` for each flow that was placed.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub place_calls_per_placement: Option<f64>,
-    /// Servers that one call of `place` can look at: the length of the list.
+    /// Servers that the module looked at for a flow that it gave a server: the mean, worked out from where it went.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub servers_per_placement: Option<f64>,
     /// Part of the flows that were given a server.
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod hollow;
 pub mod limits;
+mod looked_at;
 pub mod measurement;
 pub mod plot;
 mod processes;
