--- a/crates/lab/src/capacity/gaps.rs
+++ b/crates/lab/src/capacity/gaps.rs
@@ -63,6 +63,8 @@
     when: When,
     need: Option<f64>,
     budget: f64,
+    /// What would be needed were the mechanism not there.
+    without_remedy: bool,
 }
 
 impl Gap {
@@ -74,6 +76,11 @@
         !self.remedy.is_built() && self.times_budget().is_some_and(|times| times > 1.0)
     }
 
+    /// Whether the mechanism is there but doesn't keep to the budget.
+    fn is_over_although_built(&self) -> bool {
+        self.remedy.is_built() && !self.without_remedy && self.times_budget().is_some_and(|times| times > 1.0)
+    }
+
     fn describe(&self) -> String {
         let times = figure(self.times_budget());
         format!("**{}** ({}: {times} times its budget)", self.remedy.name(), self.need_name)
@@ -97,29 +104,30 @@
     let least = least_probes(inputs, fleet);
     let gap = |need_name, need, budget| {
         let (remedy, when) = (Remedy::CandidatesAndBudget, When::Always);
-        Gap { remedy, need_name, when, need, budget }
+        Gap { remedy, need_name, when, need, budget, without_remedy: false }
     };
+    let without_remedy = |gap| Gap { without_remedy: true, ..gap };
     vec![
         gap(
             "bytes a second of the module's probes, measured with the operators' own connections",
             of_module.map(|probes| probes * probe_bytes(inputs)),
             bytes,
         ),
-        gap(
+        without_remedy(gap(
             "bytes a second of probes at the longest interval, without a control budget",
             Some(least * probe_bytes(inputs)),
             bytes,
-        ),
+        )),
         gap(
             "% of a core for the module's probes",
             of_module.and_then(|probes| probes_percent(inputs, probes)),
             percent,
         ),
-        gap(
+        without_remedy(gap(
             "% of a core for probes at the longest interval, without a control budget",
             probes_percent(inputs, least),
             percent,
-        ),
+        )),
         gap("% of a core for placing", placement_percent(inputs, fleet), percent),
         gap("MB for control", control_memory_mb(inputs, fleet), requirements.control_memory_mb.value),
     ]
@@ -132,7 +140,7 @@
     let zone = fleet.servers / fleet.zones * entry_bytes(inputs) / requirements.change_known_within_s.value;
     let gap = |remedy, need_name, need| {
         let budget = requirements.control_bytes_per_second.value;
-        Gap { remedy, need_name, when: When::OnEvent, need: Some(need), budget }
+        Gap { remedy, need_name, when: When::OnEvent, need: Some(need), budget, without_remedy: false }
     };
     vec![
         gap(Remedy::ConfigurationChanges, "bytes a second of a change within its time", change),
@@ -160,12 +168,18 @@
 }
 
 fn verdict(all: &[Gap]) -> String {
+    let over: Vec<String> =
+        all.iter().filter(|gap| gap.is_over_although_built()).map(Gap::describe).collect();
+    let over = match over.is_empty() {
+        true => String::new(),
+        false => format!(" Over its budget although its mechanism is in the code: {}.", over.join("; ")),
+    };
     let Some(first) = all.iter().find(|gap| gap.is_open()) else {
-        return "Nothing that is known passes its budget.\n".into();
+        return format!("No mechanism is missing whose need is known to pass its budget.{over}\n");
     };
     let next = all.iter().find(|gap| gap.is_open() && gap.remedy != first.remedy);
     let next = next.map_or("No runner-up passes its budget.".to_string(), |next| {
         format!("Runner-up: {}.", next.describe())
     });
-    format!("Missing first: {}. {next}\n", first.describe())
+    format!("Missing first: {}. {next}{over}\n", first.describe())
 }
