--- a/crates/lab/src/capacity/stored_run.rs
+++ b/crates/lab/src/capacity/stored_run.rs
@@ -8,53 +8,7 @@
 use serde_json::Value;
 
 use super::fault::Fault;
-
-/// Which part of the scale run measured a figure.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
-#[serde(rename_all = "lowercase")]
-pub enum Part {
-    /// Real balancers on loopback sockets.
-    Sockets,
-    /// The decision module and the flow table alone.
-    Module,
-    /// Failures of many processes at once.
-    Storm,
-}
-
-impl Part {
-    /// As it stands in the run and in the page.
-    pub fn name(self) -> &'static str {
-        match self {
-            Part::Sockets => "sockets",
-            Part::Module => "module",
-            Part::Storm => "storm",
-        }
-    }
-}
-
-/// The count that grew while all others were fixed.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
-#[serde(rename_all = "snake_case")]
-pub enum Varied {
-    Servers,
-    Balancers,
-    Connections,
-    Groups,
-    ChangesPerSecond,
-}
-
-impl Varied {
-    /// As it stands in the run and in the page.
-    pub fn name(self) -> &'static str {
-        match self {
-            Varied::Servers => "servers",
-            Varied::Balancers => "balancers",
-            Varied::Connections => "connections",
-            Varied::Groups => "groups",
-            Varied::ChangesPerSecond => "changes_per_second",
-        }
-    }
-}
+pub use crate::scale::measurement::{Part, Varied};
 
 /// The first line.
 #[derive(Clone, Debug, Deserialize)]
--- a/crates/lab/src/scale/measurement.rs
+++ b/crates/lab/src/scale/measurement.rs
@@ -13,12 +13,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Part {
+    /// The decision module and the flow table alone.
     Module,
+    /// Real balancers on loopback sockets.
     Sockets,
+    /// Failures of many processes at once.
     Storm,
 }
 
 impl Part {
+    /// As it stands in the run and in the pages.
     pub fn name(self) -> &'static str {
         match self {
             Part::Module => "module",
@@ -40,6 +44,7 @@
 }
 
 impl Varied {
+    /// As it stands in the run and in the pages.
     pub fn name(self) -> &'static str {
         match self {
             Varied::Servers => "servers",
