--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+pub mod faults;
 #[path = "../../../../examples/toy.rs"]
 pub mod toy;
 
@@ -15,6 +16,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use faults::Faults;
 use serde_json::Value;
 use socket2::{Domain, Socket, Type};
 use toy::{Agent, Toy};
@@ -44,11 +46,16 @@
     pub toys: Vec<Arc<Toy>>,
     pub file: std::path::PathBuf,
     pub config: String,
+    /// What goes wrong in its system, where anything does.
+    pub faults: Option<Faults>,
 }
 
-fn serve(file: &Path, arguments: &[&str]) -> Child {
+fn serve(file: &Path, arguments: &[&str], faults: Option<&Faults>) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
     command.args(["serve", "--log", "debug", "--config"]).arg(file).args(arguments).stderr(Stdio::null());
+    if let Some(faults) = faults {
+        faults.load_into(&mut command);
+    }
     command.spawn().unwrap()
 }
 
@@ -58,6 +65,20 @@
     }
 
     pub fn with(servers: usize, change: impl Fn(String) -> String) -> Self {
+        let stand = Stand::start(servers, change, None);
+        stand.serves();
+        stand
+    }
+
+    /// One whose system calls fail as its `faults` say.
+    pub fn with_faults(servers: usize, change: impl Fn(String) -> String) -> Self {
+        let stand = Stand::start(servers, change, Some(Faults::none()));
+        stand.serves();
+        stand
+    }
+
+    /// Started, and perhaps not ready yet.
+    pub fn start(servers: usize, change: impl Fn(String) -> String, faults: Option<Faults>) -> Self {
         let agent = Agent::start("127.0.0.1:0").unwrap();
         let toys: Vec<Arc<Toy>> = (0..servers).map(|_| Toy::start("127.0.0.1:0").unwrap()).collect();
         for (i, toy) in toys.iter().enumerate() {
@@ -68,25 +89,32 @@
         let config = change(config.replace("127.0.0.1:7100", &agent.address.to_string()));
         let file = std::env::temp_dir().join(format!("nettlemux-{}-{}.json", std::process::id(), at.ip()));
         std::fs::write(&file, &config).unwrap();
-        let stand = Stand { child: serve(&file, &[]), at, agent, toys, file, config };
-        // Ready once it answers, and has had its list.
-        soon("PONG", || TcpStream::connect(at).is_ok());
-        soon("a list", || Client::open(at, "c=chat,d=1000").says("UP 1"));
-        stand
+        let child = serve(&file, &[], faults.as_ref());
+        Stand { child, at, agent, toys, file, config, faults }
+    }
+
+    /// Waits until it answers and has had its list.
+    pub fn serves(&self) {
+        soon("PONG", || TcpStream::connect(self.at).is_ok());
+        soon("a list", || self.client("c=chat,d=1000").says("UP 1"));
+    }
+
+    pub fn faults(&self) -> &Faults {
+        self.faults.as_ref().expect("started with faults")
     }
 
     /// The same balancer once more, with these settings changed.
     pub fn restarted(&mut self, changes: &[(&str, Value)]) {
         let _ = (self.child.kill(), self.child.wait());
         std::fs::write(&self.file, changed(&self.config, changes)).unwrap();
-        self.child = serve(&self.file, &[]);
+        self.child = serve(&self.file, &[], self.faults.as_ref());
         soon("PONG", || TcpStream::connect(self.at).is_ok());
     }
 
     /// The same balancer once more, started with these arguments besides.
     pub fn restarted_with(&mut self, arguments: &[&str]) {
         let _ = (self.child.kill(), self.child.wait());
-        self.child = serve(&self.file, arguments);
+        self.child = serve(&self.file, arguments, self.faults.as_ref());
         soon("PONG", || TcpStream::connect(self.at).is_ok());
     }
 
@@ -136,11 +164,16 @@
 
 impl Client {
     pub fn new(at: SocketAddr, text: &[u8]) -> Self {
-        let mut stream = TcpStream::connect(at).unwrap();
+        Client::try_new(at, text).expect("somebody listens")
+    }
+
+    /// None where nobody listens.
+    pub fn try_new(at: SocketAddr, text: &[u8]) -> Option<Self> {
+        let mut stream = TcpStream::connect(at).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(9))).unwrap();
-        stream.write_all(text).unwrap();
+        stream.write_all(text).ok()?;
         let lines = BufReader::new(stream.try_clone().unwrap());
-        Client { stream, lines }
+        Some(Client { stream, lines })
     }
 
     pub fn open(at: SocketAddr, values: &str) -> Self {
--- /dev/null
+++ b/crates/balancer/tests/system_calls.rs
@@ -0,0 +1,143 @@
+//! System calls that fail for a moment in the ways that Linux documents, put into the real program by a preloaded library
+//! (`tests/preload/faults.rs`): whoever's line was read gets one final answer, open connections go on, and nothing that was
+//! told is missed.
+
+mod common;
+
+use std::process::Command;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::faults::*;
+use common::toy::Mood;
+use common::{Client, Stand, changed, soon};
+use serde_json::json;
+
+/// Clients that come while calls fail.
+const CLIENTS: usize = 60;
+/// No line may be held back for longer.
+const HELD_BACK_MAX: Duration = Duration::from_secs(1);
+
+/// A balancer without probes, so that its calls are those for clients, their servers and discovery.
+fn stand() -> Stand {
+    Stand::with_faults(2, |config| changed(&config, &[("limits/probes", json!(false))]))
+}
+
+/// Each of these clients is served, and its lines come back.
+fn all_are_served(stand: &Stand, what: &str) {
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| stand.client("c=chat,d=2000")).collect();
+    let answers: Vec<String> = clients.iter_mut().map(Client::line).collect();
+    let others: Vec<&String> = answers.iter().filter(|answer| *answer != "UP 1").collect();
+    assert!(others.is_empty(), "{what}: {} of {CLIENTS} not served: {others:?}", others.len());
+    for client in &mut clients {
+        let since = Instant::now();
+        client.echoes("hello");
+        assert!(since.elapsed() < HELD_BACK_MAX, "{what}: held back {:?}", since.elapsed());
+    }
+}
+
+/// `epoll_ctl` may want memory: a connection that the selector doesn't take at once is looked at by a timer until it does.
+#[test]
+fn connections_that_the_selector_does_not_take_are_served() {
+    let stand = stand();
+    for every in [1, 2, 7] {
+        let plan = format!("epoll_ctl fail {ENOMEM} 0 {every} 40");
+        stand.faults().set(&plan);
+        all_are_served(&stand, &plan);
+    }
+}
+
+/// What is set on a connection that has been accepted may be refused for a moment.
+#[test]
+fn accepted_connections_are_served_although_setting_them_up_fails_at_first() {
+    let stand = stand();
+    for call in ["ioctl", "fcntl"] {
+        let plan = format!("{call} fail {EINTR} 0 3 60");
+        stand.faults().set(&plan);
+        all_are_served(&stand, &plan);
+    }
+}
+
+/// Short writes and reads move the rest at once: no event comes for room that was there all the time.
+#[test]
+fn short_reads_and_writes_are_gone_on_with() {
+    let stand = stand();
+    for (plan, d) in
+        [("send short 1 0 1", 2000), ("recv short 1 0 1", 2000), ("send short 3 0 2\nrecv short 2 0 3", 1500)]
+    {
+        stand.faults().set(plan);
+        all_are_served(&stand, plan);
+        // An answer of ours, whole.
+        stand.toys.iter().for_each(|toy| toy.set(Mood::Err));
+        let mut client = stand.client(&format!("c=order,d={d}"));
+        assert_eq!((client.line(), client.line()), ("ERR".into(), "end".into()), "{plan}");
+        stand.toys.iter().for_each(|toy| toy.set(Mood::Up));
+        soon(plan, || stand.client("c=chat,d=900").says("UP 1"));
+    }
+}
+
+/// Calls that the operators name: in the moment of the failure and after it, clients are served or told, and none is lost.
+#[test]
+fn accepts_sockets_and_connects_may_fail_for_a_moment() {
+    let stand = stand();
+    let cases = [
+        ("accept4", ECONNABORTED),
+        ("accept4", ENFILE),
+        ("accept4", EPROTO),
+        ("accept4", EINTR),
+        ("socket", ENOBUFS),
+        ("socket", ENFILE),
+        ("connect", EADDRNOTAVAIL),
+        ("connect", ENETUNREACH),
+        ("connect", EINTR),
+        ("getpeername", ENOBUFS),
+        ("epoll_wait", EINTR),
+    ];
+    for (call, errno) in cases {
+        let plan = format!("{call} fail {errno} 0 3 60");
+        stand.faults().set(&plan);
+        let mut clients: Vec<Client> = (0..CLIENTS).map(|_| stand.client("c=chat,d=2000")).collect();
+        for client in &mut clients {
+            let answer = client.line();
+            assert!(answer == "UP 1" || answer.starts_with("BUSY"), "{plan}: {answer}");
+        }
+        stand.faults().clear();
+        soon(&plan, || stand.client("c=chat,d=900").says("UP 1"));
+    }
+}
+
+/// taken for bad ones afterwards.
+#[test]
+fn servers_serve_at_once_after_all_connects_have_failed_for_a_second() {
+    let stand = stand();
+    for errno in [ENETUNREACH, EADDRNOTAVAIL, ENOBUFS] {
+        stand.faults().set(&format!("connect fail {errno}"));
+        let since = Instant::now();
+        while since.elapsed() < Duration::from_secs(1) {
+            let mut client = stand.client("c=order,d=400");
+            let answer = client.line();
+            assert!(answer.starts_with("BUSY"), "{errno}: nothing has run, so it may come again: {answer}");
+            thread::sleep(Duration::from_millis(20));
+        }
+        stand.faults().clear();
+        let answers: Vec<String> = (0..10).map(|_| stand.client("c=order,d=400").line()).collect();
+        assert!(answers.iter().all(|answer| answer == "UP 1"), "{errno}: {answers:?}");
+    }
+}
+
+/// The plan hits what it names and nothing else: without this, the tests above would pass with a library that does nothing.
+#[test]
+fn a_fault_that_stays_ends_a_start() {
+    let faults = Faults::none();
+    faults.set("listen fail 22");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_nettlemux"));
+    let file = std::env::temp_dir().join(format!("nettlemux-no-listener-{}.json", std::process::id()));
+    let config = common::EXAMPLE.replace("127.0.0.1:7000", &common::own_address().to_string());
+    std::fs::write(&file, config).unwrap();
+    command.args(["serve", "--config"]).arg(&file);
+    faults.load_into(&mut command);
+    let ended = command.output().unwrap();
+    let _ = std::fs::remove_file(file);
+    let told = String::from_utf8(ended.stderr).unwrap();
+    assert!(!ended.status.success() && told.contains("can't listen"), "{told}");
+}
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -130,11 +130,30 @@
     }
 }
 
-/// What discovery tells: each server's lifecycle, and the version that it is from.
+/// A server as discovery tells of it.
+struct Entry {
+    /// The version of the list that it changed in last.
+    version: u64,
+    address: SocketAddr,
+    lifecycle: String,
+    /// When it started, Unix time in milliseconds; 0 for long ago.
+    started_ms: u64,
+}
+
+impl Entry {
+    fn to_json(&self, id: &str) -> String {
+        let Entry { address, lifecycle, started_ms, .. } = self;
+        format!(
+            r#"{{"instanceId":"{id}","hostPort":"{address}","zone":"a","machineType":"m","cell":0,"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":{started_ms}}}"#
+        )
+    }
+}
+
+/// What discovery tells.
 #[derive(Default)]
 struct List {
     version: u64,
-    servers: BTreeMap<String, (u64, SocketAddr, String)>,
+    servers: BTreeMap<String, Entry>,
 }
 
 /// How the agent treats whoever calls.
@@ -194,17 +213,22 @@
 
     /// Tells of a server; `Gone` takes it off the list.
     pub fn tell(&self, id: &str, address: SocketAddr, lifecycle: &str) {
+        self.tell_started(id, address, lifecycle, 0);
+    }
+
+    /// Tells of a server that started then, in Unix time.
+    pub fn tell_started(&self, id: &str, address: SocketAddr, lifecycle: &str, started_ms: u64) {
         let mut list = self.list.lock().unwrap();
         list.version += 1;
-        let version = list.version;
-        list.servers.insert(id.into(), (version, address, lifecycle.into()));
+        let (version, lifecycle) = (list.version, lifecycle.into());
+        list.servers.insert(id.into(), Entry { version, address, lifecycle, started_ms });
         self.changed.notify_all();
     }
 
     /// Begins to count its versions anew, as one that was started again does; whoever waits is answered.
     pub fn count_anew(&self) {
         let mut list = self.list.lock().unwrap();
-        list.servers.values_mut().zip(1..).for_each(|(server, version)| server.0 = version);
+        list.servers.values_mut().zip(1..).for_each(|(server, version)| server.version = version);
         list.version = list.servers.len() as u64;
         self.changed.notify_all();
     }
@@ -269,16 +293,12 @@
             }
             let list = self.list.lock().unwrap();
             let list = self.changed.wait_timeout_while(list, hold, |l| Some(l.version) == from).unwrap().0;
-            let told = |(version, _, lifecycle): &(u64, SocketAddr, String)| match from {
-                Some(from) => *version > from,
-                None => lifecycle != "Gone",
-            };
-            let one = |(id, (_, address, lifecycle)): (&String, &(u64, SocketAddr, String))| {
-                format!(
-                    r#"{{"instanceId":"{id}","hostPort":"{address}","zone":"a","machineType":"m","cell":0,"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":0}}"#
-                )
+            let told = |entry: &Entry| match from {
+                Some(from) => entry.version > from,
+                None => entry.lifecycle != "Gone",
             };
-            let entries: Vec<String> = list.servers.iter().filter(|s| told(s.1)).map(one).collect();
+            let told = list.servers.iter().filter(|(_, entry)| told(entry));
+            let entries: Vec<String> = told.map(|(id, entry)| entry.to_json(id)).collect();
             let (version, reset) = (list.version, from.is_none());
             let body =
                 format!(r#"{{"generation":{version},"reset":{reset},"instances":[{}]}}"#, entries.join(","));
