Serve connections that the system can't set up at once, and go on after short writes

Cause: take_in.rs dropped an accepted connection, and the line that came on it, where set_nonblocking or epoll_ctl failed; Caller::write and send.rs waited for an edge after a short write. Ruled out: accept4, connect, socket, epoll_wait (tests pass on the old text). Change: a socket's readiness watcher registers it and looks by the clock until the selector takes it, so making a Socket can't fail; Socket::write goes on until there is no room; the answer to a client that left is written to its end and the connection lingers. Errors of connections have a type of their own, so that our deadline and an order to stop are no longer kinds of io::Error. Local failures of connect don't count against a server.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -29,6 +29,8 @@
     /// The client is to be sent away as soon as it is up.
     pub moving: bool,
     owed: bool,
+    /// What is still to be written of the answer to a client that has left, or has only ended its sending.
+    unwritten: &'static [u8],
     /// The client's own id, nobody else's while this is kept.
     _id: Id,
 }
@@ -36,7 +38,17 @@
 impl Book {
     pub fn open(core: &Arc<Core>, flow: &Flow, caller: Caller, id: Id) -> Self {
         let Flow { id: number, taken, give_up, .. } = *flow;
-        Book { core: core.clone(), id: number, caller, taken, give_up, moving: false, owed: true, _id: id }
+        Book {
+            core: core.clone(),
+            id: number,
+            caller,
+            taken,
+            give_up,
+            moving: false,
+            owed: true,
+            unwritten: b"",
+            _id: id,
+        }
     }
 
     /// Whether the client has gone away, or has said more before it was served: it is to wait.
@@ -84,17 +96,39 @@
         self.owed
     }
 
+    /// The client has left: it is owed nothing more than its answer.
     pub fn left(&mut self) {
         debug!(id = self.id, "the client left");
         if std::mem::take(&mut self.owed) {
             // Guards against a client that has only ended its sending and still waits: it can't be told from one
             // that has closed, to which this does no harm.
-            let _ = self.caller.socket.write(wire::ABORTED);
-            self.caller.socket.end_sending();
+            self.unwritten = wire::ABORTED;
+            self.write_on();
             self.tell(Ask::Left { flow: self.id });
         }
     }
 
+    /// Writes what there is room for of the answer to a client that has left, without waiting.
+    pub fn write_on(&mut self) {
+        if self.unwritten.is_empty() {
+            return;
+        }
+        // A client that has closed takes nothing.
+        let written = self.caller.socket.write(self.unwritten).unwrap_or(self.unwritten.len());
+        self.unwritten = &self.unwritten[written..];
+        if self.unwritten.is_empty() {
+            self.caller.socket.end_sending();
+        }
+    }
+
+    /// Writes the rest of the answer to a client that has left, and ends orderly: what it has sent meanwhile must not reset
+    /// the connection, and the answer with it.
+    pub fn finish_left(&mut self) {
+        let until = clock::now() + LINGER;
+        let _ = self.caller.write(std::mem::take(&mut self.unwritten), until);
+        self.caller.finish(until);
+    }
+
     fn answer(&mut self, line: &[u8]) {
         self.owed = false;
         let until = clock::now() + LINGER;
@@ -142,6 +176,7 @@
         let mut client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         client.set_read_timeout(Some(std::time::Duration::from_secs(2))).unwrap();
         let stream = listener.accept().unwrap().0;
+        stream.set_nonblocking(true).unwrap();
         let slot = descriptors.take(0).unwrap();
         let id = core.ids.take("9b1f").unwrap();
         // Guards against a flow that is opened under another's id, also once that has ended.
@@ -149,7 +184,7 @@
         let ids = core.ids.clone();
         let flow = Flow { id: 5, give_up: Time::MAX, ..Flow::default() };
         let panicked = may::go!(move || {
-            let _book = Book::open(&core, &flow, Caller::new(stream, slot).unwrap(), id);
+            let _book = Book::open(&core, &flow, Caller::new(stream, slot), id);
             panic!("on purpose");
         });
         assert!(panicked.join().is_err());
--- a/crates/core/src/chain.rs
+++ b/crates/core/src/chain.rs
@@ -27,7 +27,10 @@
             }
             Next::Order(Order::Reject(come_back)) => return book.reject(come_back),
             Next::Order(_) => return book.abort(),
-            Next::Left => return book.left(),
+            Next::Left => {
+                book.left();
+                return book.finish_left();
+            }
         };
         match send(core, &mut book, &target, &line, at.is_some()) {
             Sent::Up(server, up) => return relay(core, book, &target, server, up),
@@ -35,7 +38,7 @@
                 book.ended(&target, ended);
                 // The client left meanwhile, so nothing more will be ordered.
                 if !book.owed() {
-                    return;
+                    return book.finish_left();
                 }
             }
             Sent::Ended(_) => match asked.again(core, &mut book) {
@@ -44,7 +47,8 @@
             },
             Sent::Left { unsent } => {
                 called_off(&book, &target, unsent);
-                return book.left();
+                book.left();
+                return book.finish_left();
             }
         }
     }
--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -7,7 +7,7 @@
 mod http;
 mod list;
 
-use std::io::{self, ErrorKind};
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,7 +21,7 @@
 pub use self::list::{ListUpdate, update_of};
 use crate::clock;
 use crate::mail::{Mailbox, Sender};
-use crate::net::Caller;
+use crate::net::{Caller, ConnectionError};
 use crate::orders::Ask;
 use crate::pool::{Buffers, Descriptors};
 use crate::shared::Terms;
@@ -116,15 +116,18 @@
 enum CallError {
     /// The agent has moved while we waited.
     Moved,
-    Failed(Failure, io::Error),
+    /// No descriptor is left for it.
+    NoDescriptor,
+    Failed(ConnectionError),
 }
 
-impl From<io::Error> for CallError {
-    fn from(error: io::Error) -> Self {
-        match error.kind() {
-            ErrorKind::Interrupted => CallError::Moved,
-            ErrorKind::InvalidData => CallError::Failed(Failure::BadAnswer, error),
-            _ => CallError::Failed(Failure::NoAnswer, error),
+impl From<ConnectionError> for CallError {
+    fn from(error: ConnectionError) -> Self {
+        match error {
+            // Whoever waits for the agent is told to stop only when that has moved.
+            ConnectionError::Stopped => CallError::Moved,
+            ConnectionError::System(error) if error.kind() == ErrorKind::Interrupted => CallError::Moved,
+            error => CallError::Failed(error),
         }
     }
 }
@@ -145,8 +148,12 @@
                 }
             }
             Err(CallError::Moved) => self.connection = None,
-            Err(CallError::Failed(failure, error)) => {
-                let pause = self.failed(failure, &error, &request);
+            Err(CallError::NoDescriptor) => {
+                warn!("no descriptor left for a call to discovery");
+                sleep(RETRY_MIN);
+            }
+            Err(CallError::Failed(error)) => {
+                let pause = self.failed(&error, &request);
                 sleep(pause);
             }
         }
@@ -195,7 +202,7 @@
     }
 
     fn connect(&self, location: &Location, deadline: Time) -> Result<Caller, CallError> {
-        let slot = self.context.descriptors.take(0).ok_or_else(|| io::Error::other("no descriptor left"))?;
+        let slot = self.context.descriptors.take(0).ok_or(CallError::NoDescriptor)?;
         let mailbox = Mailbox::new();
         if !self.context.agent.notify(mailbox.sender(), location) {
             return Err(CallError::Moved);
@@ -228,7 +235,9 @@
     }
 
     /// Notes a call that failed; how long to wait before the next.
-    fn failed(&mut self, failure: Failure, error: &io::Error, request: &Request) -> Time {
+    fn failed(&mut self, error: &ConnectionError, request: &Request) -> Time {
+        let malformed = matches!(error, ConnectionError::Malformed(_));
+        let failure = if malformed { Failure::BadAnswer } else { Failure::NoAnswer };
         self.connection = None;
         if self.failed == 0 {
             warn!(%error, "discovery fails");
@@ -245,13 +254,17 @@
     }
 }
 
-/// Whether the agent, or its machine, has ended the connection or takes none: it may be another process when it answers.
-fn ended(error: &io::Error) -> bool {
-    use ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionRefused, ConnectionReset, UnexpectedEof};
-    matches!(
-        error.kind(),
-        BrokenPipe | ConnectionAborted | ConnectionRefused | ConnectionReset | UnexpectedEof
-    )
+/// Whether the agent, or its machine, has ended the connection or takes none: it may be another process when it answers. The
+/// system tells of a connection's end in many ways, and of our own trouble in few.
+fn ended(error: &ConnectionError) -> bool {
+    match error {
+        ConnectionError::Closed => true,
+        ConnectionError::System(error) => !matches!(
+            error.kind(),
+            ErrorKind::Interrupted | ErrorKind::OutOfMemory | ErrorKind::AddrNotAvailable
+        ),
+        _ => false,
+    }
 }
 
 fn sleep(time: Time) {
--- a/crates/core/src/discovery/http.rs
+++ b/crates/core/src/discovery/http.rs
@@ -1,13 +1,12 @@
 //! Answers over HTTP/1.1, as far as the agent needs them: one at a time, with a length, in chunks or up to the end of the
 //! connection. It owns nothing; it must never read past an answer that it keeps the connection after, nor without a bound.
 
-use std::io::{self, ErrorKind};
 use std::sync::Arc;
 
 use httparse::Status;
 use nettlemux_policy::Time;
 
-use crate::net::Caller;
+use crate::net::{Caller, ConnectionError};
 use crate::pool::{Buffer, Buffers};
 
 /// An answer is no longer than this: guards against an endless one. 12,000 entries, indented by four, are 3.5 MB.
@@ -47,15 +46,19 @@
 }
 
 /// An error that says that the answer can't be used.
-pub fn invalid(why: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
-    io::Error::new(ErrorKind::InvalidData, why)
+pub fn invalid(why: impl Into<String>) -> ConnectionError {
+    ConnectionError::Malformed(why.into())
 }
 
 /// Reads one answer.
 ///
 /// # Errors
-/// `InvalidData` where it came and can't be used or isn't a 200; else what ended the connection or the wait.
-pub fn read_response(connection: &Caller, buffers: &Arc<Buffers>, deadline: Time) -> io::Result<Response> {
+/// `Malformed` where it came and can't be used or isn't a 200; else what ended the connection or the wait.
+pub fn read_response(
+    connection: &Caller,
+    buffers: &Arc<Buffers>,
+    deadline: Time,
+) -> Result<Response, ConnectionError> {
     let mut reader = Reader { connection, buffer: buffers.take(), held: Vec::new(), deadline };
     let head = reader.head()?;
     reader.held.drain(..head.length);
@@ -75,7 +78,7 @@
 }
 
 impl Reader<'_> {
-    fn head(&mut self) -> io::Result<Head> {
+    fn head(&mut self) -> Result<Head, ConnectionError> {
         loop {
             self.read_some()?;
             if let Some(head) = parse_head(&self.held)? {
@@ -84,7 +87,7 @@
         }
     }
 
-    fn body_of(mut self, length: usize, keep_alive: bool) -> io::Result<Response> {
+    fn body_of(mut self, length: usize, keep_alive: bool) -> Result<Response, ConnectionError> {
         self.hold(length)?;
         // More than it told is the answer to nothing.
         let keep_alive = keep_alive && self.held.len() == length;
@@ -92,12 +95,12 @@
         Ok(Response { body: self.held, keep_alive })
     }
 
-    fn body_until_close(mut self) -> io::Result<Response> {
+    fn body_until_close(mut self) -> Result<Response, ConnectionError> {
         while self.read()? == Progress::More {}
         Ok(Response { body: self.held, keep_alive: false })
     }
 
-    fn chunks(mut self, keep_alive: bool) -> io::Result<Response> {
+    fn chunks(mut self, keep_alive: bool) -> Result<Response, ConnectionError> {
         let mut body = Vec::new();
         loop {
             let (start, size) = self.chunk_size()?;
@@ -115,7 +118,7 @@
     }
 
     /// Where the next chunk begins and how long it is.
-    fn chunk_size(&mut self) -> io::Result<(usize, usize)> {
+    fn chunk_size(&mut self) -> Result<(usize, usize), ConnectionError> {
         loop {
             match httparse::parse_chunk_size(&self.held).map_err(|_| invalid("a chunk has no size"))? {
                 // Before it is added to: guards against a size that the sum runs over at.
@@ -129,7 +132,7 @@
     }
 
     /// Reads until so many bytes are held.
-    fn hold(&mut self, length: usize) -> io::Result<()> {
+    fn hold(&mut self, length: usize) -> Result<(), ConnectionError> {
         while self.held.len() < length {
             self.read_some()?;
         }
@@ -137,14 +140,14 @@
     }
 
     /// Reads more; the end of the connection is an error.
-    fn read_some(&mut self) -> io::Result<()> {
+    fn read_some(&mut self) -> Result<(), ConnectionError> {
         match self.read()? {
             Progress::More => Ok(()),
-            Progress::End => Err(ErrorKind::UnexpectedEof.into()),
+            Progress::End => Err(ConnectionError::Closed),
         }
     }
 
-    fn read(&mut self) -> io::Result<Progress> {
+    fn read(&mut self) -> Result<Progress, ConnectionError> {
         let count = self.connection.read(&mut self.buffer[..], self.deadline)?;
         self.held.extend_from_slice(&self.buffer[..count]);
         if self.held.len() > RESPONSE_MAX {
@@ -155,7 +158,7 @@
 }
 
 /// Reads the head, once it is complete.
-fn parse_head(bytes: &[u8]) -> io::Result<Option<Head>> {
+fn parse_head(bytes: &[u8]) -> Result<Option<Head>, ConnectionError> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
     let mut response = httparse::Response::new(&mut headers);
     let length = match response.parse(bytes).map_err(|error| invalid(error.to_string()))? {
@@ -174,7 +177,10 @@
     Ok(Some(Head { length, framing, keep_alive }))
 }
 
-fn framing(transfer_encoding: Option<String>, content_length: Option<String>) -> io::Result<Framing> {
+fn framing(
+    transfer_encoding: Option<String>,
+    content_length: Option<String>,
+) -> Result<Framing, ConnectionError> {
     match (transfer_encoding, content_length) {
         (Some(coding), _) if coding == "chunked" => Ok(Framing::Chunked),
         (Some(coding), _) => Err(invalid(format!("unknown transfer coding '{coding}'"))),
--- a/crates/core/src/discovery/http/tests.rs
+++ b/crates/core/src/discovery/http/tests.rs
@@ -10,14 +10,14 @@
 use crate::pool::Descriptors;
 
 /// Reads an answer that is written in these pieces, one after another, after which the connection ends.
-fn read(pieces: Vec<Vec<u8>>) -> io::Result<Response> {
+fn read(pieces: Vec<Vec<u8>>) -> Result<Response, ConnectionError> {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut agent = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     let stream = listener.accept().unwrap().0;
     stream.set_nonblocking(true).unwrap();
     let writer = std::thread::spawn(move || pieces.iter().try_for_each(|piece| agent.write_all(piece)));
     let read = may::go!(move || {
-        let connection = Caller::new(stream, Descriptors::new(1).take(0).unwrap())?;
+        let connection = Caller::new(stream, Descriptors::new(1).take(0).unwrap());
         read_response(&connection, &Buffers::new(), clock::now() + 5 * SEC)
     });
     let read = read.join().unwrap();
@@ -45,14 +45,18 @@
             assert!(keep_alive || !response.keep_alive || surplus_later, "{text}");
         }
     }
+    let (closed, malformed) = (false, true);
     for (cut, kind) in [
-        ("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nlist", ErrorKind::UnexpectedEof),
-        ("HTTP/1.1 200 OK\r\n", ErrorKind::UnexpectedEof),
-        ("HTTP/1.1 503 Busy\r\n\r\n", ErrorKind::InvalidData),
-        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", ErrorKind::InvalidData),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nlist", closed),
+        ("HTTP/1.1 200 OK\r\n", closed),
+        ("HTTP/1.1 503 Busy\r\n\r\n", malformed),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", malformed),
     ] {
-        let error = read(vec![cut.into()]).err().map(|error| error.kind());
-        assert_eq!(error, Some(kind), "{cut}");
+        let error = read(vec![cut.into()]).err();
+        match kind {
+            true => assert!(matches!(error, Some(ConnectionError::Malformed(_))), "{cut}"),
+            false => assert!(matches!(error, Some(ConnectionError::Closed)), "{cut}"),
+        }
     }
 }
 
@@ -63,8 +67,7 @@
     let mut pieces = vec![CHUNKED.as_bytes().to_vec()];
     pieces.extend(std::iter::repeat_n(chunk, RESPONSE_MAX / 0x10000 + 8));
     pieces.push(b"0\r\n\r\n".to_vec());
-    let error = read(pieces).err().map(|error| error.kind());
-    assert_eq!(error, Some(ErrorKind::InvalidData));
+    assert!(matches!(read(pieces), Err(ConnectionError::Malformed(_))));
 }
 
 #[test]
--- a/crates/core/src/probe.rs
+++ b/crates/core/src/probe.rs
@@ -3,7 +3,6 @@
 //! descriptor is left for wait in a queue. It must never probe by itself and never hold up anyone but itself.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::io;
 use std::sync::Arc;
 
 use may::sync::mpsc::{Receiver, Sender as Line, channel};
@@ -12,7 +11,7 @@
 
 use crate::clock;
 use crate::mail::{Mailbox, Sender};
-use crate::net::Caller;
+use crate::net::{Caller, ConnectionError};
 use crate::orders::{Ask, Server};
 use crate::pool::{Buffers, Descriptors, Slot};
 use crate::shared::Terms;
@@ -95,7 +94,9 @@
         let kept = open.take().filter(|(to, caller)| Arc::ptr_eq(to, &server) && caller.quiet());
         let again = kept.is_some();
         let mut result = probe(kept.map(|k| k.1), slot.take(), &server, means, until);
-        if again && result.as_ref().is_err_and(|e| e.kind() != io::ErrorKind::TimedOut) {
+        if again
+            && result.as_ref().is_err_and(|e| !matches!(e, ProbeError::Failed(ConnectionError::Deadline)))
+        {
             result = probe(None, None, &server, means, until);
         }
         match result {
@@ -106,10 +107,10 @@
                 means.desk.send(Ask::Probed { rs, passed, report });
             }
             // Our own want must not count against the server: it is asked when it is due again.
-            Err(e) if e.kind() == io::ErrorKind::QuotaExceeded => {
+            Err(ProbeError::NoDescriptor) => {
                 warn!(server = server.name, "no descriptor left for a probe");
             }
-            Err(e) => {
+            Err(ProbeError::Failed(e)) => {
                 debug!(server = server.name, error = %e, "probe fails");
                 means.desk.send(Ask::Probed { rs, passed: false, report: Report::default() });
             }
@@ -123,6 +124,19 @@
     }
 }
 
+/// Why a probe has brought nothing.
+enum ProbeError {
+    /// All of our descriptors are in use.
+    NoDescriptor,
+    Failed(ConnectionError),
+}
+
+impl From<ConnectionError> for ProbeError {
+    fn from(error: ConnectionError) -> Self {
+        ProbeError::Failed(error)
+    }
+}
+
 /// One question: the connection, where nothing came after the answer, whether it passed, and the report.
 fn probe(
     kept: Option<Caller>,
@@ -130,11 +144,11 @@
     server: &Server,
     means: &Means,
     until: Time,
-) -> io::Result<(Option<Caller>, bool, Report)> {
+) -> Result<(Option<Caller>, bool, Report), ProbeError> {
     let caller = match kept {
         Some(caller) => caller,
         None => {
-            let slot = slot.or_else(|| means.descriptors.take(WATCH)).ok_or(io::ErrorKind::QuotaExceeded)?;
+            let slot = slot.or_else(|| means.descriptors.take(WATCH)).ok_or(ProbeError::NoDescriptor)?;
             Caller::dial(Mailbox::new(), server.address, slot, until)?
         }
     };
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -243,7 +243,9 @@
     fn pair(descriptors: &std::sync::Arc<Descriptors>) -> (TcpStream, Caller) {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        (stream, Caller::new(listener.accept().unwrap().0, descriptors.take(0).unwrap()).unwrap())
+        let accepted = listener.accept().unwrap().0;
+        accepted.set_nonblocking(true).unwrap();
+        (stream, Caller::new(accepted, descriptors.take(0).unwrap()))
     }
 
     #[test]
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -3,6 +3,8 @@
 //! given up. It must never write to a server that the list no longer calls ready, never write twice, and
 //! never try again: that is the module's to say.
 
+use std::io::{self, ErrorKind};
+
 use nettlemux_policy::{End, Report, Time};
 use tracing::warn;
 
@@ -14,8 +16,12 @@
 use crate::shared::Core;
 use crate::wire::{self, Answer};
 
-/// Errors of this machine: ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS.
-const OURS: [i32; 5] = [12, 23, 24, 99, 105];
+/// Whether a connection that could not be begun tells something of its server. All else is this machine's trouble: no
+/// descriptor, port, memory, route or permission.
+fn concerns_server(error: &io::Error) -> bool {
+    use ErrorKind::{ConnectionRefused, ConnectionReset, HostUnreachable, TimedOut};
+    matches!(error.kind(), ConnectionRefused | ConnectionReset | HostUnreachable | TimedOut)
+}
 
 pub enum Sent {
     /// Served: the server's socket and all that it has sent, from its answer on.
@@ -46,12 +52,11 @@
     let caller = &client.book.caller;
     let server = match Socket::dial(target.server.address, caller.socket.slot(), caller.mailbox.sender()) {
         Ok(server) => server,
-        // Our own want of descriptors, ports or memory must not count against the server.
-        Err(e) if e.raw_os_error().is_some_and(|e| OURS.contains(&e)) => {
+        Err(e) if concerns_server(&e) => return never(End::Unreachable),
+        Err(e) => {
             warn!(error = %e, "can't connect");
             return never(End::NotSent);
         }
-        Err(_) => return never(End::Unreachable),
     };
 
     // Up to its line's last byte a connect has not been sent, so whoever is gone by then needs none, whether or not the
@@ -167,7 +172,9 @@
             }
             Some(Event::Order(_) | Event::Stop) => Woken::Look,
             Some(Event::Rung) => {
-                self.looks_gone();
+                if self.looks_gone() {
+                    self.book.write_on();
+                }
                 Woken::Look
             }
         }
--- a/crates/core/src/send/tests.rs
+++ b/crates/core/src/send/tests.rs
@@ -44,7 +44,7 @@
         let core = core(&asks);
         let (slot, id) = (Descriptors::new(9).take(0).unwrap(), core.ids.take("9b1f").unwrap());
         let flow = Flow { id: 5, give_up: Time::MAX, ..Flow::default() };
-        let mut book = Book::open(&core, &flow, Caller::new(stream, slot).unwrap(), id);
+        let mut book = Book::open(&core, &flow, Caller::new(stream, slot), id);
         let server = Arc::new(Server { name: "s-0".into(), address, ready: AtomicBool::new(true) });
         let until = clock::now() + SEC / 5;
         let target = Target { rs: 1, number: 0, server, until, by: until };
--- a/crates/front-lines/src/take_in.rs
+++ b/crates/front-lines/src/take_in.rs
@@ -4,7 +4,7 @@
 //! bounded, and the oldest in it give way.
 
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind};
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use nettlemux_core::chain;
 use nettlemux_core::clock;
 use nettlemux_core::mail::Sender;
-use nettlemux_core::net::{Caller, LINGER};
+use nettlemux_core::net::{Caller, ConnectionError, LINGER, set_nonblocking};
 use nettlemux_core::orders::Event;
 use nettlemux_core::pool::{Buffer, Slot};
 use nettlemux_core::shared::Core;
@@ -120,7 +120,7 @@
         let until = if full { clock::now() } else { self.until };
         let mut read = self.caller.line(&mut self.bytes[..], &mut self.held, until);
         // Told to give way: guards against a whole line that has come and is dropped.
-        let gives_way = read.as_ref().is_err_and(|e| e.kind() == ErrorKind::Interrupted);
+        let gives_way = matches!(read, Err(ConnectionError::Stopped));
         if gives_way {
             read = self.caller.line(&mut self.bytes[..], &mut self.held, 0);
         }
@@ -129,12 +129,12 @@
                 (self.line, self.at) = (line, clock::now());
                 return Some(self);
             }
-            Err(e) if e.kind() == ErrorKind::InvalidData => {
+            Err(ConnectionError::Malformed(_)) => {
                 warn!("overlong first line");
                 self.refuse(wire::ABORTED);
             }
             // Never whole, or its place is needed: nothing has run.
-            Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::Interrupted) => {
+            Err(e @ (ConnectionError::Deadline | ConnectionError::Stopped)) => {
                 debug!(error = %e, held = self.held, "no first line");
                 // Guards against a line that comes just now: a close over it resets the connection, and the answer
                 // goes with the reset. Not where its place is needed: a flood of silent ones would keep the others out.
@@ -195,10 +195,16 @@
     }
 
     fn first_line(&self, stream: TcpStream, slot: Slot) -> Option<Taken> {
-        stream.set_nonblocking(true).ok()?;
-        let caller = Caller::new(stream, slot).map_err(|e| warn!(error = %e, "a connection is lost")).ok()?;
+        let at = clock::now();
+        if let Err(e) = set_nonblocking(&stream, at + FIRST_LINE) {
+            // Its buffer is empty, so this doesn't block.
+            warn!(error = %e, "a connection can't be set up");
+            let _ = (&stream).write_all(wire::rejected(None).as_bytes());
+            return None;
+        }
+        let caller = Caller::new(stream, slot);
         let guest = self.lobby.enter(caller.mailbox.sender());
-        let (bytes, at) = (self.core.buffers.take(), clock::now());
+        let bytes = self.core.buffers.take();
         let taken = Taken { caller, _guest: guest, bytes, held: 0, line: (0, 0), at, until: at + FIRST_LINE };
         taken.next_line(&self.core)
     }
