Three more tests of system calls that fail, listed as red

A read or write that wants memory is taken for a broken connection; a call to discovery whose connect is interrupted is made again without a pause for as long as that lasts, and nothing else runs (seen: 100 % of a core, SIGTERM unheard); an agent whose connection broke by ETIMEDOUT, EHOSTUNREACH or ENETUNREACH isn't asked for its whole list.

--- a/crates/balancer/tests/system_calls.rs
+++ b/crates/balancer/tests/system_calls.rs
@@ -76,6 +76,19 @@
     }
 }
 
+/// A connection isn't broken since the system wants memory or buffers for a moment.
+#[test]
+fn reads_and_writes_that_want_memory_are_tried_again() {
+    let stand = stand();
+    for call in ["recv", "send"] {
+        for errno in [ENOMEM, ENOBUFS] {
+            let plan = format!("{call} fail {errno} 0 3 200");
+            stand.faults().set(&plan);
+            all_are_served(&stand, &plan);
+        }
+    }
+}
+
 /// Calls that the operators name: in the moment of the failure and after it, clients are served or told, and none is lost.
 #[test]
 fn accepts_sockets_and_connects_may_fail_for_a_moment() {
@@ -125,6 +138,31 @@
     }
 }
 
+/// made at once: others would never get their turn.
+#[test]
+fn interrupted_calls_to_discovery_do_not_keep_the_worker_from_its_work() {
+    let faults = Faults::none();
+    faults.set(&format!("connect fail {EINTR}"));
+    let stand = Stand::start(1, |config| config, Some(faults));
+    let answers = || Client::try_new(stand.at, b"PING\r\n").is_some_and(|mut client| client.says("PONG"));
+    soon("PONG", answers);
+    stand.faults().clear();
+    stand.serves();
+}
+
+/// In whatever way the end of its connection shows, an agent that may have been started anew is asked for its whole list.
+#[test]
+fn an_agent_whose_connection_broke_is_asked_for_its_whole_list() {
+    for errno in [ETIMEDOUT, EHOSTUNREACH, ENETUNREACH] {
+        let stand = stand();
+        let wholes = || stand.agent.calls().iter().filter(|call| call.from.is_none()).count();
+        let before = wholes();
+        // Nobody else reads: there are no clients and no probes.
+        stand.faults().set(&format!("recv fail {errno} 0 1 1"));
+        soon("a call for the whole list", || wholes() > before);
+    }
+}
+
 /// The plan hits what it names and nothing else: without this, the tests above would pass with a library that does nothing.
 #[test]
 fn a_fault_that_stays_ends_a_start() {
