Tell want of memory, interruptions and ends of connections apart

Cause: relay.rs and book.rs took any error of a read or write, ENOMEM and ENOBUFS too, for a broken connection; discovery.rs had ErrorKind::Interrupted mean that the agent has moved, so an interrupted connect was made again without end; ended() knew five kinds, and a kept connection whose end was found before the next call (quiet) wasn't counted as ended at all.

--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -126,7 +126,6 @@
         match error {
             // Whoever waits for the agent is told to stop only when that has moved.
             ConnectionError::Stopped => CallError::Moved,
-            ConnectionError::System(error) if error.kind() == ErrorKind::Interrupted => CallError::Moved,
             error => CallError::Failed(error),
         }
     }
@@ -186,9 +185,14 @@
     }
 
     fn call(&mut self, location: &Location, request: &Request) -> Result<ListUpdate, CallError> {
-        let connection = match self.connection.take().filter(Caller::quiet) {
-            Some(connection) => connection,
-            None => self.connect(location, request.deadline)?,
+        let connection = match self.connection.take() {
+            Some(connection) if connection.quiet() => connection,
+            kept => {
+                // Guards against an agent that was started anew between two calls: its end shows here and nowhere else.
+                self.restarted |= kept.is_some();
+                drop(kept);
+                self.connect(location, request.deadline)?
+            }
         };
         let (path, host) = (request.path(), location.address);
         let text = format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n");
--- a/crates/core/src/net.rs
+++ b/crates/core/src/net.rs
@@ -32,8 +32,8 @@
 const INTERRUPTIONS_MAX: usize = 16;
 /// Errors by which `connect` says that it goes on, or has gone on after an interruption: EISCONN, EALREADY, EINPROGRESS.
 const CONNECT_GOES_ON: [i32; 3] = [106, 114, 115];
-/// Errors by which the system says that it has no room now: none is known yet.
-const NO_ROOM_NOW: [i32; 0] = [];
+/// Errors by which the system says that it has no room now: ENOMEM, ENOBUFS. They tell nothing of the connection.
+const NO_ROOM_NOW: [i32; 2] = [12, 105];
 
 /// Why a call on a connection has ended without a result.
 #[derive(Debug)]
