Ask the kernel for begun connections alone: a test's set-up outlasted the window it tests

Trace: «no the second connect in time»; its set-up took 3.5 s of a window of 1 s with six plays at once, 0.5 s alone, since Late::dialled read /proc/net/tcp whole, 20,770 rows in TIME-WAIT, 39 ms a time. The program was right to send BUSY. The kernel is asked for connections in SYN-SENT alone now (sock_diag), and the test tells of a set-up that takes too long in place of failing at another line; the window is 2 s so that the cut falls well inside it.

--- /dev/null
+++ b/crates/balancer/tests/common/dials.rs
@@ -0,0 +1,90 @@
+//! Connections that this machine has begun and that aren't up yet, asked of the kernel by sock_diag(7). The whole table under
+//! `/proc/net/tcp` takes 40 ms to read once the tests have left 20,000 connections in TIME-WAIT, which is too slow to
+//! poll: a test's set-up took 3.5 s of the 1 s that it had.
+
+use std::net::SocketAddrV4;
+
+use libc::{
+    AF_INET, AF_NETLINK, IPPROTO_TCP, NLM_F_DUMP, NLM_F_REQUEST, SOCK_CLOEXEC, SOCK_RAW, c_int, c_void,
+};
+
+const NETLINK_SOCK_DIAG: c_int = 4;
+const SOCK_DIAG_BY_FAMILY: u16 = 20;
+const NLMSG_DONE: u16 = 3;
+const TCP_SYN_SENT: u32 = 2;
+
+/// `struct nlmsghdr` with `struct inet_diag_req_v2`.
+#[repr(C)]
+struct Request {
+    length: u32,
+    kind: u16,
+    flags: u16,
+    sequence: u32,
+    port_id: u32,
+    family: u8,
+    protocol: u8,
+    extensions: u8,
+    padding: u8,
+    states: u32,
+    socket: [u8; 48],
+}
+
+/// Lengths of a message's head, and where the peer's port and address stand in `struct inet_diag_msg` after it.
+const HEAD: usize = 16;
+const PEER_PORT: usize = HEAD + 6;
+const PEER_ADDRESS: usize = HEAD + 24;
+
+/// Whether any connection to that address has begun and isn't up.
+pub fn any_to(address: SocketAddrV4) -> bool {
+    let request = Request {
+        length: size_of::<Request>() as u32,
+        kind: SOCK_DIAG_BY_FAMILY,
+        flags: (NLM_F_REQUEST | NLM_F_DUMP) as u16,
+        sequence: 1,
+        port_id: 0,
+        family: AF_INET as u8,
+        protocol: IPPROTO_TCP as u8,
+        extensions: 0,
+        padding: 0,
+        states: 1 << TCP_SYN_SENT,
+        socket: [0; 48],
+    };
+    let mut answer = vec![0_u8; 32 << 10];
+    // SAFETY: the kernel reads a whole request and writes within the buffer; the descriptor is closed here and nowhere else.
+    unsafe {
+        let netlink = libc::socket(AF_NETLINK, SOCK_RAW | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+        assert!(netlink >= 0, "no sock_diag: {}", std::io::Error::last_os_error());
+        let sent = libc::send(netlink, (&raw const request).cast::<c_void>(), size_of::<Request>(), 0);
+        assert_eq!(sent, size_of::<Request>() as isize);
+        let mut found = false;
+        loop {
+            let count = libc::recv(netlink, answer.as_mut_ptr().cast(), answer.len(), 0);
+            let Ok(count) = usize::try_from(count) else { break };
+            let (matches, last) = read(&answer[..count], address);
+            found |= matches;
+            if last {
+                break;
+            }
+        }
+        libc::close(netlink);
+        found
+    }
+}
+
+/// Whether one of these messages is of a connection to that address, and whether they are the last.
+fn read(mut messages: &[u8], address: SocketAddrV4) -> (bool, bool) {
+    let mut found = false;
+    while messages.len() >= HEAD {
+        let length = u32::from_ne_bytes(messages[..4].try_into().unwrap()) as usize;
+        let kind = u16::from_ne_bytes(messages[4..6].try_into().unwrap());
+        if kind == NLMSG_DONE || length < HEAD {
+            return (found, true);
+        }
+        if let Some(peer) = messages.get(PEER_ADDRESS..PEER_ADDRESS + 4) {
+            let port = u16::from_be_bytes(messages[PEER_PORT..PEER_PORT + 2].try_into().unwrap());
+            found |= port == address.port() && peer == address.ip().octets();
+        }
+        messages = messages.get(length.next_multiple_of(4)..).unwrap_or_default();
+    }
+    (found, false)
+}
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+mod dials;
 pub mod faults;
 #[path = "../../../../examples/toy.rs"]
 pub mod toy;
@@ -236,11 +237,8 @@
 
     /// Whether anybody's connection to it has begun and is not up.
     pub fn dialled(&self) -> bool {
-        let SocketAddr::V4(at) = self.address else { unreachable!() };
-        let remote = format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port());
-        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-        let mut rows = table.lines().map(|row| row.split_whitespace().skip(2).take(2).collect::<Vec<_>>());
-        rows.any(|row| row == [remote.as_str(), "02"])
+        let SocketAddr::V4(address) = self.address else { unreachable!() };
+        dials::any_to(address)
     }
 
     /// Lets them in: what the next one sends, up to its end or its first line.
--- a/crates/balancer/tests/crossings.rs
+++ b/crates/balancer/tests/crossings.rs
@@ -109,10 +109,15 @@
 /// may be over: it is not sent. Without its limit the second server gets it a second later.
 #[test]
 fn a_repeat_whose_connection_comes_up_too_late_is_not_sent() {
+    /// The connection to the second server comes up a second after its first try, so after the window.
+    const WINDOW: Duration = Duration::from_secs(2);
+    /// The first attempt is cut off so long after it was made: late enough for a busy machine to set all up before, and early
+    /// enough for the second to be dialled in time.
+    const CUT_AFTER: Duration = Duration::from_millis(1400);
     let late = Late::new();
     let stand = Stand::with(1, |config| {
         let order = json!({"name": "order", "setup-target": 4_000_000, "value": 1.0, "repeat": "guarded", "group": "all",
-            "window": 1_000_000});
+            "window": WINDOW.as_micros() as u64});
         let order = ("service-types/1", order);
         let dial = ("limits/dial-timeout", json!(5_000_000));
         changed(&config, &[order, dial, ("limits/probes", json!(false))])
@@ -120,6 +125,7 @@
     stand.toys[0].set(Mood::Silent);
     let mut client = stand.client("c=order,d=4000");
     soon("the first connect", || stand.toys[0].seen().last().is_some_and(|line| line.contains("c=order")));
+    let first = Instant::now();
     // Others are served meanwhile: time-outs would be taken for a jam, in which nothing is sent again.
     stand.toys[0].set(Mood::Up);
     stand.agent.tell("s-late", late.address, "Ready");
@@ -132,6 +138,9 @@
         })
     });
     soon("nobody dialling", || !late.dialled());
+    let set_up_in = first.elapsed();
+    assert!(set_up_in < CUT_AFTER, "the machine took {set_up_in:?} to set this up");
+    thread::sleep(CUT_AFTER - set_up_in);
     // Cut off: it may have run there.
     stand.toys[0].say("", true);
     soon("the second connect", || late.dialled());
