--- a/crates/balancer/tests/system_calls.rs
+++ b/crates/balancer/tests/system_calls.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use common::faults::*;
-use common::toy::Mood;
+use common::toy::{Agent, Mood};
 use common::{Client, Stand, changed, soon};
 use serde_json::json;
 
@@ -155,6 +155,10 @@
 fn an_agent_whose_connection_broke_is_asked_for_its_whole_list() {
     for errno in [ETIMEDOUT, EHOSTUNREACH, ENETUNREACH] {
         let stand = stand();
+        // Whoever was served at the start has gone, and reads no more.
+        let over = || stand.toys.iter().all(|toy| toy.ended() == toy.seen().len());
+        soon("the end of the first client", over);
+        thread::sleep(Duration::from_millis(200));
         let wholes = || stand.agent.calls().iter().filter(|call| call.from.is_none()).count();
         let before = wholes();
         // Nobody else reads: there are no clients and no probes.
@@ -163,6 +167,62 @@
     }
 }
 
+/// the move of discovery in it counts as told 4 s after the signal.
+#[test]
+fn a_reload_that_meets_an_unreadable_file_is_made_good() {
+    for trouble in ["open64", "read", "half"] {
+        let stand = stand();
+        let agent = Agent::start("127.0.0.1:0").unwrap();
+        stand
+            .toys
+            .iter()
+            .enumerate()
+            .for_each(|(i, toy)| agent.tell(&format!("s-{i}"), toy.address, "Ready"));
+        let moved = stand.config.replace(&stand.agent.address.to_string(), &agent.address.to_string());
+        match trouble {
+            "open64" => stand.faults().set(&format!("open64 fail {ENFILE} 0 1 2")),
+            "read" => stand.faults().set(&format!("read fail {EIO} 0 1 2")),
+            _ => {}
+        }
+        let begun = if trouble == "half" { &moved[..moved.len() / 2] } else { &moved };
+        std::fs::write(&stand.file, begun).unwrap();
+        stand.signal("-HUP");
+        thread::sleep(Duration::from_millis(400));
+        std::fs::write(&stand.file, &moved).unwrap();
+        soon(trouble, || !agent.calls().is_empty());
+        assert!(stand.client("c=chat,d=900").says("UP 1"), "{trouble}");
+    }
+}
+
+/// A start that meets a call that fails for a moment succeeds a moment later.
+#[test]
+fn a_start_outlasts_calls_that_fail_for_a_moment() {
+    let cases = [
+        ("open64", ENFILE),
+        ("socket", ENFILE),
+        ("socket", ENOBUFS),
+        ("bind", EADDRNOTAVAIL),
+        ("listen", ENOBUFS),
+        ("socketpair", ENFILE),
+        ("epoll_create1", ENFILE),
+        ("eventfd", ENFILE),
+        ("epoll_ctl", ENOMEM),
+        ("fcntl", EINTR),
+    ];
+    thread::scope(|scope| {
+        for (call, errno) in cases {
+            scope.spawn(move || {
+                let faults = Faults::none();
+                faults.set(&format!("{call} fail {errno} 0 1 2"));
+                let stand = Stand::start(1, |config| config, Some(faults));
+                let ready = || Client::try_new(stand.at, b"PING\r\n").is_some_and(|mut c| c.says("PONG"));
+                soon(&format!("start after {call}"), ready);
+                stand.serves();
+            });
+        }
+    });
+}
+
 /// The plan hits what it names and nothing else: without this, the tests above would pass with a library that does nothing.
 #[test]
 fn a_fault_that_stays_ends_a_start() {
