Outlast calls that fail at the start and at a reload, and never put off the end by a reload

Cause: config.rs, signals.rs, take_in.rs listen and the runtime's own start gave up at the first error (bind alone was tried again, for EADDRINUSE); Reload::again told of an unreadable file once; Desk::change took the new longest deadline for the end whether or not SIGTERM had come.

--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -4,10 +4,12 @@
 use std::env;
 use std::fmt;
 use std::fs;
+use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use nettlemux_core::discovery::{self, ListUpdate};
+use nettlemux_core::retry;
 use nettlemux_core::shared::Term;
 use nettlemux_door::Config as DoorConfig;
 use nettlemux_policy::Time;
@@ -97,16 +99,35 @@
 }
 
 /// Reads the file that was named, else the one that `LB_CONFIG` names.
-pub fn load(file: Option<PathBuf>) -> Result<Config, Faulty> {
-    let named = file.or_else(|| env::var_os("LB_CONFIG").map(PathBuf::from));
+pub fn load(file: Option<&Path>) -> Result<Config, Faulty> {
+    load_by(file, |file| fs::read_to_string(file))
+}
+
+/// The same at the start, where one that can't be read at this moment is read a moment later.
+pub fn load_at_start(file: Option<&Path>) -> Result<Config, Faulty> {
+    load_by(file, |file| retry::until_it_passes(|| fs::read_to_string(file)))
+}
+
+fn load_by(file: Option<&Path>, read: impl Fn(&Path) -> io::Result<String>) -> Result<Config, Faulty> {
+    let named = file.map(PathBuf::from).or_else(|| env::var_os("LB_CONFIG").map(PathBuf::from));
     let file = named.ok_or_else(|| Faulty::new("LB_CONFIG", "not set, and no file was named"))?;
-    parse(&text(&file)?, |name| env::var(name).ok())
+    let text = read(&file).map_err(|e| Faulty::new("LB_CONFIG", format!("{}: {e}", file.display())))?;
+    parse(&text, |name| env::var(name).ok())
 }
 
 /// Reads the operator's file; without one, the defaults.
 pub fn operator(file: Option<&Path>) -> Result<Operator, String> {
+    operator_by(file, |file| fs::read_to_string(file))
+}
+
+/// The same at the start, where one that can't be read at this moment is read a moment later.
+pub fn operator_at_start(file: Option<&Path>) -> Result<Operator, String> {
+    operator_by(file, |file| retry::until_it_passes(|| fs::read_to_string(file)))
+}
+
+fn operator_by(file: Option<&Path>, read: impl Fn(&Path) -> io::Result<String>) -> Result<Operator, String> {
     let Some(file) = file else { return Ok(Operator::default()) };
-    let text = fs::read_to_string(file).map_err(|e| format!("operator's file {}: {e}", file.display()))?;
+    let text = read(file).map_err(|e| format!("operator's file {}: {e}", file.display()))?;
     operator::parse(&text).map_err(|e| e.to_string())
 }
 
@@ -115,10 +136,6 @@
     keys.config(longest, |name| Some(nettlemux_door::key(seed, name.as_bytes())))
 }
 
-fn text(file: &Path) -> Result<String, Faulty> {
-    fs::read_to_string(file).map_err(|e| Faulty::new("LB_CONFIG", format!("{}: {e}", file.display())))
-}
-
 /// Checks a configuration; what it doesn't tell is taken from the environment, else a default.
 pub fn parse(text: &str, environment: impl Fn(&str) -> Option<String>) -> Result<Config, Faulty> {
     let mut value: Value =
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -6,14 +6,15 @@
 mod signals;
 
 use std::hash::{BuildHasher, RandomState};
-use std::io::Write;
+use std::io::{self, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::thread;
 
 use bpaf::{Parser, construct, long, pure};
-use nettlemux_core::desk::{Desk, Given, LAST_ANSWER};
+use nettlemux_core::desk::{Desk, Given};
 use nettlemux_core::discovery::{self, Agent};
 use nettlemux_core::mail::Mailbox;
 use nettlemux_core::orders::Ask;
@@ -21,13 +22,17 @@
 use nettlemux_core::peers::Peers;
 use nettlemux_core::pool::{Buffers, Shares};
 use nettlemux_core::probe::{self, Prober};
+use nettlemux_core::retry;
 use nettlemux_core::shared::{Core, Terms};
+use nettlemux_core::shutdown::AnswerDeadline;
 use nettlemux_door::Door;
 use nettlemux_front_lines::first::Known;
 use nettlemux_front_lines::take_in::{self, Front};
 use nettlemux_hand::Hand;
 use nettlemux_policy::{MS, SEC, State, Time};
 use nettlemux_settings::operator::{self, Format, Operator};
+use nix::sys::epoll::{Epoll, EpollCreateFlags, EpollEvent, EpollFlags};
+use nix::sys::eventfd::{EfdFlags, EventFd};
 use signal_hook::iterator::Signals;
 use tracing::{Level, error, info};
 
@@ -81,8 +86,8 @@
     let signals = signals::catch();
     let done = match command().run() {
         Command::Serve { config: file, operator: operator_file, log, format } => {
-            config::load(file.clone()).map_err(|e| e.to_string()).and_then(|config| {
-                let operator = config::operator(operator_file.as_deref())?;
+            config::load_at_start(file.as_deref()).map_err(|e| e.to_string()).and_then(|config| {
+                let operator = config::operator_at_start(operator_file.as_deref())?;
                 let level = log.unwrap_or(level(operator.log.level));
                 let _guard = log::start(level, format.unwrap_or(operator.log.format));
                 config.warn_of_unknown();
@@ -91,7 +96,7 @@
             })
         }
         Command::Check { config, operator } => {
-            config::load(config).map_err(|e| e.to_string()).and_then(|config| {
+            config::load(config.as_deref()).map_err(|e| e.to_string()).and_then(|config| {
                 config::operator(operator.as_deref())?;
                 for unknown in &config.unknown {
                     println!("{unknown}");
@@ -129,6 +134,18 @@
     }
 }
 
+/// Waits until the system has what the coroutines' runtime takes at its start: it ends the process where it can't make its
+/// selector or its threads, and never tries again.
+fn runtime_can_start() -> io::Result<()> {
+    retry::until_it_passes(|| {
+        let selector = Epoll::new(EpollCreateFlags::EPOLL_CLOEXEC)?;
+        let wakeup = EventFd::from_flags(EfdFlags::EFD_NONBLOCK | EfdFlags::EFD_CLOEXEC)?;
+        selector.add(&wakeup, EpollEvent::new(EpollFlags::EPOLLIN, 0))?;
+        let _ = thread::Builder::new().spawn(|| ())?.join();
+        Ok(())
+    })
+}
+
 fn serve(
     mut config: Config,
     file: Option<PathBuf>,
@@ -136,6 +153,7 @@
     operator_file: Option<PathBuf>,
     signals: Signals,
 ) -> Result<(), String> {
+    runtime_can_start().map_err(|e| format!("the system has no means for the runtime: {e}"))?;
     // One core is all there is: one worker, free to run where the system puts it.
     may::config().set_workers(1).set_stack_size(STACK).set_worker_pin(false);
     let settings = &config.settings.clone().with_words(operator.peers.is_some());
@@ -187,7 +205,7 @@
     let (flows, waiting) = (core.shares.flows.limit(), core.shares.waiting.limit());
     info!(name = config.name, listen = %config.listen, sockets = config.sockets, flows, waiting, "serving");
     let (halls, machines) = (settings.names("areas"), settings.names("models"));
-    let last_answer = settings.longest_wait().min(LAST_ANSWER);
+    let answer_deadline = AnswerDeadline::new(settings.longest_wait());
     let (peers, words) = match operator.peers {
         Some(keys) => {
             let started = Peers::start(keys.listen, keys.to, desk.clone());
@@ -199,7 +217,7 @@
     };
     signals::untold(&config.settings, peers.is_some());
     let lobby = core.shares.waiting.clone();
-    let given = Given { seed: config.seed, margin: MARGIN, last_answer, lobby };
+    let given = Given { seed: config.seed, margin: MARGIN, answer_deadline, lobby };
     let whole_desk = Desk::new(hand, asks, halls, machines, prober, words, given);
     let running = may::go!(move || whole_desk.run());
     let agent = Agent::new(config.discovery);
--- a/crates/balancer/src/signals.rs
+++ b/crates/balancer/src/signals.rs
@@ -2,34 +2,42 @@
 //! which reads the configuration again. It owns the signal handlers and what the configuration says now. It must
 //! never end the process itself, and a file that is faulty must change nothing.
 
+use std::ffi::c_int;
 use std::io;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use nettlemux_core::discovery::Agent;
 use nettlemux_core::mail::Sender;
 use nettlemux_core::orders::Ask;
 use nettlemux_core::peers::Peers;
+use nettlemux_core::retry;
 use nettlemux_core::shared::Terms;
 use nettlemux_front_lines::first::Known;
 use nettlemux_front_lines::take_in::Front;
 use nettlemux_settings::Settings;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 
 use crate::config::{self, Config};
 
 /// The thread's stack: it reads the configuration, whose JSON may be nested.
 const STACK: usize = 1 << 20;
 
+/// A configuration that can't be read as SIGHUP comes, or is still being written, is read again so often, at such intervals:
+/// 3 s in all, since what it says counts 4 s after the signal.
+const RELOAD_TRIES: u32 = 31;
+const RELOAD_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Takes over the signals. To be called before all else: until then SIGHUP ends the process. What comes before
 /// [`listen`] waits.
 pub fn catch() -> io::Result<Signals> {
-    Signals::new([SIGTERM, SIGINT, SIGHUP])
+    retry::until_it_passes(|| Signals::new([SIGTERM, SIGINT, SIGHUP]))
 }
 
 /// What SIGHUP reads again, and what it says now.
@@ -54,21 +62,42 @@
     agent: Arc<Agent>,
 ) -> io::Result<()> {
     thread::Builder::new().name("signals".into()).stack_size(STACK).spawn(move || {
-        for signal in signals.forever() {
-            match signal {
+        let mut tries_left = 0;
+        loop {
+            for signal in next(&mut signals, tries_left > 0) {
+                match signal {
+                    SIGHUP => tries_left = RELOAD_TRIES,
+                    _ => desk.send(Ask::Terminate),
+                }
+            }
+            if tries_left > 0 {
+                tries_left -= 1;
                 // Guards against a balancer that no longer hears SIGTERM since a reload has panicked.
-                SIGHUP => {
-                    if catch_unwind(AssertUnwindSafe(|| reload.again(&agent, &desk))).is_err() {
+                let reloaded = catch_unwind(AssertUnwindSafe(|| reload.again(&agent, &desk)));
+                match reloaded {
+                    Ok(Ok(())) => tries_left = 0,
+                    Ok(Err(why)) if tries_left > 0 => debug!(%why, tries_left, "not reloaded yet"),
+                    Ok(Err(why)) => error!(%why, "not reloaded: nothing changes"),
+                    Err(_) => {
                         error!("a reload panicked");
+                        tries_left = 0;
                     }
                 }
-                _ => desk.send(Ask::Terminate),
             }
         }
     })?;
     Ok(())
 }
 
+/// The signals that have come; while a reload is to be tried again none is waited for longer than till then.
+fn next(signals: &mut Signals, retries: bool) -> Vec<c_int> {
+    if retries {
+        thread::sleep(RELOAD_INTERVAL);
+        return signals.pending().collect();
+    }
+    signals.wait().collect()
+}
+
 /// Says so where settings expect words that have no way to go: groups are then held in more places.
 pub fn untold(settings: &Settings, peers: bool) {
     if settings.may_tell().unwrap_or(false) && !peers {
@@ -77,21 +106,14 @@
 }
 
 impl Reload {
-    fn again(&mut self, agent: &Agent, desk: &Sender<Ask>) {
+    fn again(&mut self, agent: &Agent, desk: &Sender<Ask>) -> Result<(), String> {
         // Both are read before either acts: a faulty one changes nothing.
-        let read = config::load(self.file.clone()).map_err(|e| e.to_string());
-        let read = read.and_then(|new| Ok((new, config::operator(self.operator.as_deref())?)));
-        let (new, operator) = match read {
-            Ok(read) => read,
-            Err(why) => return error!(%why, "not reloaded: nothing changes"),
-        };
+        let new = config::load(self.file.as_deref()).map_err(|e| e.to_string())?;
+        let operator = config::operator(self.operator.as_deref())?;
         // The last that may fail: from here on all is taken over.
         let merged = new.settings.following(&self.config.settings);
         let known = merged.and_then(|merged| Ok((Known::new(&merged)?, merged)));
-        let (known, merged) = match known {
-            Ok(known) => known,
-            Err(why) => return error!(%why, "not reloaded: nothing changes"),
-        };
+        let (known, merged) = known.map_err(|why| why.to_string())?;
         new.warn_of_unknown();
         if new.settings != self.in_file {
             // Before the front names what is new: the desk reads its mail in order.
@@ -120,5 +142,6 @@
             self.config.discovery = new.discovery;
             agent.moves_to(new.discovery);
         }
+        Ok(())
     }
 }
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -18,6 +18,7 @@
 use crate::orders::{Ask, Entry, Event, Order, Server, Target, Word};
 use crate::pool::Descriptors;
 use crate::probe::Prober;
+use crate::shutdown::AnswerDeadline;
 
 /// Who is told what becomes of a flow.
 struct Client {
@@ -69,10 +70,7 @@
 const STEP: Time = 50 * MS;
 /// How often those that wait for a descriptor to be probed over are looked at.
 const DESCRIPTOR: Time = 10 * MS;
-/// What is owed an answer is given up once the longest connect timeout has passed, and this at the latest:
-/// SIGKILL comes 0.7 s after that.
-pub const LAST_ANSWER: Time = 3 * SEC;
-/// Then all has been said after so long.
+/// All has been said so long after the last answer.
 const EXIT: Time = 500 * MS;
 /// The front goes on sending us clients for up to so long after SIGTERM. Guards, where connect timeouts are short, against
 /// moves that come straight back, and an end that leaves clients to a closed port since all has been said before.
@@ -82,8 +80,8 @@
 pub struct Given {
     pub seed: u64,
     pub margin: Time,
-    /// How long after SIGTERM the last answer is due.
-    pub last_answer: Time,
+    /// When the last answer is due once the end is asked for.
+    pub answer_deadline: AnswerDeadline,
     /// Connections that no flow has come of yet, or that are on their way out.
     pub lobby: Arc<Descriptors>,
 }
@@ -249,6 +247,7 @@
             Ask::Terminate => {
                 info!(flows = self.clients.len(), "asked to end");
                 self.terminated.get_or_insert(now);
+                self.given.answer_deadline.terminate(now);
             }
         }
     }
@@ -263,7 +262,7 @@
         match settings.policy(self.given.seed, self.given.margin, true) {
             Ok(policy) => {
                 self.hand.change(policy);
-                self.given.last_answer = settings.longest_wait().min(LAST_ANSWER);
+                self.given.answer_deadline.reload(clock::now(), settings.longest_wait());
             }
             Err(why) => error!(%why, "settings that can't be used; the old ones hold"),
         }
@@ -377,11 +376,12 @@
     fn ending(&mut self, since: Time) -> bool {
         let now = clock::now();
         let passed = now.saturating_sub(since);
+        let last_answer = self.given.answer_deadline.at(now);
         // Late, since the connections are sound and others may be restarting with us, and spread, so that clients
         // don't come to those all at once. Nor too early: the front sends us new ones for up to 0.4 s, and they
         // would come straight back.
-        let move_until = (self.given.last_answer + LAST_MOVES).max(COMING + LAST_MOVES / 2);
-        if passed >= (self.given.last_answer / 2).max(COMING) && now >= self.next_move {
+        let move_until = (last_answer + LAST_MOVES).max(COMING + LAST_MOVES / 2);
+        if passed >= (last_answer / 2).max(COMING) && now >= self.next_move {
             // Guards against one step for each thing that the desk is told: each move is told, and so moved the
             // next, and all clients went within 10 ms.
             self.next_move = now + STEP;
@@ -400,7 +400,7 @@
             }
         }
         // Again with each look: guards against a flow that comes after the first and is still owed its answer at the end.
-        if passed >= self.given.last_answer && now >= self.next_cut {
+        if passed >= last_answer && now >= self.next_cut {
             (self.last_answer_passed, self.next_cut) = (true, now + STEP);
             let mut owed = Vec::new();
             self.acts(now, |hand, acts| owed = hand.cut_short(now, acts));
@@ -412,7 +412,7 @@
             waiting.for_each(|(_, client)| client.mail.send(Event::Order(Order::TimeUp)));
         }
         let all_said = self.clients.is_empty() && self.given.lobby.open() == 0;
-        passed >= self.given.last_answer + EXIT || passed >= move_until && all_said
+        passed >= last_answer + EXIT || passed >= move_until && all_said
     }
 }
 
--- /dev/null
+++ b/crates/core/src/shutdown/tests.rs
@@ -0,0 +1,34 @@
+//! Reloads before, between and after two requests to end.
+
+use super::*;
+
+#[test]
+fn the_shorter_of_two_deadlines_holds_where_a_reload_and_the_end_come_together() {
+    enum Step {
+        Reload(Time),
+        Terminate,
+    }
+    use Step::{Reload, Terminate};
+    let last = RELOAD_SETTLES - 1;
+    // At the start, what happens and when, and how long after the end was asked for the last answer is due.
+    for (start, steps, due) in [
+        (SEC, vec![(9, Terminate)], SEC),
+        (9 * SEC, vec![(9, Terminate)], LONGEST),
+        (SEC, vec![(0, Reload(2 * SEC)), (last, Terminate)], SEC),
+        (SEC, vec![(0, Reload(2 * SEC)), (RELOAD_SETTLES, Terminate)], 2 * SEC),
+        (2 * SEC, vec![(0, Reload(SEC)), (last, Terminate)], SEC),
+        (SEC, vec![(0, Terminate), (1, Reload(3 * SEC)), (2, Terminate)], SEC),
+        (3 * SEC, vec![(0, Terminate), (1, Reload(SEC)), (2, Reload(2 * SEC))], SEC),
+        (SEC, vec![(0, Reload(2 * SEC)), (1, Reload(3 * SEC)), (last, Terminate)], SEC),
+    ] {
+        let mut deadline = AnswerDeadline::new(start);
+        let told: Vec<Time> = steps.iter().map(|(at, _)| *at).collect();
+        for (at, step) in &steps {
+            match step {
+                Reload(longest) => deadline.reload(*at, *longest),
+                Terminate => deadline.terminate(*at),
+            }
+        }
+        assert_eq!(deadline.at(RELOAD_SETTLES * 9), due, "{start} {told:?}");
+    }
+}
--- a/crates/front-lines/src/take_in.rs
+++ b/crates/front-lines/src/take_in.rs
@@ -16,6 +16,7 @@
 use nettlemux_core::net::{Caller, ConnectionError, LINGER, set_nonblocking};
 use nettlemux_core::orders::Event;
 use nettlemux_core::pool::{Buffer, Slot};
+use nettlemux_core::retry;
 use nettlemux_core::shared::Core;
 use nettlemux_core::wire;
 use nettlemux_policy::{MS, Time};
@@ -28,8 +29,6 @@
 /// Clients that may wait to be accepted: all of a balancer that died may come at once, and one that finds the
 /// queue full tries again only after a second.
 const WAITING: i32 = 4096;
-const BIND_TRIES: u32 = 100;
-const BIND_PAUSE: Duration = Duration::from_millis(50);
 /// What hasn't been asked by then won't be: whoever connects and says nothing is owed a word within 3 s.
 const FIRST_LINE: Time = 2500 * MS;
 /// One that has been in the lobby for less isn't sent away: its line may be on its way.
@@ -148,20 +147,19 @@
     }
 }
 
+/// Begins to listen. Guards against a start that fails since the last run's sockets are not quite gone, the address isn't up
+/// yet, or the system wants descriptors or memory at this moment.
+///
+/// # Errors
+/// It can't listen there, now and a few seconds later.
 pub fn listen(at: SocketAddr) -> io::Result<CoIo<TcpListener>> {
-    let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    // Guards against a start that fails since the last run's sockets are not quite gone.
-    let mut tries = 0;
-    while let Err(e) = socket.bind(&at.into()) {
-        tries += 1;
-        if e.kind() != io::ErrorKind::AddrInUse || tries > BIND_TRIES {
-            return Err(e);
-        }
-        std::thread::sleep(BIND_PAUSE);
-    }
-    socket.listen(WAITING)?;
-    CoIo::new(socket.into()).map_err(|e| io::Error::other(e.to_string()))
+    retry::until_it_passes(|| {
+        let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&at.into())?;
+        socket.listen(WAITING)?;
+        Ok(CoIo::new(socket.into())?)
+    })
 }
 
 /// What all connections of this front share.
