--- a/crates/balancer/tests/crossings.rs
+++ b/crates/balancer/tests/crossings.rs
@@ -445,3 +445,84 @@
     assert_eq!(answer, "BUSY\r\n", "one answer, and nothing after it");
     assert!(!stand.toys[0].seen().iter().any(|line| line.contains("9b1f03aa5c7e2d41")), "never sent on");
 }
+
+/// A server that has stopped in the middle of a line is no reason to cut its client off without a word: what has come of the
+/// line is kept until it is whole, so `MOVE` stands between two lines. Both when the balancer ends and when the server falls
+/// silent.
+#[test]
+fn a_client_beside_half_a_line_is_told_to_move() {
+    thread::scope(|scope| {
+        for why in ["the end", "silence"] {
+            scope.spawn(move || {
+                let (address, _ended) = says("UP 1\r\nok one\r\nok tw", false, || {});
+                let mut stand = with_one(address);
+                let mut client = stand.client("c=chat,d=900");
+                assert_eq!((client.line(), client.line()), ("UP 1".into(), "ok one".into()), "{why}");
+                match why {
+                    "the end" => stand.terminate(),
+                    _ => client.send("hello\r\n"),
+                }
+                assert_eq!((client.line(), client.line()), ("MOVE".into(), "end".into()), "{why}");
+                drop(client);
+                if why == "the end" {
+                    assert!(stand.child.wait().unwrap().success());
+                }
+            });
+        }
+    });
+}
+
+/// A line that comes in pieces is passed on whole once its last piece is there, one that breaks off as far as it came, and one
+/// that is longer than lines may be isn't kept back.
+#[test]
+fn lines_in_pieces_pass_unchanged() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let long = "x".repeat(6000);
+    let (said, pieces) = channel::<String>();
+    let expected = format!("ok whole\r\n{long}\r\nBY");
+    for piece in ["UP 1\r\nok wh", "ole\r\n", &long, "\r\nBY"] {
+        said.send(piece.into()).unwrap();
+    }
+    drop(said);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut line = String::new();
+            if BufReader::new(&stream).read_line(&mut line).is_ok_and(|_| line.contains("c=order")) {
+                for piece in &pieces {
+                    (&stream).write_all(piece.as_bytes()).unwrap();
+                    thread::sleep(Duration::from_millis(100));
+                }
+                return;
+            }
+            let _ = (&stream).write_all(b"UP 1\r\n");
+        }
+    });
+    let stand = with_one(address);
+    let mut client = stand.client("c=order,d=900");
+    assert_eq!(client.line(), "UP 1");
+    let mut rest = String::new();
+    client.lines.read_to_string(&mut rest).unwrap();
+    assert!(rest == expected, "{} bytes: {:?}", rest.len(), &rest[..rest.len().min(40)]);
+}
+
+/// Whoever says more before it is served is told so, however much it has sent: what is unread must not reset the connection
+/// and take the answer along.
+#[test]
+fn a_client_that_sends_much_before_it_is_served_reads_its_answer() {
+    let stand = Stand::with(1, |config| {
+        changed(
+            &config,
+            &[("service-types/0/setup-target", json!(4_000_000)), ("limits/probes", json!(false))],
+        )
+    });
+    stand.agent.tell("s-0", stand.toys[0].address, "Terminating");
+    soon("no server", || stand.client("c=chat,d=60").line() != "UP 1");
+    for size in [300, 20_000, 60_000] {
+        let mut client = stand.client("c=chat,d=3000");
+        thread::sleep(Duration::from_millis(150));
+        client.send(&"x".repeat(size));
+        thread::sleep(Duration::from_millis(100));
+        assert_eq!((client.line(), client.line()), ("ERR".into(), "end".into()), "{size}");
+    }
+}
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -182,6 +182,28 @@
     }
 }
 
+/// A reject says that coming again is safe: while all that may have run is known to the servers, and only if the client comes
+/// within that time. Guards against one that is told to come when they have forgotten.
+#[test]
+fn a_reject_brings_nobody_back_after_the_window() {
+    let window = 3 * SEC;
+    for (age, rejected) in
+        [(0, true), (SEC, true), (2 * SEC, true), (2900 * MS, false), (3 * SEC, false), (9 * SEC, false)]
+    {
+        let mut policy = balancer(Repeat::Referenced(Scope::All, window)).come_back(Some(2 * SEC));
+        let earlier = Connect { at: T0 - age, ..connect(0, false) };
+        // Waits for no server any more: its setup target has passed.
+        let one = Flow { connects: vec![earlier], taken: T0 - 10 * SEC, ..flow(T0, 1) };
+        match policy.place(T0, &one) {
+            Place::Reject(Some(come_back)) => {
+                assert!(rejected && T0 + come_back < earlier.at + window, "{age}: {come_back}");
+            }
+            Place::Abort => assert!(!rejected, "{age}: aborted"),
+            other => panic!("{age}: {other:?}"),
+        }
+    }
+}
+
 /// Guards against a repeat that is placed in time and sent too late, since its connection comes up late.
 #[test]
 fn a_repeat_is_sent_while_it_is_known_or_not_at_all() {
