Let servers start when we are told, by the monotonic clock, not by the wall clock

Change: core/starts.rs. One that starts while we watch began when we were told; the first list is judged by the wall clock, a start in its future counting as now; of a clock that is ahead as we start nothing shows (question to the platform). Servers told late are cold for longer.

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -198,7 +198,7 @@
     if let Some(known) = config.known.take() {
         let mut entries = known.entries;
         entries.retain(|entry| entry.state != State::Gone);
-        desk.send(Ask::List { entries, whole: true });
+        desk.send(Ask::StoredList(entries));
     }
     let listener =
         take_in::listen(config.listen).map_err(|e| format!("can't listen at {}: {e}", config.listen))?;
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -6,8 +6,8 @@
 
 use nettlemux_policy::Time;
 
-/// The time now. All machines read one Unix clock, so a server's start on the list can be told apart from
-/// our own time; between readings it follows the monotonic clock.
+/// The time now: the wall clock as it was at the first call, gone on by the monotonic clock. The wall clock may be stepped, so
+/// it is read once and serves for nothing but the starts on the first list (`starts.rs`).
 pub fn now() -> Time {
     static START: OnceLock<(Instant, Time)> = OnceLock::new();
     let (instant, unix) = START.get_or_init(|| {
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -19,6 +19,7 @@
 use crate::pool::Descriptors;
 use crate::probe::Prober;
 use crate::shutdown::AnswerDeadline;
+use crate::starts::StartTimes;
 
 /// Who is told what becomes of a flow.
 struct Client {
@@ -94,6 +95,7 @@
     asks: Mailbox<Ask>,
     clients: BTreeMap<FlowId, Client>,
     servers: BTreeMap<Rs, Arc<Server>>,
+    starts: StartTimes,
     ids: Names,
     halls: Names,
     machines: Names,
@@ -127,6 +129,7 @@
             asks,
             clients: BTreeMap::new(),
             servers: BTreeMap::new(),
+            starts: StartTimes::default(),
             ids: Names::default(),
             halls: Names::of(halls),
             machines: Names::of(machines),
@@ -236,7 +239,11 @@
             Ask::Probed { rs, passed, report } => {
                 self.acts(now, |hand, acts| hand.probed(now, rs, passed, report, acts));
             }
-            Ask::List { entries, whole } => self.list(now, entries, whole),
+            Ask::StoredList(entries) => self.list(now, entries, true),
+            Ask::List { entries, whole } => {
+                self.list(now, entries, whole);
+                self.starts.watch();
+            }
             Ask::ListFailed => self.hand.list_failed(now),
             Ask::Heard(word) => {
                 // One that our list doesn't name is none of ours.
@@ -284,7 +291,7 @@
                 cell: self.cells.number(&entry.cell),
                 state: entry.state,
                 weight: entry.weight,
-                started: entry.started,
+                started: self.starts.of(now, rs, entry.started),
             });
             let ready = entry.state == State::Ready;
             match self.servers.get(&rs) {
@@ -321,6 +328,7 @@
         }
         let servers = &self.servers;
         self.prober.keep(|rs| servers.contains_key(&rs));
+        self.starts.keep(servers.len(), |rs| servers.contains_key(&rs));
         self.hand.list(now, &listed, whole);
     }
 
--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -61,6 +61,7 @@
         moves: 0,
         failed: 0,
         begins: true,
+        answered: false,
         restarted: false,
         next_whole: 0,
     };
@@ -83,6 +84,8 @@
     failed: u32,
     /// The next call begins a watch, or is the first.
     begins: bool,
+    /// A call has been answered.
+    answered: bool,
     /// The agent may have been started anew: its list may be another under the very number that we have, which nothing
     /// shows.
     restarted: bool,
@@ -233,7 +236,9 @@
                 self.next_whole = request.started + interval.max(WHOLE_INTERVAL_MIN);
             }
         }
-        if whole || !entries.is_empty() {
+        // The first answer is told even if nothing has changed: from then on the list is watched.
+        let first = !std::mem::replace(&mut self.answered, true);
+        if first || whole || !entries.is_empty() {
             self.desk.send(Ask::List { entries, whole });
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,4 +21,5 @@
 mod send;
 pub mod shared;
 pub mod shutdown;
+mod starts;
 pub mod wire;
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -83,6 +83,9 @@
         passed: bool,
         report: Report,
     },
+    /// The list as the balancer's configuration has it, perhaps old.
+    StoredList(Vec<Entry>),
+    /// What discovery tells: the changes, or the whole list.
     List {
         entries: Vec<Entry>,
         whole: bool,
