Begin a start anew where the runtime couldn't start, in place of a look before it

What was new at a start was a thread that ends and an epoll and an eventfd that are closed; both are gone. A runtime that can't start panics, and the program is executed anew in its own process, 20 times at most.

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -3,15 +3,16 @@
 
 mod config;
 mod log;
+mod restart;
 mod signals;
 
 use std::hash::{BuildHasher, RandomState};
-use std::io::{self, Write};
+use std::io::Write;
+use std::panic::catch_unwind;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
-use std::thread;
 
 use bpaf::{Parser, construct, long, pure};
 use nettlemux_core::desk::{Desk, Given};
@@ -22,7 +23,6 @@
 use nettlemux_core::peers::Peers;
 use nettlemux_core::pool::{Buffers, Shares};
 use nettlemux_core::probe::{self, Prober};
-use nettlemux_core::retry;
 use nettlemux_core::shared::{Core, Terms};
 use nettlemux_core::shutdown::AnswerDeadline;
 use nettlemux_door::Door;
@@ -31,8 +31,6 @@
 use nettlemux_hand::Hand;
 use nettlemux_policy::{MS, SEC, State, Time};
 use nettlemux_settings::operator::{self, Format, Operator};
-use nix::sys::epoll::{Epoll, EpollCreateFlags, EpollEvent, EpollFlags};
-use nix::sys::eventfd::{EfdFlags, EventFd};
 use signal_hook::iterator::Signals;
 use tracing::{Level, error, info};
 
@@ -134,18 +132,6 @@
     }
 }
 
-/// Waits until the system has what the coroutines' runtime takes at its start: it ends the process where it can't make its
-/// selector or its threads, and never tries again.
-fn runtime_can_start() -> io::Result<()> {
-    retry::until_it_passes(|| {
-        let selector = Epoll::new(EpollCreateFlags::EPOLL_CLOEXEC)?;
-        let wakeup = EventFd::from_flags(EfdFlags::EFD_NONBLOCK | EfdFlags::EFD_CLOEXEC)?;
-        selector.add(&wakeup, EpollEvent::new(EpollFlags::EPOLLIN, 0))?;
-        let _ = thread::Builder::new().spawn(|| ())?.join();
-        Ok(())
-    })
-}
-
 fn serve(
     mut config: Config,
     file: Option<PathBuf>,
@@ -153,7 +139,6 @@
     operator_file: Option<PathBuf>,
     signals: Signals,
 ) -> Result<(), String> {
-    runtime_can_start().map_err(|e| format!("the system has no means for the runtime: {e}"))?;
     // One core is all there is: one worker, free to run where the system puts it.
     may::config().set_workers(1).set_stack_size(STACK).set_worker_pin(false);
     let settings = &config.settings.clone().with_words(operator.peers.is_some());
@@ -200,8 +185,9 @@
         entries.retain(|entry| entry.state != State::Gone);
         desk.send(Ask::StoredList(entries));
     }
-    let listener =
-        take_in::listen(config.listen).map_err(|e| format!("can't listen at {}: {e}", config.listen))?;
+    // The first that needs the coroutines' runtime.
+    let listener = catch_unwind(|| take_in::listen(config.listen)).map_err(|_| restart::begin_anew())?;
+    let listener = listener.map_err(|e| format!("can't listen at {}: {e}", config.listen))?;
     let (flows, waiting) = (core.shares.flows.limit(), core.shares.waiting.limit());
     info!(name = config.name, listen = %config.listen, sockets = config.sockets, flows, waiting, "serving");
     let (halls, machines) = (settings.names("areas"), settings.names("models"));
