--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -106,8 +106,13 @@
 
     /// The same balancer once more, with these settings changed.
     pub fn restarted(&mut self, changes: &[(&str, Value)]) {
+        self.restarted_as(&changed(&self.config, changes));
+    }
+
+    /// The same balancer once more, with another configuration.
+    pub fn restarted_as(&mut self, config: &str) {
         let _ = (self.child.kill(), self.child.wait());
-        std::fs::write(&self.file, changed(&self.config, changes)).unwrap();
+        std::fs::write(&self.file, config).unwrap();
         self.child = serve(&self.file, &[], self.faults.as_ref());
         soon("PONG", || TcpStream::connect(self.at).is_ok());
     }
@@ -128,6 +133,12 @@
         assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
     }
 
+    /// One that has ended by itself hears nothing any more.
+    pub fn signal_if_alive(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let _ = Command::new("kill").args([signal, &pid]).stderr(Stdio::null()).status();
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- a/crates/core/src/net.rs
+++ b/crates/core/src/net.rs
@@ -110,7 +110,9 @@
     /// Notifies the owner whenever something may have happened, until the socket is closed.
     fn watch(&self) {
         while !self.is_closed() {
+            let is_late = self.registered.get().is_none();
             match self.register() {
+                Some(_) if is_late => {}
                 Some(registered) => drop(registered.wait_io()),
                 // Guards against a connection that is dropped, with the line that has come on it, since the selector has
                 // no room for it at this moment: it is looked at by the clock until then.
@@ -146,6 +148,8 @@
         let (stream, registered, slot) = (Some(Arc::new(stream)), OnceLock::new(), Mutex::new(slot));
         let inner = Inner { stream, registered, notifier, slot, closed, notified, retrying, reset };
         let inner = Arc::new(inner);
+        // Before the owner looks for the first time, so that whatever comes after that look is told.
+        let _ = inner.register();
         let watched = inner.clone();
         may::go!(move || watched.watch());
         Socket { inner }
