Map as many stacks at the start as the limits allow to be used

Cause: the runtime maps 1,000 stacks at its start and panics where a further one can't be had; the connection that was accepted for it is reset (331 held, each flow having three coroutines). Change: Shares::coroutines sizes the runtime's pool by the shares of descriptors.

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -140,11 +140,14 @@
     signals: Signals,
 ) -> Result<(), String> {
     // One core is all there is: one worker, free to run where the system puts it.
-    may::config().set_workers(1).set_stack_size(STACK).set_worker_pin(false);
+    let shares = Shares::new(config.sockets, config.memory);
+    let runtime = may::config();
+    runtime.set_workers(1).set_stack_size(STACK).set_worker_pin(false);
+    // Guards against a client that is accepted and lost since its coroutine's stack can't be mapped at that moment.
+    runtime.set_pool_capacity(shares.coroutines());
     let settings = &config.settings.clone().with_words(operator.peers.is_some());
     let faulty = |e: nettlemux_settings::Malformed| format!("settings: {e}");
     let policy = settings.policy(config.seed, MARGIN, true).map_err(faulty)?;
-    let shares = Shares::new(config.sockets, config.memory);
     let descriptors = shares.others.clone();
     let buffers = Buffers::new();
     let asks = Mailbox::new();
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -121,6 +121,11 @@
 const PROGRAM: usize = 8 << 20;
 const FLOW: usize = 48 << 10;
 
+/// Coroutines of the process's own parts, and timers of theirs.
+const PARTS: usize = 32;
+/// Stacks that are mapped at the start: the system gives a process 65,530 mappings, and a stack with its guard takes two.
+const COROUTINES_MAX: usize = 16 << 10;
+
 impl Shares {
     pub fn new(sockets: usize, memory: usize) -> Self {
         // Clients hold up to a third, so their servers' side takes as much: the rest must carry all else.
@@ -131,6 +136,13 @@
         let [waiting, flows, others] = [waiting, flows, others].map(Descriptors::new);
         Shares { waiting, flows, others }
     }
+
+    /// Coroutines that there can be at a time, whose stacks are to be mapped at the start: one for each connection that
+    /// waits, each flow and each probe, and a watcher for each of their sockets.
+    pub fn coroutines(&self) -> usize {
+        let all = 2 * self.waiting.limit() + 3 * self.flows.limit() + 2 * self.others.limit() + PARTS;
+        all.min(COROUTINES_MAX)
+    }
 }
 
 #[cfg(test)]
