--- a/crates/balancer/tests/common/faults.rs
+++ b/crates/balancer/tests/common/faults.rs
@@ -5,8 +5,6 @@
 use std::process::Command;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::thread;
-use std::time::Duration;
 
 /// Errors as Linux numbers them.
 pub const EINTR: i32 = 4;
@@ -47,13 +45,6 @@
         self.set("");
     }
 
-    /// These happen for so long.
-    pub fn during(&self, lines: &str, time: Duration) {
-        self.set(lines);
-        thread::sleep(time);
-        self.clear();
-    }
-
     pub fn load_into(&self, command: &mut Command) {
         command.env("LD_PRELOAD", library()).env("NETTLEMUX_FAULTS", &self.plan);
     }
--- a/crates/balancer/tests/crossings.rs
+++ b/crates/balancer/tests/crossings.rs
@@ -73,10 +73,8 @@
     });
 }
 
-/// A client's end that comes in one with its line rings no bell of its own. Without a look of its own it is waited for,
-/// and sent on once a server is ready.
-#[test]
-fn a_client_whose_end_comes_with_its_line_is_not_waited_for() {
+/// A balancer whose one server drains, without probes; clients wait long for another.
+fn without_servers() -> Stand {
     let stand = Stand::with(1, |config| {
         changed(
             &config,
@@ -85,6 +83,14 @@
     });
     stand.agent.tell("s-0", stand.toys[0].address, "Terminating");
     soon("no server", || stand.client("c=chat,d=60").line() != "UP 1");
+    stand
+}
+
+/// A client's end that comes in one with its line rings no bell of its own. Without a look of its own it is waited for,
+/// and sent on once a server is ready.
+#[test]
+fn a_client_whose_end_comes_with_its_line_is_not_waited_for() {
+    let stand = without_servers();
     let since = Instant::now();
     // Taken in before, so that the line and the end are one event.
     let mut clients: Vec<Client> = (0..5).map(|_| Client::new(stand.at, b"PING\r\n")).collect();
@@ -518,14 +524,7 @@
 /// and take the answer along.
 #[test]
 fn a_client_that_sends_much_before_it_is_served_reads_its_answer() {
-    let stand = Stand::with(1, |config| {
-        changed(
-            &config,
-            &[("service-types/0/setup-target", json!(4_000_000)), ("limits/probes", json!(false))],
-        )
-    });
-    stand.agent.tell("s-0", stand.toys[0].address, "Terminating");
-    soon("no server", || stand.client("c=chat,d=60").line() != "UP 1");
+    let stand = without_servers();
     for size in [300, 20_000, 60_000] {
         let mut client = stand.client("c=chat,d=3000");
         thread::sleep(Duration::from_millis(150));
