End timed waits by one system timer in place of timers that can be lost

Callers saw: a flow on a silent server that is never answered; its descriptors and its place in the table stay taken. Rare, beside load.

Cause: Mailbox::next waited with may's park_timeout, which adds its timer before it stores the coroutine (may 0.3.51, Park::subscribe). Where the thread is held up in between for as long as the wait, the timer expires, wakes nobody and is gone.

Fix: the coroutine parks without a timer, and one coroutine, woken by a timer of the system's in the worker's selector, unparks those whose time has come. An unpark sets a flag that the parking coroutine reads after it has stored itself, so it is never lost, whenever it comes.

--- a/crates/balancer/src/assembly.rs
+++ b/crates/balancer/src/assembly.rs
@@ -25,6 +25,7 @@
 use nettlemux_dataplane::runtime_settings::SharedSettings;
 use nettlemux_dataplane::shutdown::AnswerDeadline;
 use nettlemux_dataplane::supervisor;
+use nettlemux_dataplane::timer;
 use nettlemux_flow_table::{FlowTable, RetryAfterHint};
 use nettlemux_line_protocol::acceptor::{self, Acceptor};
 use nettlemux_line_protocol::settings::{ClientKeys, FirstLineSettings};
@@ -272,7 +273,10 @@
 /// program is executed anew.
 fn listen(config: &Config, dataplane: &Dataplane) -> Result<CoIo<TcpListener>, StartError> {
     let address = config.listen;
-    let opened = match catch_unwind(|| acceptor::listen(address)) {
+    let opened = match catch_unwind(|| {
+        timer::start();
+        acceptor::listen(address)
+    }) {
         Ok(opened) => opened,
         Err(_) => match re_exec()? {},
     };
--- a/crates/balancer/tests/preload/faults.rs
+++ b/crates/balancer/tests/preload/faults.rs
@@ -7,6 +7,7 @@
 //! CALL fail ERRNO AFTER EVERY TIMES    the call is not made and returns this error
 //! CALL short BYTES AFTER EVERY TIMES   at the most so many bytes are read or written
 //! CALL stall MS AFTER EVERY TIMES      the call is made so much later
+//! futex_wake stall MS AFTER EVERY TIMES  a thread that has woken another goes on so much later
 //! clock_gettime step SECONDS           the wall clock is so far ahead
 //! ```
 //!
@@ -284,6 +285,36 @@
     unsafe { transmute::<*mut c_void, Real>(next(c"send"))(socket, from, length, flags) }
 }
 
+/// Holds up a thread that has just woken another, as a busy machine may.
+///
+/// # Safety
+/// As the C library's function of that name. It takes as many arguments as any call has; what
+/// stands in the place of those that a caller leaves out is passed on unread.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn syscall(
+    number: c_long,
+    a: c_long,
+    b: c_long,
+    c: c_long,
+    d: c_long,
+    e: c_long,
+    f: c_long,
+) -> c_long {
+    type Real =
+        unsafe extern "C" fn(c_long, c_long, c_long, c_long, c_long, c_long, c_long) -> c_long;
+    // SAFETY: the function of that name reads no more than these, and its caller keeps its terms.
+    let result =
+        unsafe { transmute::<*mut c_void, Real>(next(c"syscall"))(number, a, b, c, d, e, f) };
+    let operation = b as c_int & !libc::FUTEX_PRIVATE_FLAG;
+    if number == libc::SYS_futex
+        && operation == libc::FUTEX_WAKE
+        && let Some(Action::Stall(ms)) = action("futex_wake")
+    {
+        sleep(ms);
+    }
+    result
+}
+
 /// # Safety
 /// As the C library's function of that name.
 #[unsafe(no_mangle)]
--- a/crates/dataplane/src/descriptors.rs
+++ b/crates/dataplane/src/descriptors.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// Descriptors outside all budgets: standard streams, the listener, the selector's two, the
-/// signals' pair, and a few to spare.
+/// Descriptors outside all budgets: standard streams, the listener, the selector's two, the timer
+/// of timed waits, the signals' pair, and a few to spare.
 const STANDING_DESCRIPTORS: usize = 16;
 /// One in so many sockets is for health checks and discovery, but never fewer than
 /// [`CONTROL_DESCRIPTORS_MIN`].
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -40,4 +40,5 @@
 pub mod socket;
 mod start_times;
 pub mod supervisor;
+pub mod timer;
 pub mod wire;
--- a/crates/dataplane/src/mailbox.rs
+++ b/crates/dataplane/src/mailbox.rs
@@ -6,22 +6,18 @@
 //! moment early, and a wait of under 1 ms never ends.
 
 use std::sync::{Arc, OnceLock};
-use std::time::Duration;
 
 use crossbeam_queue::SegQueue;
-use may::coroutine::{self, Coroutine};
-use nettlemux_policy::{MS, Time};
+use nettlemux_policy::Time;
 
 use crate::clock;
-
-/// The longest wait in one step, in milliseconds.
-const WAIT_STEP_MS_MAX: u64 = 4000;
+use crate::timer::Waiter;
 
 /// What a mailbox and its senders share.
 struct Queue<T> {
     messages: SegQueue<T>,
     /// The coroutine that reads, once it has asked for a message.
-    reader: OnceLock<Coroutine>,
+    reader: OnceLock<Waiter>,
 }
 
 /// The end of the queue that is read, by one coroutine only.
@@ -80,35 +76,19 @@
     /// Waits for the next message and returns it; none once the deadline has passed without one.
     /// To be called from one coroutine only, the same each time: only the first caller is woken.
     pub fn next(&self, deadline: Time) -> Option<T> {
-        self.queue.reader.get_or_init(coroutine::current);
+        let reader = self.queue.reader.get_or_init(Waiter::current);
         loop {
             // A message is queued before its wake-up, so each wake-up is followed by a look.
             if let Some(message) = self.queue.messages.pop() {
                 return Some(message);
             }
-            let now = clock::now();
-            if now >= deadline {
+            if clock::now() >= deadline {
                 return None;
             }
-            let step_ms = wait_step_ms((deadline - now).div_ceil(MS));
-            coroutine::park_timeout(Duration::from_millis(step_ms));
+            reader.park_until(deadline);
         }
     }
 }
 
-/// Returns how many of the milliseconds that remain are waited for in one step. Rounds down to few
-/// distinct lengths: the timers of `may` keep a list for each length that was ever asked for.
-fn wait_step_ms(remaining_ms: u64) -> u64 {
-    match remaining_ms {
-        0..=50 => remaining_ms.max(1),
-        51..=1000 => round_down(remaining_ms, 10),
-        _ => round_down(remaining_ms, 500).min(WAIT_STEP_MS_MAX),
-    }
-}
-
-fn round_down(value: u64, multiple: u64) -> u64 {
-    value / multiple * multiple
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/dataplane/src/mailbox/tests.rs
+++ b/crates/dataplane/src/mailbox/tests.rs
@@ -1,11 +1,13 @@
 //! Waits that end in time, and messages that end them.
 
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use may::coroutine::JoinHandle;
+use nettlemux_policy::MS;
 
 use super::*;
+use crate::timer::wait_step_ms;
 
 /// Longest time that a coroutine of these tests may take.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(10);
