Sleep by the timer of timed waits in place of may's

Seen by reading, not by callers: may's coroutine::sleep stores the coroutine and starts its timer, and then writes to the coroutine's cancel data. Where the thread is held up in between, the timer may have resumed the coroutine to its end, and that data is gone. The sleeper is also resumed on may's timer thread, beside the worker, while the design says that one worker runs all coroutines.

The nine sleeps of supervisor, discovery, sockets, route and acceptor take the path of Mailbox::next now.

--- a/crates/dataplane/src/discovery/watch.rs
+++ b/crates/dataplane/src/discovery/watch.rs
@@ -16,6 +16,7 @@
 use crate::clock;
 use crate::mailbox::Sender;
 use crate::messages::DispatcherMessage;
+use crate::timer;
 
 /// How long the agent may hold a poll. Short, since a silent agent shows only once a hold is over,
 /// and what it has withheld has to be known 2 s after that.
@@ -225,5 +226,5 @@
 }
 
 fn sleep(time: Time) {
-    may::coroutine::sleep(Duration::from_nanos(time));
+    timer::sleep(Duration::from_nanos(time));
 }
--- a/crates/dataplane/src/route.rs
+++ b/crates/dataplane/src/route.rs
@@ -12,6 +12,7 @@
 use crate::dataplane::Dataplane;
 use crate::flow_guard::FlowGuard;
 use crate::messages::{DispatcherMessage, FlowCommand, FlowEvent};
+use crate::timer;
 
 /// How far past the deadline the dispatcher's command may come: later only where something is badly
 /// wrong.
@@ -61,7 +62,7 @@
         if clock::now() >= self.flow.deadline {
             return false;
         }
-        may::coroutine::sleep(ADOPTION_RETRY_INTERVAL);
+        timer::sleep(ADOPTION_RETRY_INTERVAL);
         self.send(dataplane, flow);
         true
     }
--- a/crates/dataplane/src/socket.rs
+++ b/crates/dataplane/src/socket.rs
@@ -19,6 +19,7 @@
 use crate::errno::{EALREADY, EINPROGRESS, EISCONN, ENOBUFS, ENOMEM};
 use crate::mailbox::Sender;
 use crate::messages::FlowEvent;
+use crate::timer;
 
 /// Until a call is retried that the system has refused for want of something that comes back.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
@@ -90,7 +91,7 @@
                 // Guards against a connection that is dropped, with the line that has come on it,
                 // since the selector has no room for it at this moment: until then the owner looks
                 // at it at intervals.
-                None => may::coroutine::sleep(RETRY_INTERVAL),
+                None => timer::sleep(RETRY_INTERVAL),
             }
             if !self.is_closed() {
                 self.notify();
@@ -239,7 +240,7 @@
         }
         let inner = self.inner.clone();
         may::go!(move || {
-            may::coroutine::sleep(RETRY_INTERVAL);
+            timer::sleep(RETRY_INTERVAL);
             inner.retrying.store(false, Ordering::Release);
             inner.notify();
         });
@@ -282,7 +283,7 @@
         if clock::now() >= deadline {
             return Err(error);
         }
-        may::coroutine::sleep(RETRY_INTERVAL);
+        timer::sleep(RETRY_INTERVAL);
     }
     Ok(())
 }
--- a/crates/dataplane/src/supervisor.rs
+++ b/crates/dataplane/src/supervisor.rs
@@ -8,6 +8,7 @@
 
 use crate::mailbox::Sender;
 use crate::messages::{DispatcherMessage, Service};
+use crate::timer;
 
 /// Runs of a service in all: one that fails more often won't recover.
 const RUNS_MAX: usize = 20;
@@ -25,7 +26,7 @@
             service = service.name(),
             panicked, "service ended, restarting it"
         );
-        may::coroutine::sleep(RESTART_INTERVAL);
+        timer::sleep(RESTART_INTERVAL);
     }
     dispatcher.send(DispatcherMessage::ServiceFailed(service));
 }
--- a/crates/line-protocol/src/acceptor.rs
+++ b/crates/line-protocol/src/acceptor.rs
@@ -15,6 +15,7 @@
 use nettlemux_dataplane::pipeline;
 use nettlemux_dataplane::retry;
 use nettlemux_dataplane::socket::set_nonblocking;
+use nettlemux_dataplane::timer;
 use nettlemux_dataplane::wire;
 use nettlemux_policy::{MS, Time};
 use socket2::{Domain, Socket, Type};
@@ -122,7 +123,7 @@
         let Some(permit) = acceptor.dataplane.budgets.pending.try_acquire() else {
             let pending = &acceptor.pending_connections;
             pending.evict_oldest(clock::now(), ACCEPT_BATCH_MAX);
-            may::coroutine::sleep(ACCEPT_PAUSE);
+            timer::sleep(ACCEPT_PAUSE);
             continue;
         };
         match listener.inner().accept() {
@@ -132,7 +133,7 @@
                 accepted_in_batch += 1;
                 if accepted_in_batch == ACCEPT_BATCH_MAX {
                     accepted_in_batch = 0;
-                    may::coroutine::sleep(ACCEPT_PAUSE);
+                    timer::sleep(ACCEPT_PAUSE);
                 }
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
@@ -144,7 +145,7 @@
             Err(error) => {
                 // Out of descriptors or memory, in this process or the whole machine: it may pass.
                 warn!(%error, "can't accept");
-                may::coroutine::sleep(ACCEPT_RETRY_INTERVAL);
+                timer::sleep(ACCEPT_RETRY_INTERVAL);
             }
         }
     }
