Fail a flow at once on which the policy panics, and go on with the others

Callers saw (by reading; no run of the program has shown the panic): the client waits up to its deadline and 20 ms more for the error of last resort; where the flow was queued, all that were queued with it end so too.

Cause: FlowTable::accept asked the policy before it entered the flow, so the dispatcher's fail found none; timer_expired took the whole queue out before it placed it. Evidence: a table under a policy that panics on one flow. The new test failed on the text before, as the panic went up through accept.

--- a/crates/flow-table/src/table.rs
+++ b/crates/flow-table/src/table.rs
@@ -76,7 +76,7 @@
         let id = flow.id;
         let placement = match &self.admission {
             Some(_) => None,
-            None => Some(self.policy.place(now, &flow)),
+            None => Some(commands::place_or_fail(&mut self.policy, now, &flow)),
         };
         let entry = FlowEntry {
             flow,
--- a/crates/flow-table/src/table/commands.rs
+++ b/crates/flow-table/src/table/commands.rs
@@ -1,6 +1,9 @@
 //! Turns the policy's decisions into commands.
 
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
 use nettlemux_policy::{Actions, Attempt, Flow, FlowId, Placement, Time};
+use tracing::error;
 
 use super::FlowTable;
 use crate::command::PolicyCommand;
@@ -16,7 +19,7 @@
     ) {
         let entry = self.flows.get(&id);
         if let Some(entry) = entry.filter(|entry| entry.awaits_answer) {
-            let placement = self.policy.place(now, &entry.flow);
+            let placement = place_or_fail(&mut self.policy, now, &entry.flow);
             self.apply_placement(now, id, placement, commands);
         }
     }
@@ -92,3 +95,18 @@
             .map_or(0, |flow: &Flow| flow.attempts.len().saturating_sub(1))
     }
 }
+
+/// Asks a policy where a flow goes; the flow fails where the policy panics. Guards against a fault
+/// in one decision that keeps its client waiting up to the deadline, and the other queued flows
+/// from being placed.
+pub(super) fn place_or_fail(
+    policy: &mut impl LoadBalancingPolicy,
+    now: Time,
+    flow: &Flow,
+) -> Placement {
+    let placed = catch_unwind(AssertUnwindSafe(|| policy.place(now, flow)));
+    placed.unwrap_or_else(|_| {
+        error!(flow = flow.id, "policy decision panicked, failing its flow");
+        Placement::Fail
+    })
+}
--- a/crates/flow-table/src/table/tests.rs
+++ b/crates/flow-table/src/table/tests.rs
@@ -10,10 +10,13 @@
 struct ScriptedPolicy {
     placements: Vec<Placement>,
     awaits_answer: Vec<bool>,
+    /// The flow on which it panics.
+    panics_on: Option<FlowId>,
 }
 
 impl LoadBalancingPolicy for ScriptedPolicy {
-    fn place(&mut self, _: Time, _: &Flow) -> Placement {
+    fn place(&mut self, _: Time, flow: &Flow) -> Placement {
+        assert_ne!(self.panics_on, Some(flow.id), "on purpose");
         self.placements.remove(0)
     }
     fn on_event(&mut self, now: Time, event: PolicyEvent) -> Actions {
@@ -219,6 +222,41 @@
     assert_eq!(flow_table.flow(2).map(|f| f.deadline), Some(0));
 }
 
+/// Guards against a client that waits for its answer up to its deadline, and others that wait with
+/// it, since a decision has panicked.
+#[test]
+fn a_flow_on_which_the_policy_panics_fails_at_once_and_no_other() {
+    let attempt = Placement::Forward {
+        server_id: 4,
+        timeout: 9,
+        send_within: 9,
+    };
+    let mut flow_table = flow_table(&[Placement::Wait, Placement::Wait, attempt]);
+    let mut commands = Vec::new();
+    flow_table.policy.panics_on = Some(1);
+    accept(&mut flow_table, 1, 1, &mut commands);
+    assert_eq!(commands, [PolicyCommand::Fail { flow: 1 }]);
+    assert!(!flow_table.awaits_answer(1));
+    commands.clear();
+    accept(&mut flow_table, 1, 2, &mut commands);
+    accept(&mut flow_table, 1, 3, &mut commands);
+    flow_table.policy.panics_on = Some(2);
+    flow_table.timer_expired(2, &mut commands);
+    assert_eq!(
+        commands,
+        [
+            PolicyCommand::Fail { flow: 2 },
+            PolicyCommand::StartAttempt {
+                flow: 3,
+                server_id: 4,
+                number: 0,
+                timeout: 9,
+                send_within: 9
+            }
+        ]
+    );
+}
+
 /// Guards against admission control that keeps a flow after its client has left or past the
 /// balancer's end, and against one that admits more flows than the policy can place.
 #[test]
