Answer a client whose coroutine panics before it has a flow

Callers saw (by reading; no run of the program has shown the panic): a line that was read, and a close without an answer.

Cause: the guard that answers on a panic comes with the flow; between the accept and the flow nothing answered.

Fix: UnansweredClient holds the connection until the flow takes it and writes ERR where a panic drops it. Every early return between the two was read: each answers or has nobody to answer.

--- a/crates/line-protocol/src/accepted.rs
+++ b/crates/line-protocol/src/accepted.rs
@@ -10,10 +10,11 @@
 use tracing::{debug, warn};
 
 use crate::pending::PendingConnection;
+use crate::unanswered::UnansweredClient;
 
 /// A connection with its first line.
 pub struct AcceptedConnection {
-    pub client: Connection,
+    pub client: UnansweredClient,
     _pending: PendingConnection,
     buffer: Buffer,
     /// The buffer's bytes that have come.
@@ -35,7 +36,7 @@
         deadline: Time,
     ) -> Self {
         AcceptedConnection {
-            client,
+            client: UnansweredClient::new(client),
             _pending: pending,
             buffer,
             filled: 0,
--- a/crates/line-protocol/src/admit.rs
+++ b/crates/line-protocol/src/admit.rs
@@ -166,7 +166,7 @@
         flow: new_flow.flow,
         identity: new_flow.identity,
         previous_server: new_flow.previous_server,
-        client: accepted.client,
+        client: accepted.client.into_connection(),
         line,
         client_id: new_flow.client_id,
     })
--- a/crates/line-protocol/src/lib.rs
+++ b/crates/line-protocol/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod first_line;
 mod pending;
 pub mod settings;
+mod unanswered;
