Refuse a health check that is asked for as its session ends, and start another

Operators see, by reading: a server's check is not made and is next due 2 to 10 s later; one that recovers just then stays out for so long.

Cause: the session looks for a request, finds none and ends, while the channel takes requests until its receiver is dropped.

Fix: the last look and the end are one step under a lock that the sender takes too, so that a request is read or its sender starts another session.

--- a/crates/dataplane/src/health_check.rs
+++ b/crates/dataplane/src/health_check.rs
@@ -9,6 +9,7 @@
 mod checker;
 mod context;
 mod exchange;
+mod requests;
 mod session;
 
 pub use self::checker::HealthChecker;
--- a/crates/dataplane/src/health_check/checker.rs
+++ b/crates/dataplane/src/health_check/checker.rs
@@ -4,10 +4,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use may::sync::mpsc::{self, channel};
 use nettlemux_policy::ServerId;
 
 use super::context::HealthCheckContext;
+use super::requests::{RequestSender, request_channel};
 use super::session::Session;
 use crate::messages::Server;
 
@@ -16,7 +16,7 @@
     context: HealthCheckContext,
     /// The way to the coroutine of each server that is being checked or whose connection is kept.
     /// One that has ended stays here until the server's next check.
-    sessions: BTreeMap<ServerId, mpsc::Sender<Arc<Server>>>,
+    sessions: BTreeMap<ServerId, RequestSender>,
     /// Checks that no descriptor was left for, the oldest first; one for each server at most.
     queue: VecDeque<QueuedCheck>,
 }
@@ -57,7 +57,7 @@
             let Some(QueuedCheck { server_id, server }) = self.queue.pop_front() else {
                 return;
             };
-            let (sender, requests) = channel();
+            let (sender, requests) = request_channel();
             let session = Session::new(server_id, requests, permit, self.context.clone());
             may::go!(move || session.run(server));
             self.sessions.insert(server_id, sender);
@@ -79,7 +79,7 @@
     fn is_taken_by_session(&self, server_id: ServerId, server: &Arc<Server>) -> bool {
         self.sessions
             .get(&server_id)
-            .is_some_and(|session| session.send(server.clone()).is_ok())
+            .is_some_and(|session| session.send(server.clone()))
     }
 
     /// Queues a check, in the place of the server's earlier one if that still waits.
--- a/crates/dataplane/src/health_check/session.rs
+++ b/crates/dataplane/src/health_check/session.rs
@@ -3,13 +3,13 @@
 
 use std::sync::Arc;
 
-use may::sync::mpsc::Receiver;
 use nettlemux_policy::{LoadReport, MS, ServerId, Time};
 use thiserror::Error;
 use tracing::{debug, warn};
 
 use super::context::HealthCheckContext;
 use super::exchange::{self, Exchange};
+use super::requests::RequestReceiver;
 use crate::clock;
 use crate::connection::{Connection, ConnectionError};
 use crate::descriptors::DescriptorPermit;
@@ -35,8 +35,7 @@
 /// Checks one server, for as long as its connection may stay open.
 pub(super) struct Session {
     server_id: ServerId,
-    /// Where further checks are asked for, each with the server as it is listed then.
-    requests: Receiver<Arc<Server>>,
+    requests: RequestReceiver,
     /// The permit for the first connection, until that is opened.
     first_permit: Option<DescriptorPermit>,
     kept: Option<KeptConnection>,
@@ -53,7 +52,7 @@
     /// Returns a session that checks a server on a connection of that permit.
     pub(super) fn new(
         server_id: ServerId,
-        requests: Receiver<Arc<Server>>,
+        requests: RequestReceiver,
         permit: DescriptorPermit,
         context: HealthCheckContext,
     ) -> Self {
@@ -155,11 +154,11 @@
 
     /// Waits for the next request while a connection is kept; else takes one that has come during
     /// the last check. Guards against a request that is left out since the connection ended.
-    fn next_request(&self) -> Option<Arc<Server>> {
+    pub(super) fn next_request(&self) -> Option<Arc<Server>> {
         if self.kept.is_some() {
-            self.requests.recv().ok()
+            self.requests.next()
         } else {
-            self.requests.try_recv().ok()
+            self.requests.next_or_close()
         }
     }
 }
--- a/crates/dataplane/src/health_check/tests.rs
+++ b/crates/dataplane/src/health_check/tests.rs
@@ -10,11 +10,13 @@
 use nettlemux_policy::{SEC, ServerId};
 use socket2::{Domain, Socket, Type};
 
+use super::requests::request_channel;
+use super::session::Session;
 use super::*;
 use crate::buffers::BufferPool;
 use crate::clock;
 use crate::descriptors::DescriptorBudget;
-use crate::mailbox::Mailbox;
+use crate::mailbox::{Mailbox, Sender};
 use crate::messages::{DispatcherMessage, Server};
 use crate::runtime_settings::{RuntimeSettings, SharedSettings};
 
@@ -27,16 +29,23 @@
     descriptors: Arc<DescriptorBudget>,
 }
 
+fn context(
+    dispatcher: Sender<DispatcherMessage>,
+    descriptors: Arc<DescriptorBudget>,
+) -> HealthCheckContext {
+    HealthCheckContext {
+        dispatcher,
+        descriptors,
+        buffers: BufferPool::new(),
+        settings: SharedSettings::new(RuntimeSettings::default()),
+    }
+}
+
 impl Fixture {
     fn new(descriptors: usize) -> Self {
         let messages = Mailbox::new();
         let descriptors = DescriptorBudget::new(descriptors);
-        let checker = HealthChecker::new(HealthCheckContext {
-            dispatcher: messages.sender(),
-            descriptors: descriptors.clone(),
-            buffers: BufferPool::new(),
-            settings: SharedSettings::new(RuntimeSettings::default()),
-        });
+        let checker = HealthChecker::new(context(messages.sender(), descriptors.clone()));
         Fixture {
             checker,
             messages,
@@ -144,6 +153,21 @@
     drop(answering.join().unwrap());
 }
 
+/// Guards against a check that is requested between a session's last look and its end, and is lost.
+#[test]
+fn a_request_to_a_session_that_ends_is_refused() {
+    let fixture = Fixture::new(16);
+    let permit = fixture.descriptors.try_acquire().unwrap();
+    let context = context(fixture.messages.sender(), fixture.descriptors.clone());
+    let (sender, requests) = request_channel();
+    let session = Session::new(SERVER_ID, requests, permit, context);
+    let server = server(SocketAddr::from(([127, 0, 0, 1], 1)));
+    assert!(sender.send(server.clone()));
+    assert!(session.next_request().is_some());
+    assert!(session.next_request().is_none());
+    assert!(!sender.send(server), "nobody reads it any more");
+}
+
 #[test]
 fn a_server_that_refuses_the_connection_has_failed_its_check() {
     // Bound but not listening, so that no other test is given the port meanwhile.
