Refuse and count gossip datagrams that are too long

Cause: the buffer was as long as the longest datagram, so the system cut the rest without a word.

Fix: one byte more is read, and what fills it is refused. Refused datagrams are counted; the count is logged at 1, 2, 4, 8 and so on.

--- a/crates/dataplane/src/gossip/codec.rs
+++ b/crates/dataplane/src/gossip/codec.rs
@@ -38,6 +38,9 @@
         /// The datagram's length.
         bytes: usize,
     },
+    /// The datagram is longer than any of this format, or was cut as it was read.
+    #[error("a datagram of more than {DATAGRAM_BYTES_MAX} bytes")]
+    TooLong,
     /// The format is another version's.
     #[error("version {0}; only {FORMAT_VERSION} is known")]
     UnknownVersion(u8),
@@ -70,8 +73,11 @@
 /// Reads a datagram.
 ///
 /// # Errors
-/// The datagram is incomplete, of another version, or names no server.
+/// The datagram is incomplete, too long, of another version, or names no server.
 pub(super) fn decode(datagram: &[u8]) -> Result<GossipMessage, DecodeError> {
+    if datagram.len() > DATAGRAM_BYTES_MAX {
+        return Err(DecodeError::TooLong);
+    }
     let (&[version, group_high, group_low], server_name) = datagram
         .split_first_chunk::<HEADER_BYTES>()
         .ok_or(DecodeError::Truncated {
--- a/crates/dataplane/src/gossip/transport.rs
+++ b/crates/dataplane/src/gossip/transport.rs
@@ -6,7 +6,7 @@
 
 use may::io::{CoIo, WaitIo};
 use nettlemux_policy::SEC;
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
 use super::codec::{self, DATAGRAM_BYTES_MAX};
 use super::receive_limit::ReceiveLimit;
@@ -14,6 +14,8 @@
 use crate::mailbox::{Mailbox, Sender};
 use crate::messages::{DispatcherMessage, GossipMessage};
 
+/// Bytes that are read of a datagram: one more than any has, so that a longer one shows.
+const READ_BYTES_MAX: usize = DATAGRAM_BYTES_MAX + 1;
 /// Datagrams that are read before other coroutines get a turn.
 const RECEIVE_BATCH_MAX: usize = 16;
 
@@ -87,21 +89,25 @@
 
     fn receive(&self, dispatcher: &Sender<DispatcherMessage>) {
         let mut limit = ReceiveLimit::default();
+        let mut inbox = Inbox {
+            dispatcher,
+            refused: 0,
+        };
         loop {
             self.socket.wait_io();
-            self.receive_available(&mut limit, dispatcher);
+            self.receive_available(&mut limit, &mut inbox);
         }
     }
 
     /// Reads datagrams until none is left.
-    fn receive_available(&self, limit: &mut ReceiveLimit, dispatcher: &Sender<DispatcherMessage>) {
-        let mut buffer = [0; DATAGRAM_BYTES_MAX];
+    fn receive_available(&self, limit: &mut ReceiveLimit, inbox: &mut Inbox) {
+        let mut buffer = [0; READ_BYTES_MAX];
         for count in 1.. {
             match self.socket.inner().recv_from(&mut buffer) {
                 Ok((length, from)) => {
                     let is_within_limit = limit.admits(clock::now());
                     if is_within_limit && self.is_peer(from) {
-                        deliver(&buffer[..length], from, dispatcher);
+                        inbox.deliver(&buffer[..length], from);
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
@@ -120,10 +126,31 @@
     }
 }
 
-/// Hands the dispatcher a peer's message.
-fn deliver(datagram: &[u8], from: SocketAddr, dispatcher: &Sender<DispatcherMessage>) {
-    match codec::decode(datagram) {
-        Ok(message) => dispatcher.send(DispatcherMessage::GossipReceived(message)),
-        Err(e) => debug!(peer = %from, error = %e, "gossip message ignored"),
+/// What becomes of the peers' datagrams.
+struct Inbox<'a> {
+    dispatcher: &'a Sender<DispatcherMessage>,
+    /// Datagrams of peers that could not be read, since the start.
+    refused: u64,
+}
+
+impl Inbox<'_> {
+    /// Hands the dispatcher a peer's message, or counts it where it can't be read.
+    fn deliver(&mut self, datagram: &[u8], from: SocketAddr) {
+        match codec::decode(datagram) {
+            Ok(message) => self
+                .dispatcher
+                .send(DispatcherMessage::GossipReceived(message)),
+            Err(error) => {
+                self.refused += 1;
+                debug!(peer = %from, %error, "gossip message ignored");
+                // Ever more rarely: a peer of another version sends many.
+                if self.refused.is_power_of_two() {
+                    warn!(peer = %from, %error, refused = self.refused, "gossip messages refused");
+                }
+            }
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
