Bound the settings' numbers, and compare a health check interval undoubled

Callers saw nothing in service: the release build wraps. With costs/probe at 1e30 a build with overflow checks panics whenever health checks are due, so that no server is ever checked.

Cause: the affordable interval stops at the largest time and was then doubled.

Fix: the interval is compared with half the bound, which decides the same. Numbers beyond 1e12 either way are refused by the field's name.

--- /dev/null
+++ b/crates/balancer/tests/common/draws.rs
@@ -0,0 +1,26 @@
+//! Seeded draws of tests.
+
+/// A small generator (xorshift64*): the same seed, the same run.
+pub struct Draws {
+    state: u64,
+}
+
+impl Draws {
+    pub fn new(seed: u64) -> Self {
+        Draws {
+            state: seed.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        }
+    }
+
+    /// Returns a number from 0 to below the bound.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.state ^= self.state >> 12;
+        self.state ^= self.state << 25;
+        self.state ^= self.state >> 27;
+        (self.state.wrapping_mul(0x2545_f491_4f6c_dd1d) >> 33) % bound
+    }
+
+    pub fn one_of<T: Copy>(&mut self, all: &[T]) -> T {
+        all[self.below(all.len() as u64) as usize]
+    }
+}
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -6,6 +6,7 @@
 
 mod balancer;
 mod client;
+pub mod draws;
 pub mod faults;
 mod late_server;
 mod pending_connects;
--- a/crates/balancer/tests/soak.rs
+++ b/crates/balancer/tests/soak.rs
@@ -10,6 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use common::draws::Draws;
 use common::faults::{ENOBUFS, ENOMEM, Faults};
 use common::toy::ServerBehavior;
 use common::{Client, TestBalancer, deadline_settings, wait_for, with_settings};
@@ -32,24 +33,6 @@
 /// One write in so many is delayed, for as long as a balancer may be.
 const STALL: &str = "send stall 150 40 97 1";
 
-/// A small generator (xorshift64*): the same seed, the same run.
-struct Draws {
-    state: u64,
-}
-
-impl Draws {
-    fn below(&mut self, bound: u64) -> u64 {
-        self.state ^= self.state >> 12;
-        self.state ^= self.state << 25;
-        self.state ^= self.state >> 27;
-        (self.state.wrapping_mul(0x2545_f491_4f6c_dd1d) >> 33) % bound
-    }
-
-    fn one_of<T: Copy>(&mut self, all: &[T]) -> T {
-        all[self.below(all.len() as u64) as usize]
-    }
-}
-
 /// What a seed stands for.
 #[derive(Debug)]
 struct Plan {
@@ -64,9 +47,7 @@
 
 impl Plan {
     fn new(seed: u64) -> Self {
-        let mut draws = Draws {
-            state: seed.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15),
-        };
+        let mut draws = Draws::new(seed);
         let deadlines = [
             draws.one_of(&[200, 500, 1000, 3000]),
             draws.one_of(&[300, 800, 3000]),
--- a/crates/policy/src/health_checks.rs
+++ b/crates/policy/src/health_checks.rs
@@ -219,7 +219,7 @@
             // meanwhile.
             let utilization = server.load.last_utilization();
             let is_low = utilization.is_some_and(|utilization| utilization < LOW_UTILIZATION_MAX);
-            let is_spared = is_low && 2 * affordable > CHECK_INTERVAL_MIN;
+            let is_spared = is_low && affordable > CHECK_INTERVAL_MIN / 2;
             let intervals = if is_spared { 2 } else { 1 };
             let times = &mut server.health_check;
             times.next_at = now + CHECK_INTERVAL_MAX.min(intervals * self.interval);
--- a/crates/settings/src/platform/values.rs
+++ b/crates/settings/src/platform/values.rs
@@ -11,6 +11,16 @@
 /// The longest time that a setting stands for. Guards against sums of times that overflow.
 pub(super) const TIME_MAX: Time = 365 * 24 * 3600 * SEC;
 
+/// The largest number that a setting which is no time may have, whatever its sign. Guards against
+/// sums and products that overflow.
+const NUMBER_MAX: f64 = 1e12;
+
+/// Returns a number as settings may have it.
+fn bounded_number(value: &Value) -> Option<f64> {
+    let number = value.as_f64();
+    number.filter(|number| number.abs() <= NUMBER_MAX)
+}
+
 /// Returns so many microseconds as a time in nanoseconds, from 0 to [`TIME_MAX`].
 pub(super) fn time_from_micros(micros: f64) -> Time {
     ((micros.max(0.0) * MICROSECOND as f64) as Time).min(TIME_MAX)
@@ -64,15 +74,16 @@
     }
 
     pub(super) fn number(&self, path: &str) -> Result<f64, SettingsError> {
-        self.required(path, Value::as_f64)
+        self.required(path, bounded_number)
     }
 
     pub(super) fn number_or(&self, path: &str, default: f64) -> Result<f64, SettingsError> {
-        self.required_or(path, default, Value::as_f64)
+        self.required_or(path, default, bounded_number)
     }
 
     pub(super) fn time(&self, path: &str) -> Result<Time, SettingsError> {
-        Ok(time_from_micros(self.number(path)?))
+        let micros = self.required(path, Value::as_f64)?;
+        Ok(time_from_micros(micros))
     }
 
     pub(super) fn time_or(&self, path: &str, default: Time) -> Result<Time, SettingsError> {
--- /dev/null
+++ b/crates/settings/tests/extreme_figures.rs
@@ -0,0 +1,148 @@
+//! Settings and load reports with figures of any size: each is refused by its name, left out, or
+//! decided with.
+
+#[path = "../../balancer/tests/common/draws.rs"]
+mod draws;
+
+use std::panic::catch_unwind;
+
+use draws::Draws;
+use nettlemux_policy::{
+    AttemptEnd, Endpoint, EndpointState, Flow, MS, Placement, Policy, PolicyEvent, SEC, Time,
+};
+use nettlemux_settings::{DrainMigration, LoadReportFormat, Settings};
+use serde_json::{Value, json};
+
+/// Seeds that are played, and the steps of each.
+const SEEDS: u64 = 300;
+const STEPS: u64 = 80;
+const SERVERS: u64 = 6;
+/// Figures as they are written, in settings and in load reports.
+const FIGURES: [&str; 14] = [
+    "0",
+    "-1",
+    "1e-300",
+    "0.3",
+    "1",
+    "3",
+    "17",
+    "1e9",
+    "1e12",
+    "1e15",
+    "1e30",
+    "-1e30",
+    "1e300",
+    "18446744073709551615",
+];
+/// Settings that are numbers.
+const SETTINGS: [&str; 11] = [
+    "/costs/probe",
+    "/replicas-of-me",
+    "/surplus-value",
+    "/contract/start-capacity",
+    "/contract/warm-up",
+    "/contract/fall-multiple",
+    "/contract/fall",
+    "/limits/max-retry-after",
+    "/service-types/0/hard-limit",
+    "/service-types/0/value",
+    "/accounts/0/fraction",
+];
+
+fn settings(draws: &mut Draws) -> Value {
+    let mut settings = json!({
+        "costs": {"probe": 0.01}, "replicas-of-me": 2, "surplus-value": 0.5,
+        "contract": {"start-capacity": 0.35, "warm-up": 8e6, "fall-multiple": 3.0, "fall": 2e6},
+        "limits": {"max-connects": 3, "probes": true, "retry-after": true, "max-retry-after": 2e6,
+            "may-cancel": true},
+        "report": {"how": "pull"}, "accounts": [{"name": "t", "fraction": 0.5}],
+        "service-types": [{"name": "a", "hard-limit": 1e6, "value": 1.0, "repeat": "free"}],
+    });
+    for _ in 0..1 + draws.below(3) {
+        let path = draws.one_of(&SETTINGS);
+        *settings.pointer_mut(path).unwrap() = draws.one_of(&FIGURES).parse().unwrap();
+    }
+    settings
+}
+
+fn list(draws: &mut Draws) -> Vec<Endpoint> {
+    let endpoint = |server_id, weight: &str| Endpoint {
+        server_id,
+        state: EndpointState::Ready,
+        weight: weight.parse().unwrap(),
+        started: draws_start(server_id),
+        ..Endpoint::default()
+    };
+    (0..SERVERS)
+        .map(|id| endpoint(id, draws.one_of(&FIGURES)))
+        .collect()
+}
+
+/// Half of the servers have started lately.
+fn draws_start(server_id: u64) -> Time {
+    if server_id % 2 == 0 { 0 } else { 100 * SEC }
+}
+
+/// Plays one seed. It panics where a decision does.
+fn play(seed: u64) {
+    let mut draws = Draws::new(seed);
+    let settings = settings(&mut draws);
+    let read = Settings::within(&settings).unwrap();
+    let mut policy = match read.policy(seed, 15 * MS, DrainMigration::Enabled) {
+        Ok(policy) => policy,
+        Err(error) => return assert!(error.to_string().starts_with("field '"), "{error}"),
+    };
+    let mut now = 100 * SEC;
+    policy.update_endpoints(now, &list(&mut draws), true);
+    for id in 0..STEPS {
+        now += draws.below(400) * MS;
+        step(&mut policy, &mut draws, now, id);
+    }
+}
+
+/// One report, one flow with its attempt, and the timer.
+fn step(policy: &mut Policy, draws: &mut Draws, now: Time, id: u64) {
+    let report = format!(
+        "busy={},rif={}",
+        draws.one_of(&FIGURES),
+        draws.one_of(&FIGURES)
+    );
+    let report = LoadReportFormat::default().parse(&report, '=').unwrap();
+    let health_checked = PolicyEvent::HealthChecked {
+        server_id: draws.below(SERVERS),
+        passed: draws.below(8) > 0,
+        report,
+    };
+    policy.on_event(now, health_checked);
+    let flow = Flow {
+        id,
+        accepted_at: now,
+        deadline: now + SEC,
+        ..Flow::default()
+    };
+    if let Placement::Forward { server_id, .. } = policy.place(now, &flow) {
+        let took = draws.below(50) * MS;
+        let event = match draws.below(3) {
+            0 => PolicyEvent::AttemptEnded {
+                flow: id,
+                server_id,
+                end: AttemptEnd::Overloaded,
+                unanswered: None,
+            },
+            _ => PolicyEvent::Connected { flow: id, took },
+        };
+        policy.on_event(now + took, event);
+        policy.update_connection_load(id, draws.one_of(&FIGURES).parse().unwrap());
+    }
+    policy.on_event(now, PolicyEvent::TimerExpired);
+    policy.time_to_next_timer(now);
+}
+
+/// Guards against decisions that overflow by a figure which was taken as it came.
+#[test]
+fn figures_of_any_size_are_refused_left_out_or_decided_with() {
+    let panicked: Vec<u64> = (0..SEEDS)
+        .filter(|seed| catch_unwind(|| play(*seed)).is_err())
+        .collect();
+    assert!(panicked.is_empty(), "seeds {panicked:?} panicked");
+}
--- a/crates/settings/tests/platform_settings.rs
+++ b/crates/settings/tests/platform_settings.rs
@@ -40,6 +40,11 @@
             "field 'group': unknown scope 'few'",
         ),
         ("accounts", json!("none"), "field 'accounts': is no list"),
+        (
+            "costs",
+            json!({"probe": 1e30}),
+            "field 'costs/probe': can't use 1e+30",
+        ),
         (
             "limits",
             json!({"max-connects": "two"}),
