Serve clients that wait for minutes where the settings have no limit

Callers saw: where a class has no hard-limit, ERR at once for a client that said it would wait for over a minute.

Cause: the longest wait without a setting was a minute; the comment beside it named an hour as what no client waits.

Fix: anything under an hour holds. The test that refuses an hour is unchanged.

--- a/crates/balancer/tests/first_lines.rs
+++ b/crates/balancer/tests/first_lines.rs
@@ -11,6 +11,16 @@
 use common::toy::ServerBehavior;
 use common::{Client, TestBalancer};
 
+/// Guards against a client that fails since it would wait for minutes, which no setting forbids.
+#[test]
+fn clients_may_wait_for_minutes_where_the_settings_have_no_limit() {
+    let balancer = TestBalancer::new(1);
+    for wait_ms in [60_000, 60_001, 120_000, 3_599_999] {
+        let mut client = balancer.client(&format!("c=chat,d={wait_ms}"));
+        assert_eq!(client.read_line(), "UP 1", "{wait_ms}");
+    }
+}
+
 #[test]
 fn what_is_no_first_line_is_answered_and_ended() {
     let balancer = TestBalancer::new(1);
--- a/crates/line-protocol/src/settings.rs
+++ b/crates/line-protocol/src/settings.rs
@@ -3,14 +3,15 @@
 //! a client.
 
 use nettlemux_flow_table::ClientIdentity;
-use nettlemux_policy::{MS, Time};
+use nettlemux_policy::{MS, SEC, Time};
 use nettlemux_settings::operator::AdmissionKey;
 use nettlemux_settings::{Settings, SettingsError};
 
 use crate::first_line::ConnectRequest;
 
-/// The longest that clients of a class may wait, where the settings have no limit.
-const DEFAULT_WAIT_MAX: Time = 60_000 * MS;
+/// The longest that clients of a class may wait, where the settings have no limit: a whole hour is
+/// no client's wait.
+const DEFAULT_WAIT_MAX: Time = 3600 * SEC - MS;
 
 /// A traffic class as first lines name it.
 pub struct TrafficClassSettings {
