Read what is seen of a balancer's process in one module of the testbed

The scale runs and the socket runs each read /proc, asked PING and told the end of a log by code of their own. It stands once now, in balancer_process.rs. Names that needed explaining say what they are: KILL_DELAY, FRONT_END_DELAY, LOG_LINES, BalancerProcess.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -9,6 +9,7 @@
 
 #![warn(missing_docs)]
 
+mod balancer_process;
 pub mod baselines;
 pub mod capacity;
 pub mod check;
--- a/crates/testbed/src/scale/fleet.rs
+++ b/crates/testbed/src/scale/fleet.rs
@@ -9,11 +9,12 @@
 use super::clients::{Balancer, Clients};
 use super::discovery::{Change, Discovery, Lifecycle};
 use super::error::{BalancersDied, DeadBalancer, MeasurementError};
-use super::processes::{Launch, RealBalancer, RunFolder, Usage};
+use super::processes::{Launch, RealBalancer, RunFolder};
 use super::scenario::Counts;
 use super::servers::Servers;
 use super::settings::{SettingsOf, settings};
 use super::simulated_balancer::SimulatedBalancer;
+use crate::balancer_process::ProcessUsage;
 
 /// What a fleet is made of.
 #[derive(Clone, Debug)]
@@ -160,11 +161,12 @@
     }
 
     /// What the real balancers use, on average.
-    pub fn usage(&self) -> Usage {
-        let all: Vec<Usage> = self.real.iter().map(|balancer| balancer.usage()).collect();
-        let mean =
-            |of: fn(&Usage) -> f64| all.iter().map(of).sum::<f64>() / all.len().max(1) as f64;
-        Usage {
+    pub fn usage(&self) -> ProcessUsage {
+        let all: Vec<ProcessUsage> = self.real.iter().map(|balancer| balancer.usage()).collect();
+        let mean = |of: fn(&ProcessUsage) -> f64| {
+            all.iter().map(of).sum::<f64>() / all.len().max(1) as f64
+        };
+        ProcessUsage {
             cpu_seconds: mean(|usage| usage.cpu_seconds),
             memory_mb: mean(|usage| usage.memory_mb),
             memory_peak_mb: mean(|usage| usage.memory_peak_mb),
--- a/crates/testbed/src/scale/processes.rs
+++ b/crates/testbed/src/scale/processes.rs
@@ -11,21 +11,17 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 
 use super::error::{DeadBalancer, MeasurementError};
+use crate::balancer_process::{ProcessUsage, answers_ping, log_end};
 use crate::file_error::FileError;
 
 /// A balancer must be ready by then.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 const READY_INTERVAL: Duration = Duration::from_millis(20);
-const PING_TIMEOUT: Duration = Duration::from_millis(500);
 /// What a balancer is told that it may use: more than it needs, so that memory is measured and not
 /// bounded.
 const MEMORY_MB: u64 = 1024;
-/// Lines of a dead balancer's log that are told.
-const LOG_LINES: usize = 20;
 /// Balancers listen from this port on, each size at the next one: guards against connections that
 /// linger from the last.
 const FIRST_PORT: u16 = 7000;
@@ -87,15 +83,6 @@
     }
 }
 
-/// What the system says of a balancer's process.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Usage {
-    pub cpu_seconds: f64,
-    pub memory_mb: f64,
-    pub memory_peak_mb: f64,
-    pub descriptors: f64,
-}
-
 /// One real balancer.
 pub struct RealBalancer {
     pub address: SocketAddr,
@@ -178,7 +165,7 @@
         } else {
             Err(MeasurementError::NotReady {
                 number: self.number,
-                log_end: self.log_end(),
+                log_end: log_end(&self.log),
             })
         }
     }
@@ -205,42 +192,19 @@
             .is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))));
         ended.then(|| DeadBalancer {
             number: self.number,
-            log_end: self.log_end(),
+            log_end: log_end(&self.log),
         })
     }
 
     /// What it uses; nothing where it doesn't run.
-    pub fn usage(&self) -> Usage {
-        let Some(id) = self.child().as_ref().map(Child::id) else {
-            return Usage::default();
-        };
-        let read =
-            |name: &str| fs::read_to_string(format!("/proc/{id}/{name}")).unwrap_or_default();
-        let status = read("status");
-        let megabytes = |name: &str| {
-            let line = status.lines().find_map(|line| line.strip_prefix(name));
-            let kilobytes =
-                line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
-            kilobytes.unwrap_or(0.0) / 1024.0
-        };
-        Usage {
-            cpu_seconds: cpu_seconds(&read("stat")),
-            memory_mb: megabytes("VmRSS:"),
-            memory_peak_mb: megabytes("VmHWM:"),
-            descriptors: fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count) as f64,
-        }
+    pub fn usage(&self) -> ProcessUsage {
+        let id = self.child().as_ref().map(Child::id);
+        id.map(ProcessUsage::of).unwrap_or_default()
     }
 
     fn child(&self) -> std::sync::MutexGuard<'_, Option<Child>> {
         self.child.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    fn log_end(&self) -> String {
-        let text = fs::read(&self.log).unwrap_or_default();
-        let text = String::from_utf8_lossy(&text);
-        let lines: Vec<&str> = text.lines().collect();
-        lines[lines.len().saturating_sub(LOG_LINES)..].join("\n")
-    }
 }
 
 impl Drop for RealBalancer {
@@ -248,32 +212,3 @@
         self.kill();
     }
 }
-
-/// User and system time in `/proc/PID/stat`: the 12th and 13th word after the program's name in
-/// brackets.
-fn cpu_seconds(stat: &str) -> f64 {
-    let words: Vec<&str> = stat
-        .rsplit(')')
-        .next()
-        .unwrap_or("")
-        .split_whitespace()
-        .collect();
-    let ticks = |at: usize| {
-        words
-            .get(at)
-            .and_then(|word| word.parse::<f64>().ok())
-            .unwrap_or(0.0)
-    };
-    (ticks(11) + ticks(12)) / rustix::param::clock_ticks_per_second() as f64
-}
-
-async fn answers_ping(address: SocketAddr) -> bool {
-    let ask = async {
-        let mut stream = TcpStream::connect(address).await.ok()?;
-        stream.write_all(b"PING\r\n").await.ok()?;
-        let mut answer = [0; 6];
-        stream.read_exact(&mut answer).await.ok()?;
-        (&answer == b"PONG\r\n").then_some(())
-    };
-    matches!(tokio::time::timeout(PING_TIMEOUT, ask).await, Ok(Some(())))
-}
--- a/crates/testbed/src/scale/steady.rs
+++ b/crates/testbed/src/scale/steady.rs
@@ -9,8 +9,8 @@
 use super::error::MeasurementError;
 use super::fleet::{Fleet, FleetPlan, Replacement};
 use super::measurement::Figures;
-use super::processes::Usage;
 use super::scenario::SocketPart;
+use crate::balancer_process::ProcessUsage;
 
 /// After the measurement new servers have so long to be seen: the longest wait for a first health
 /// check.
@@ -30,7 +30,7 @@
     list_bytes: u64,
     simulated_calls: u64,
     attempts: u64,
-    usage: Usage,
+    usage: ProcessUsage,
 }
 
 impl Counted {
--- a/crates/testbed/src/sockets/processes.rs
+++ b/crates/testbed/src/sockets/processes.rs
@@ -15,24 +15,22 @@
 use nettlemux_settings::operator::OperatorFile;
 use rustix::process::{Pid, Resource, Rlimit, Signal};
 use serde_json::json;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 
 use super::Program;
 use super::error::SocketRunError;
 use super::shared_run::SharedRun;
+use crate::balancer_process::{ProcessUsage, answers_ping, log_end};
 use crate::file;
 use crate::file_error::FileError;
 
 /// All balancers must be ready by then.
 const READY: Duration = Duration::from_secs(10);
-/// From SIGTERM to SIGKILL, and how long the front end goes on dealing after the first.
-const ENDS: Time = 4200 * MS;
-const DEALT: Time = 300 * MS;
+/// From SIGTERM to SIGKILL.
+const KILL_DELAY: Time = 4200 * MS;
+/// How long the front end goes on dealing connections after SIGTERM.
+const FRONT_END_DELAY: Time = 300 * MS;
 /// Between one balancer's return and the next one's end when they are restarted in turn.
 const IN_TURN: Time = SEC;
-/// Lines of a dead balancer's log that are told.
-const TOLD: usize = 20;
 /// Descriptors of a balancer beside two for each connection that it may come to hold.
 const DESCRIPTORS: usize = 512;
 /// Memory of one: more than it needs, so that descriptors bind first.
@@ -45,7 +43,7 @@
     Away(Time),
 }
 
-struct One {
+struct BalancerProcess {
     child: Child,
     state: State,
     log: PathBuf,
@@ -61,11 +59,10 @@
     folder: PathBuf,
     /// Whether the folder was made for the run and is removed with it.
     owns_folder: bool,
-    all: Vec<One>,
+    all: Vec<BalancerProcess>,
     /// Planned ends to come: when, who, and how long away.
     planned: Vec<(Time, usize, Time)>,
     died: Vec<String>,
-    clock: f64,
 }
 
 /// What the program says of itself.
@@ -117,7 +114,6 @@
             all: Vec::new(),
             planned: Vec::new(),
             died: Vec::new(),
-            clock: rustix::param::clock_ticks_per_second() as f64,
         })
     }
 
@@ -169,7 +165,7 @@
     pub async fn start_all(&mut self) -> Result<(), SocketRunError> {
         for b in 0..self.shared.scenario.balancers.number {
             let (child, log, config) = self.spawn(b, 0)?;
-            self.all.push(One {
+            self.all.push(BalancerProcess {
                 child,
                 state: State::Runs,
                 log,
@@ -180,14 +176,14 @@
         }
         for b in 0..self.all.len() {
             let ready = async {
-                while !pings(&self.shared, b).await {
+                while !answers_ping(self.shared.addresses.balancer(b)).await {
                     tokio::time::sleep(Duration::from_millis(20)).await;
                 }
             };
             if tokio::time::timeout(READY, ready).await.is_err() {
                 return Err(SocketRunError::NotReady {
                     balancer: b,
-                    log_end: end_of(&self.all[b].log),
+                    log_end: log_end(&self.all[b].log),
                 });
             }
             self.shared.lock().alive[b] = true;
@@ -204,7 +200,7 @@
                     .planned
                     .iter()
                     .filter(mine)
-                    .map(|p| p.0 + ENDS + p.2 + IN_TURN)
+                    .map(|p| p.0 + KILL_DELAY + p.2 + IN_TURN)
                     .max();
                 self.planned.push((last.unwrap_or(now), balancer, away));
             }
@@ -230,7 +226,7 @@
                 self.usage_of(b);
                 let _ = rustix::process::kill_process(pid, Signal::TERM);
                 self.all[b].state = State::Ending(now, away);
-                self.shared.lock().front.mark_dead(b, now + DEALT);
+                self.shared.lock().front.mark_dead(b, now + FRONT_END_DELAY);
             }
         }
         for b in 0..self.all.len() {
@@ -239,14 +235,14 @@
                     let ended = matches!(self.all[b].child.try_wait(), Ok(Some(_)));
                     match self.all[b].state {
                         State::Ending(_, away) if ended => self.ended(b, now, true, away),
-                        State::Ending(since, away) if now >= since + ENDS => {
+                        State::Ending(since, away) if now >= since + KILL_DELAY => {
                             let _ = self.all[b].child.kill();
                             let _ = self.all[b].child.wait();
                             self.ended(b, now, true, away);
                         }
                         _ if ended => {
                             self.died
-                                .push(format!("balancer {b} died:\n{}", end_of(&self.all[b].log)));
+                                .push(format!("balancer {b} died:\n{}", log_end(&self.all[b].log)));
                             self.ended(b, now, false, SEC);
                         }
                         _ => {}
@@ -285,30 +281,9 @@
     }
 
     fn usage_of(&mut self, b: usize) {
-        let id = self.all[b].child.id();
-        let read =
-            |name: &str| std::fs::read_to_string(format!("/proc/{id}/{name}")).unwrap_or_default();
-        // After the program's name in brackets: user and system time are the 12th and 13th word.
-        let stat = read("stat");
-        let words: Vec<&str> = stat
-            .rsplit(')')
-            .next()
-            .unwrap_or("")
-            .split_whitespace()
-            .collect();
-        let ticks = |i: usize| {
-            words
-                .get(i)
-                .and_then(|word| word.parse::<f64>().ok())
-                .unwrap_or(0.0)
-        };
-        self.all[b].cpu += (ticks(11) + ticks(12)) / self.clock;
-        let status = read("status");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let kb = peak
-            .and_then(|rest| rest.split_whitespace().next()?.parse::<f64>().ok())
-            .unwrap_or(0.0);
-        self.all[b].memory = self.all[b].memory.max(kb / 1024.0);
+        let usage = ProcessUsage::of(self.all[b].child.id());
+        self.all[b].cpu += usage.cpu_seconds;
+        self.all[b].memory = self.all[b].memory.max(usage.memory_peak_mb);
     }
 
     /// Of each balancer: processor seconds for each second of the run, and its largest resident
@@ -342,32 +317,8 @@
 }
 
 async fn mark_alive(shared: Arc<SharedRun>, b: usize) {
-    while !pings(&shared, b).await {
+    while !answers_ping(shared.addresses.balancer(b)).await {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     shared.lock().front.mark_alive(b);
 }
-
-/// Whether a balancer answers PING, as the front end asks before it deals to one.
-async fn pings(shared: &SharedRun, b: usize) -> bool {
-    let ask = async {
-        let mut stream = TcpStream::connect(shared.addresses.balancer(b))
-            .await
-            .ok()?;
-        stream.write_all(b"PING\r\n").await.ok()?;
-        let mut answer = [0; 6];
-        stream.read_exact(&mut answer).await.ok()?;
-        (&answer == b"PONG\r\n").then_some(())
-    };
-    matches!(
-        tokio::time::timeout(Duration::from_millis(500), ask).await,
-        Ok(Some(()))
-    )
-}
-
-fn end_of(log: &Path) -> String {
-    let text = std::fs::read(log).unwrap_or_default();
-    let text = String::from_utf8_lossy(&text);
-    let lines: Vec<&str> = text.lines().collect();
-    lines[lines.len().saturating_sub(TOLD)..].join("\n")
-}
