--- a/crates/balancer/tests/discovery.rs
+++ b/crates/balancer/tests/discovery.rs
@@ -308,3 +308,48 @@
         );
     }
 }
+
+/// Guards against a list that is no longer followed after discovery was away for more than a
+/// minute, and against clients that are turned away meanwhile, where it goes after a quiet time.
+#[test]
+fn a_drain_is_kept_after_discovery_was_away_for_over_a_minute() {
+    /// Without clients, and without changes of the list.
+    const QUIET: Duration = Duration::from_secs(10);
+    const OUTAGE: Duration = Duration::from_secs(63);
+    /// By then a call that was held as discovery went away is over.
+    const HELD_CALL: Duration = Duration::from_millis(1500);
+    let ways = [
+        ("push", AgentBehavior::Silent),
+        ("ask", AgentBehavior::Closing(Duration::from_millis(50))),
+    ];
+    thread::scope(|scope| {
+        for (discovery, away) in ways {
+            scope.spawn(move || {
+                let balancer = TestBalancer::with_config(2, |config| {
+                    with_settings(&config, &[("discovery", json!(discovery))])
+                });
+                thread::sleep(QUIET);
+                balancer.agent.set_behavior(away);
+                thread::sleep(HELD_CALL);
+                balancer
+                    .agent
+                    .publish("s-1", balancer.servers[1].address, "Terminating");
+                let returns_at = Instant::now() + OUTAGE;
+                while Instant::now() < returns_at {
+                    let mut client = balancer.client("c=chat,d=900");
+                    assert_eq!(client.read_line(), "UP 1", "{discovery}: while it is away");
+                    thread::sleep(Duration::from_millis(500));
+                }
+                let returned = Instant::now();
+                balancer.agent.resume();
+                wait_for("the drain", || {
+                    let before = balancer.servers[1].first_lines().len();
+                    (0..6).all(|_| balancer.client("c=chat,d=900").receives("UP 1"))
+                        && balancer.servers[1].first_lines().len() == before
+                });
+                let took = returned.elapsed();
+                assert!(took < CHANGE_KNOWN_AFTER_MAX, "{discovery}: {took:?}");
+            });
+        }
+    });
+}
