--- a/crates/settings/tests/extreme_figures.rs
+++ b/crates/settings/tests/extreme_figures.rs
@@ -70,7 +70,7 @@
         server_id,
         state: EndpointState::Ready,
         weight: weight.parse().unwrap(),
-        started: draws_start(server_id),
+        started: started_at(server_id),
         ..Endpoint::default()
     };
     (0..SERVERS)
@@ -79,8 +79,12 @@
 }
 
 /// Half of the servers have started lately.
-fn draws_start(server_id: u64) -> Time {
-    if server_id % 2 == 0 { 0 } else { 100 * SEC }
+fn started_at(server_id: u64) -> Time {
+    if server_id.is_multiple_of(2) {
+        0
+    } else {
+        100 * SEC
+    }
 }
 
 /// Plays one seed. It panics where a decision does.
