--- /dev/null
+++ b/review/rig/main.rs
@@ -0,0 +1,74 @@
+//! Plays the cases of the review: `rig CASE FOLDER`, from the repository's root. FOLDER gets the
+//! record. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+//! `TROUBLE=0` plays the same without the disruption.
+
+mod agent;
+mod balancer;
+mod client;
+mod record;
+mod restart_after_change;
+mod server;
+mod settings;
+
+use std::env;
+use std::path::{Path, PathBuf};
+use std::process::exit;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use record::Record;
+
+/// What a run has shown.
+pub enum Verdict {
+    Held,
+    Broken,
+    CouldNotRun(String),
+}
+
+/// A run ends by itself after this time.
+const LONGEST_RUN: Duration = Duration::from_secs(110);
+
+fn main() {
+    let arguments: Vec<String> = env::args().collect();
+    let [_, case, folder] = arguments.as_slice() else {
+        eprintln!("rig CASE FOLDER");
+        exit(2);
+    };
+    let record = Arc::new(Record::new(&Path::new(folder).join("record.txt")));
+    let trouble = env::var("TROUBLE").as_deref() != Ok("0");
+    let play = match case.as_str() {
+        "restart-after-change" => restart_after_change::play,
+        _ => {
+            eprintln!("no such case");
+            exit(2);
+        }
+    };
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let playing = record.clone();
+    thread::spawn(move || {
+        let folder = temporary_folder();
+        let verdict = play(&playing, &folder, trouble);
+        let _ = std::fs::remove_dir_all(&folder);
+        let _ = sender.send(verdict);
+    });
+    // A panic of the case drops the sender.
+    let verdict = receiver.recv_timeout(LONGEST_RUN).unwrap_or_else(|_| {
+        balancer::end_all();
+        Verdict::CouldNotRun("the case did not end".into())
+    });
+    let (text, code) = match verdict {
+        Verdict::Held => ("the rule held".to_string(), 0),
+        Verdict::Broken => ("the rule was broken".to_string(), 1),
+        Verdict::CouldNotRun(why) => (format!("could not run: {why}"), 2),
+    };
+    record.add(&text);
+    println!("{text}");
+    exit(code);
+}
+
+fn temporary_folder() -> PathBuf {
+    let folder = env::temp_dir().join(format!("nettlemux-review-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("the temporary folder can be made");
+    folder
+}
