Review case 2: requests behind a silent crowd are answered long after their time

2,700 connections that say nothing come to a balancer with 256 descriptors. Requests of usual clients that follow wait in the listener's queue: their time is over after 1.2 s, the last moment for an answer is 1.75 s, and they were answered 2.4 s and more after their last byte, in each of four runs. With TROUBLE=0 all 20 were answered at once.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -5,6 +5,7 @@
 mod agent;
 mod balancer;
 mod client;
+mod crowd;
 mod record;
 mod restart_after_change;
 mod server;
@@ -35,9 +36,13 @@
         eprintln!("rig CASE FOLDER");
         exit(2);
     };
+    if case == "idle" {
+        return crowd::idle(folder);
+    }
     let record = Arc::new(Record::new(&Path::new(folder).join("record.txt")));
     let trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let play = match case.as_str() {
+        "crowd" => crowd::play,
         "restart-after-change" => restart_after_change::play,
         _ => {
             eprintln!("no such case");
