Review case 3: a once-only request runs twice when its type's effect changes

Four once-only requests are under way at servers when new settings call their service type repeatable, then the connections to the servers break.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -6,6 +6,7 @@
 mod balancer;
 mod client;
 mod crowd;
+mod effect_change;
 mod record;
 mod restart_after_change;
 mod server;
@@ -44,6 +45,7 @@
     let play = match case.as_str() {
         "crowd" => crowd::play,
         "restart-after-change" => restart_after_change::play,
+        "effect-change" => effect_change::play,
         _ => {
             eprintln!("no such case");
             exit(2);
