Review: further plays on discovery and drains, signals by the shell

Three plays that are no cases: drain-after-silence, drain-notice, slow-discovery. Signals are sent by the shell's own kill.

--- a/review/rig/agent.rs
+++ b/review/rig/agent.rs
@@ -1,8 +1,9 @@
 //! A stand-in of the discovery agent: `GET /api/targets`, whole lists and watches.
 //!
-//! Two kinds of trouble can be asked for. The watches that are open can fall silent: their
-//! connections stay open and get no answer any more, while new connections are served. And a
-//! number of calls can be turned away, each with status 503 after a wait in the queue.
+//! Three kinds of trouble can be asked for. The watches that are open can fall silent: their
+//! connections stay open and get no answer any more, while new connections are served. A number of
+//! calls can be turned away, each with status 503 after a wait in the queue. And each answer can
+//! take a while.
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -33,6 +34,8 @@
     refusals: u32,
     /// How long a call waits in the queue before it is turned away.
     queue_time: Duration,
+    /// How long each answer takes.
+    delay: Duration,
 }
 
 pub struct Agent {
@@ -54,6 +57,7 @@
                 silent_up_to: 0,
                 refusals: 0,
                 queue_time: Duration::ZERO,
+                delay: Duration::ZERO,
             }),
             changed: Condvar::new(),
             record: record.clone(),
@@ -107,6 +111,11 @@
         state.queue_time = queue_time;
     }
 
+    /// Lets each answer take this long.
+    pub fn set_delay(&self, delay: Duration) {
+        self.state.lock().unwrap().delay = delay;
+    }
+
     fn serve(&self, number: u64, stream: TcpStream) -> std::io::Result<()> {
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut stream = stream;
@@ -131,6 +140,8 @@
                 }
                 return Ok(());
             };
+            let delay = self.state.lock().unwrap().delay;
+            thread::sleep(delay);
             write!(
                 stream,
                 "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
--- a/review/rig/balancer.rs
+++ b/review/rig/balancer.rs
@@ -17,12 +17,17 @@
 /// Ends all balancers, for a run that doesn't end in time.
 pub fn end_all() {
     for id in RUNNING.lock().unwrap().iter() {
-        let _ = Command::new("kill")
-            .args(["-KILL", &id.to_string()])
-            .status();
+        send_signal("KILL", *id);
     }
 }
 
+/// Sends a signal to a process, and returns whether that was possible.
+fn send_signal(signal: &str, process: u32) -> bool {
+    let mut shell = Command::new("/bin/sh");
+    shell.args(["-c", &format!("kill -{signal} {process}")]);
+    shell.status().is_ok_and(|status| status.success())
+}
+
 /// What a balancer may use at most.
 #[derive(Clone, Copy)]
 pub struct Limits {
@@ -106,13 +111,12 @@
 
     /// Replaces the settings in the configuration and sends SIGHUP.
     pub fn change_settings(&self, settings: &str) {
-        let text = config_text(
-            &self.name,
-            self.address,
-            self.discovery,
-            settings,
-            self.limits,
-        );
+        self.change(self.discovery, settings);
+    }
+
+    /// Replaces the configuration and sends SIGHUP.
+    pub fn change(&self, discovery: SocketAddr, settings: &str) {
+        let text = config_text(&self.name, self.address, discovery, settings, self.limits);
         let new = self.folder.join("config.new");
         fs::write(&new, text).unwrap();
         fs::rename(&new, self.folder.join("config.json")).unwrap();
@@ -124,10 +128,7 @@
     /// Sends a signal to the balancer.
     pub fn signal(&self, signal: &str) {
         self.record.add(&format!("{}: SIG{signal}", self.name));
-        let sent = Command::new("kill")
-            .args([&format!("-{signal}"), &self.process.id().to_string()])
-            .status();
-        assert!(sent.is_ok_and(|status| status.success()), "kill works");
+        assert!(send_signal(signal, self.process.id()), "kill works");
     }
 
     /// Returns whether the process has ended.
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -6,11 +6,14 @@
 mod balancer;
 mod client;
 mod crowd;
+mod drain_after_silence;
+mod drain_notice;
 mod effect_change;
 mod record;
 mod restart_after_change;
 mod server;
 mod settings;
+mod slow_discovery;
 
 use std::env;
 use std::path::{Path, PathBuf};
@@ -45,6 +48,9 @@
     let play = match case.as_str() {
         "crowd" => crowd::play,
         "restart-after-change" => restart_after_change::play,
+        "drain-notice" => drain_notice::play,
+        "slow-discovery" => slow_discovery::play,
+        "drain-after-silence" => drain_after_silence::play,
         "effect-change" => effect_change::play,
         _ => {
             eprintln!("no such case");
--- a/review/rig/server.rs
+++ b/review/rig/server.rs
@@ -33,6 +33,8 @@
     received: Mutex<Vec<Received>>,
     /// The connections whose request hangs.
     hanging: Mutex<Vec<TcpStream>>,
+    /// The connections that were brought up.
+    up: Mutex<Vec<TcpStream>>,
     record: Arc<Record>,
 }
 
@@ -45,6 +47,7 @@
             behavior: Mutex::new(Behavior::Serves),
             received: Mutex::default(),
             hanging: Mutex::default(),
+            up: Mutex::default(),
             record: record.clone(),
         });
         let accepting = server.clone();
@@ -75,6 +78,15 @@
         }
     }
 
+    /// Stops the server's work: the connections that are left are cut off.
+    pub fn stop(&self) {
+        self.record.add(&format!("{}: stops", self.name));
+        self.set_behavior(Behavior::TurnsAway);
+        for stream in self.up.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
@@ -123,6 +135,7 @@
         }
         self.record
             .add(&format!("{}: ran {id}, answered UP", self.name));
+        self.up.lock().unwrap().push(stream.try_clone()?);
         stream.write_all(format!("UP {id}\r\n").as_bytes())?;
         let mut text = String::new();
         while reader.read_line(&mut text)? > 0 {
