--- a/review/rig/agent.rs
+++ b/review/rig/agent.rs
@@ -104,6 +104,21 @@
         self.changed.notify_all();
     }
 
+    /// Discovery goes down: calls that are open or come from now on get no answer, ever.
+    pub fn go_down(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.silent_up_to = u64::MAX;
+        self.record.add("agent: discovery is down");
+        self.changed.notify_all();
+    }
+
+    /// Discovery is back: connections that are opened from now on are served.
+    pub fn come_back(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.silent_up_to = state.accepted;
+        self.record.add("agent: discovery is back");
+    }
+
     /// Turns the next `count` calls away, each after `queue_time`.
     pub fn turn_away(&self, count: u32, queue_time: Duration) {
         let mut state = self.state.lock().unwrap();
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -6,6 +6,7 @@
 mod balancer;
 mod client;
 mod crowd;
+mod discovery_outage;
 mod drain_after_silence;
 mod drain_notice;
 mod effect_change;
@@ -50,6 +51,7 @@
         "restart-after-change" => restart_after_change::play,
         "drain-notice" => drain_notice::play,
         "slow-discovery" => slow_discovery::play,
+        "discovery-outage" => discovery_outage::play,
         "drain-after-silence" => drain_after_silence::play,
         "effect-change" => effect_change::play,
         _ => {
