--- a/review/rig/server.rs
+++ b/review/rig/server.rs
@@ -78,6 +78,14 @@
         }
     }
 
+    /// Answers the requests that hang.
+    pub fn answer_hanging(&self) {
+        for mut stream in self.hanging.lock().unwrap().drain(..) {
+            let _ = stream.write_all(b"UP late\r\n");
+            self.up.lock().unwrap().push(stream);
+        }
+    }
+
     /// Stops the server's work: the connections that are left are cut off.
     pub fn stop(&self) {
         self.record.add(&format!("{}: stops", self.name));
