--- a/review/rig/balancer.rs
+++ b/review/rig/balancer.rs
@@ -15,7 +15,7 @@
 /// Ends the process `$1` and removes the folder `$2`, unless it is told before that the process has
 /// been ended. It reads from a pipe that closes whenever this program ends, also by a signal.
 const GUARD: &str = "trap '' TERM INT HUP; read -r word && exit; \
-    [ \"$(cat /proc/$1/comm 2>/dev/null)\" = nettlemux ] && kill -KILL $1; rm -rf \"$2\"";
+    [ \"$(cat /proc/$1/comm 2>/dev/null)\" = nettlemux ] && kill -KILL $1; rm -rf \"$2\"; rmdir \"${2%/*}\" 2>/dev/null";
 
 /// Sends a signal to a process, and returns whether that was possible.
 fn send_signal(signal: &str, process: u32) -> bool {
