--- a/crates/adapter/src/balancer.rs
+++ b/crates/adapter/src/balancer.rs
@@ -1,7 +1,7 @@
 //! A simulated balancer: its flow table and its timer.
 
 use nettlemux_flow_table::{AdmissionAttributes, EndedAttempt, FlowTable, PolicyCommand};
-use nettlemux_policy::{Flow, FlowId, MS, SEC, Time};
+use nettlemux_policy::{Flow, FlowId, MS, SEC, Time, TrafficClass};
 use nettlemux_settings::{DrainMigration, LoadReportFormat, Settings};
 
 use crate::wire::{self, EndpointUpdate, SimulatorEvent, WireError};
@@ -17,6 +17,7 @@
 pub struct SimulatedBalancer {
     flow_table: FlowTable,
     load_report_format: LoadReportFormat,
+    traffic_classes: Vec<TrafficClass>,
     /// The number of the timer that was set last.
     timer_number: u64,
     /// When that timer expires; `None` if it has expired.
@@ -34,6 +35,7 @@
         Ok(SimulatedBalancer {
             flow_table: FlowTable::new(policy),
             load_report_format: settings.load_report_format(),
+            traffic_classes: settings.traffic_classes()?,
             timer_number: 0,
             timer_expires_at: None,
         })
@@ -44,6 +46,11 @@
         self.load_report_format
     }
 
+    /// Returns the traffic classes of the settings, by number.
+    pub fn traffic_classes(&self) -> &[TrafficClass] {
+        &self.traffic_classes
+    }
+
     /// Handles an event and appends the resulting commands to `out`.
     pub fn handle(&mut self, now: Time, event: SimulatorEvent, out: &mut String) {
         let table = &mut self.flow_table;
--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -88,6 +88,7 @@
         let event = event.parse(EventContext {
             now,
             load_report_format: balancer.load_report_format(),
+            traffic_classes: balancer.traffic_classes(),
             endpoint_tables: &self.endpoint_tables,
         })?;
         if matches!(event, SimulatorEvent::Removed) {
--- a/crates/adapter/src/wire/batch.rs
+++ b/crates/adapter/src/wire/batch.rs
@@ -97,11 +97,12 @@
     /// # Errors
     /// Returns an error if the event is unknown, a field is malformed or an endpoint table doesn't
     /// exist.
-    pub fn parse<'a>(self, context: EventContext<'a>) -> Result<SimulatorEvent<'a>, WireError> {
+    pub fn parse<'a>(self, context: EventContext<'a, '_>) -> Result<SimulatorEvent<'a>, WireError> {
         let EventLine { name, mut fields } = self;
         let EventContext {
             now,
             load_report_format,
+            traffic_classes,
             endpoint_tables,
         } = context;
         let event = match name {
@@ -110,8 +111,12 @@
                 &mut fields,
                 endpoint_tables,
             )?),
-            "KNOCK" => SimulatorEvent::FlowArrived(event_fields::parse_new_flow(now, &mut fields)?),
-            "TAKEN_OVER" => event_fields::parse_adopted_connection(&mut fields)?,
+            "KNOCK" => SimulatorEvent::FlowArrived(event_fields::parse_new_flow(
+                now,
+                &mut fields,
+                traffic_classes,
+            )?),
+            "TAKEN_OVER" => event_fields::parse_adopted_connection(&mut fields, traffic_classes)?,
             "FLOWING" => event_fields::parse_connected(&mut fields)?,
             "SIGNAL" => event_fields::parse_signal(&mut fields)?,
             "RESULT" => event_fields::parse_attempt_end(&mut fields, &load_report_format)?,
--- a/crates/adapter/src/wire/event.rs
+++ b/crates/adapter/src/wire/event.rs
@@ -3,16 +3,20 @@
 use std::collections::BTreeMap;
 
 use nettlemux_flow_table::EndedAttempt;
-use nettlemux_policy::{Endpoint, Flow, FlowId, GroupPlacement, LoadReport, ServerId, Time};
+use nettlemux_policy::{
+    Endpoint, Flow, FlowId, GroupPlacement, LoadReport, ServerId, Time, TrafficClass,
+};
 use nettlemux_settings::{LoadReportFormat, Settings};
 
 /// The context that is needed to parse an event.
 #[derive(Clone, Copy)]
-pub struct EventContext<'a> {
+pub struct EventContext<'a, 'c> {
     /// The time of the batch, in nanoseconds.
     pub now: Time,
     /// The format of the load reports of the balancer's servers.
     pub load_report_format: LoadReportFormat,
+    /// The traffic classes of the balancer's settings, by number.
+    pub traffic_classes: &'c [TrafficClass],
     /// The endpoint tables that the event may refer to.
     pub endpoint_tables: &'a EndpointTables,
 }
--- a/crates/adapter/src/wire/event_fields.rs
+++ b/crates/adapter/src/wire/event_fields.rs
@@ -1,7 +1,9 @@
 //! Parsers for the fields of the events.
 
 use nettlemux_flow_table::EndedAttempt;
-use nettlemux_policy::{AttemptEnd, Flow, GroupPlacement, LoadReport, ServerId, Time};
+use nettlemux_policy::{
+    AttemptEnd, Flow, GroupPlacement, LoadReport, ServerId, Time, TrafficClass,
+};
 use nettlemux_settings::LoadReportFormat;
 
 use super::error::{WireError, WireProblem};
@@ -34,9 +36,13 @@
     }
 }
 
-pub(super) fn parse_new_flow(now: Time, fields: &mut Fields) -> Result<Flow, WireError> {
+pub(super) fn parse_new_flow(
+    now: Time,
+    fields: &mut Fields,
+    traffic_classes: &[TrafficClass],
+) -> Result<Flow, WireError> {
     let id = fields.required("ref")?;
-    let class = fields.required("category")?;
+    let class = class_with_number(fields.required("category")?, traffic_classes);
     let tenant = fields.optional("client-group")?.unwrap_or(0);
     let _item: Option<String> = fields.optional("item")?;
     let deadline = now + fields.time("ttl")?;
@@ -59,6 +65,7 @@
 
 pub(super) fn parse_adopted_connection(
     fields: &mut Fields,
+    traffic_classes: &[TrafficClass],
 ) -> Result<SimulatorEvent<'static>, WireError> {
     let id = fields.required("ref")?;
     let group = fields.optional("team-id")?;
@@ -68,7 +75,7 @@
     let _time_left = fields.time("ttl")?;
     let _is_resent = fields.flag("resent")?;
     let tenant = fields.optional("client-group")?.unwrap_or(0);
-    let class = fields.optional("category")?.unwrap_or(0);
+    let class = class_with_number(fields.optional("category")?.unwrap_or(0), traffic_classes);
     let _effort: Option<f64> = fields.optional("effort")?;
     let server_id = fields.required("server")?;
     let flow = Flow {
@@ -81,6 +88,16 @@
     Ok(SimulatorEvent::ConnectionAdopted { flow, server_id })
 }
 
+/// Returns the traffic class with this number. A class that the settings don't have gets the
+/// default, which is the most careful one.
+fn class_with_number(number: usize, traffic_classes: &[TrafficClass]) -> TrafficClass {
+    let unknown = TrafficClass {
+        number,
+        ..TrafficClass::default()
+    };
+    traffic_classes.get(number).copied().unwrap_or(unknown)
+}
+
 pub(super) fn parse_connected(fields: &mut Fields) -> Result<SimulatorEvent<'static>, WireError> {
     let flow = fields.required("ref")?;
     let _number: u32 = fields.required("send-no")?;
--- a/crates/balancer/tests/reload.rs
+++ b/crates/balancer/tests/reload.rs
@@ -7,8 +7,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::toy::{DiscoveryAgent, ServerBehavior};
-use common::{Client, TestBalancer, wait_for};
+use common::toy::{DiscoveryAgent, ServerBehavior, ToyServer};
+use common::{Client, TestBalancer, wait_for, with_settings};
+use serde_json::{Value, json};
 
 /// Guards against a SIGHUP that ends the program, a new discovery address that is not asked for the
 /// full endpoint list, and an invalid file that changes anything.
@@ -249,3 +250,130 @@
     balancer.terminate();
     assert!(balancer.process.wait().unwrap().success());
 }
+
+/// How long after a request was accepted its connection to the server breaks, at the earliest. Both
+/// deduplication windows of the test case are far from it.
+const BREAK_DELAY: Duration = Duration::from_millis(600);
+
+/// Returns the settings of a traffic class.
+fn service_type(name: &str, repeat: &str, scope: &str, window_ms: u64) -> Value {
+    json!({"name": name, "setup-target": 300_000, "value": 1.0, "repeat": repeat, "group": scope,
+        "window": window_ms * 1000})
+}
+
+/// Sends a request of the type `order`, which comes to a server that doesn't answer. Then another
+/// server, of another cell, takes that server's place on the list, each list of traffic classes is
+/// applied in turn, and the connection to the first server breaks. Returns the client's answer.
+fn answer_after_new_settings(accepted: &Value, new: &[Vec<Value>]) -> String {
+    let chat = service_type("chat", "free", "all", 0);
+    let balancer = TestBalancer::with_config(1, |config| {
+        let classes = json!([chat, accepted]);
+        with_settings(&config, &[("service-types", classes)])
+    });
+    let hanging = &balancer.servers[0];
+    hanging.set_behavior(ServerBehavior::Silent);
+    let mut waiting = balancer.client("c=order,d=4000");
+    wait_for("the request at the server that hangs", || {
+        let lines = hanging.first_lines();
+        lines.iter().any(|line| line.contains("c=order"))
+    });
+    let received_at = Instant::now();
+    let other = ToyServer::start("127.0.0.1:0").unwrap();
+    balancer
+        .agent
+        .publish("s-0", hanging.address, "Terminating");
+    balancer
+        .agent
+        .publish_in_cell("s-1", other.address, "Ready", 1);
+    wait_for("the new endpoint list", || {
+        let version = balancer.agent.version();
+        let calls = balancer.agent.recorded_calls();
+        calls.iter().any(|call| call.from_version == Some(version))
+    });
+    for (number, classes) in new.iter().enumerate() {
+        // A type of its own shows that these settings are in force.
+        let marker = format!("marker-{number}");
+        let mut classes = classes.clone();
+        classes.extend([chat.clone(), service_type(&marker, "free", "all", 0)]);
+        let changes = [("service-types", Value::Array(classes))];
+        balancer.reload(&with_settings(&balancer.config_text, &changes));
+        wait_for("the new settings", || {
+            let values = format!("c={marker},d=900");
+            balancer.client(&values).next_line_is("UP 1")
+        });
+    }
+    thread::sleep(BREAK_DELAY.saturating_sub(received_at.elapsed()));
+    hanging.send_and_close("");
+    waiting.read_line()
+}
+
+/// Guards against a once-only request that runs twice because new settings call its type
+/// repeatable, and against any other change of what an accepted request was promised.
+#[test]
+fn accepted_request_keeps_its_effect_scope_and_window_under_new_settings() {
+    let once = || service_type("order", "single_shot", "all", 0);
+    let free = || service_type("order", "free", "all", 0);
+    let guarded = |scope: &str, window_ms: u64| service_type("order", "guarded", scope, window_ms);
+    // The type as the request was accepted, the new settings in turn, the expected answer: ERR if
+    // the request may have run, UP from the other server if a repeat can do no harm.
+    let cases = [
+        (once(), vec![vec![free()]], "ERR"),
+        (once(), vec![vec![guarded("all", 60_000)]], "ERR"),
+        (once(), vec![vec![]], "ERR"),
+        (once(), vec![vec![], vec![free()]], "ERR"),
+        (
+            once(),
+            vec![vec![free()], vec![once()], vec![free()]],
+            "ERR",
+        ),
+        (
+            guarded("cell", 60_000),
+            vec![vec![guarded("all", 60_000)]],
+            "ERR",
+        ),
+        (
+            guarded("all", 300),
+            vec![vec![guarded("all", 60_000)]],
+            "ERR",
+        ),
+        (guarded("all", 300), vec![vec![free()]], "ERR"),
+        (free(), vec![vec![once()]], "UP 1"),
+        (free(), vec![vec![]], "UP 1"),
+        (
+            guarded("all", 60_000),
+            vec![vec![guarded("cell", 60_000)]],
+            "UP 1",
+        ),
+        (
+            guarded("all", 60_000),
+            vec![vec![guarded("all", 0)]],
+            "UP 1",
+        ),
+    ];
+    for (accepted, new, expected) in cases {
+        let answer = answer_after_new_settings(&accepted, &new);
+        assert_eq!(answer, expected, "accepted as {accepted}, then {new:?}");
+    }
+}
+
+/// Guards against a waiting request that is given up early because new settings give its type a
+/// shorter latency objective.
+#[test]
+fn waiting_request_keeps_its_latency_objective_under_new_settings() {
+    let balancer = TestBalancer::with_draining_server_only();
+    let mut waiting = balancer.client("c=chat,d=4000");
+    thread::sleep(Duration::from_millis(100));
+    let changes = [("service-types/0/setup-target", json!(100_000))];
+    balancer.reload(&with_settings(&balancer.config_text, &changes));
+    wait_for("the shorter objective", || {
+        let since = Instant::now();
+        let is_rejected = balancer
+            .client("c=chat,d=2000")
+            .read_line()
+            .starts_with("BUSY");
+        is_rejected && since.elapsed() < Duration::from_secs(1)
+    });
+    let server = &balancer.servers[0];
+    balancer.agent.publish("s-0", server.address, "Ready");
+    assert_eq!(waiting.read_line(), "UP 1");
+}
--- a/crates/line-protocol/src/admit.rs
+++ b/crates/line-protocol/src/admit.rs
@@ -96,10 +96,10 @@
     accepted: &AcceptedConnection,
     request: &ConnectRequest,
 ) -> Result<NewFlow, MalformedRequest> {
-    let class = settings
-        .class_index(request.class)
+    let class_settings = settings
+        .class(request.class)
         .ok_or(MalformedRequest::UnknownClass)?;
-    let class_settings = settings.class(class);
+    let class = class_settings.class;
     let wait = wait_time(request, class_settings)?;
     let tenant = match request.tenant {
         Some(name) => settings
@@ -127,7 +127,7 @@
     };
     Ok(NewFlow {
         flow,
-        identity: settings.client_identity(request, class_settings, accepted_at),
+        identity: settings.client_identity(request, &class, accepted_at),
         previous_server: request.previous_server.map(String::from),
         client_id,
     })
--- a/crates/line-protocol/src/settings.rs
+++ b/crates/line-protocol/src/settings.rs
@@ -2,7 +2,7 @@
 //! admission control identifies clients. It must never decide whether a client is served.
 
 use nettlemux_flow_table::AdmissionAttributes;
-use nettlemux_policy::{MS, SEC, Time};
+use nettlemux_policy::{MS, SEC, Time, TrafficClass};
 use nettlemux_settings::operator::AdmissionKey;
 use nettlemux_settings::{Settings, SettingsError};
 
@@ -18,8 +18,8 @@
     pub name: String,
     /// The longest wait that its clients may ask for, in nanoseconds.
     pub wait_max: Time,
-    /// The latency objective, in nanoseconds.
-    pub latency_objective: Time,
+    /// The class that its flows have for as long as they last.
+    pub class: TrafficClass,
 }
 
 /// How admission control identifies clients.
@@ -55,7 +55,7 @@
                 .map(|((name, wait_max), class)| TrafficClassSettings {
                     name,
                     wait_max: wait_max.unwrap_or(DEFAULT_WAIT_MAX),
-                    latency_objective: class.latency_objective,
+                    class,
                 });
         Ok(FirstLineSettings {
             client_keys: None,
@@ -73,17 +73,9 @@
         }
     }
 
-    /// Returns the index of the traffic class with this name; `None` if the name is unknown.
-    pub fn class_index(&self, name: &str) -> Option<usize> {
-        self.classes.iter().position(|class| class.name == name)
-    }
-
-    /// Returns the settings of the traffic class with this index.
-    ///
-    /// # Panics
-    /// If there is no class with this index.
-    pub fn class(&self, index: usize) -> &TrafficClassSettings {
-        &self.classes[index]
+    /// Returns the settings of the traffic class with this name; `None` if the name is unknown.
+    pub fn class(&self, name: &str) -> Option<&TrafficClassSettings> {
+        self.classes.iter().find(|class| class.name == name)
     }
 
     /// Returns the group of a request; `None` if it names none or the settings have no groups.
@@ -109,7 +101,7 @@
     pub fn client_identity(
         &self,
         request: &ConnectRequest,
-        class: &TrafficClassSettings,
+        class: &TrafficClass,
         accepted_at: Time,
     ) -> AdmissionAttributes {
         let Some(ClientKeys { by, seed }) = self.client_keys else {
--- a/crates/policy/examples/long_lists/main.rs
+++ b/crates/policy/examples/long_lists/main.rs
@@ -55,6 +55,7 @@
 
 fn traffic_class() -> TrafficClass {
     TrafficClass {
+        number: 0,
         latency_objective: 230 * MS,
         priority_weight: 1.0,
         idempotency: Idempotency::Idempotent,
@@ -103,7 +104,7 @@
         },
         ..PolicyConfig::default()
     };
-    Policy::new(seed, zone, vec![traffic_class()], config)
+    Policy::new(seed, zone, config)
 }
 
 /// Returns the resident memory of this process in bytes.
@@ -141,6 +142,7 @@
         policy.adopt_connection(
             &Flow {
                 id,
+                class: traffic_class(),
                 group,
                 ..Flow::default()
             },
--- a/crates/policy/examples/long_lists/place.rs
+++ b/crates/policy/examples/long_lists/place.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     BALANCERS, GROUPS, ListView, OWN_CONNECTIONS, SERVERS_IN_ZONE, T0, balancer, endpoint,
+    traffic_class,
 };
 
 /// New flows per second, at which connections last for 18 minutes.
@@ -80,6 +81,7 @@
         let group = Some(format!("g{}", self.rng.generate_range(0..GROUPS)));
         Flow {
             id: self.next_id,
+            class: traffic_class(),
             group,
             accepted_at: self.now,
             deadline: self.now + 2 * SEC,
--- a/crates/policy/examples/long_lists/spread.rs
+++ b/crates/policy/examples/long_lists/spread.rs
@@ -6,7 +6,7 @@
 use nanorand::{Rng, WyRand};
 use nettlemux_policy::*;
 
-use crate::{ListView, T0, balancer, endpoint};
+use crate::{ListView, T0, balancer, endpoint, traffic_class};
 
 const SERVERS: u64 = 600;
 const BALANCERS: u64 = 42;
@@ -62,6 +62,7 @@
         let group = rng.generate_range(0..GROUPS);
         let flow = Flow {
             id,
+            class: traffic_class(),
             group: (grouping == Grouping::Grouped).then(|| format!("g{group}")),
             accepted_at: now,
             deadline: now + 2 * SEC,
--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -7,7 +7,10 @@
 /// One own connection, or one attempt in flight.
 pub(crate) struct OwnConnection {
     pub(crate) server_id: ServerId,
+    /// The number of its traffic class.
     pub(crate) class: usize,
+    /// The priority weight of its traffic class.
+    pub(crate) priority_weight: f64,
     pub(crate) tenant: usize,
     pub(crate) group: Option<String>,
     /// Whether the server has accepted it; until then it is an attempt in flight.
@@ -27,9 +30,11 @@
     pub(crate) since: Time,
 }
 
-/// The number of connections with a reported load, and the sum of these loads.
+/// The number of connections of one traffic class with a reported load, and the sum of these loads.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct LoadTotal {
+    /// The class's priority weight, as of the connection whose load was reported last.
+    pub(crate) priority_weight: f64,
     pub(crate) count: f64,
     pub(crate) sum: f64,
 }
@@ -41,7 +46,7 @@
     pub(crate) by_server: BTreeMap<ServerId, BTreeSet<FlowId>>,
     pub(crate) by_group: BTreeMap<String, BTreeMap<ServerId, usize>>,
     pub(crate) by_tenant: BTreeMap<usize, usize>,
-    /// Reported loads by traffic class.
+    /// Reported loads by the number of the traffic class.
     pub(crate) loads: BTreeMap<usize, LoadTotal>,
     pub(crate) in_flight: BTreeMap<FlowId, InFlightAttempt>,
 }
@@ -74,7 +79,8 @@
         }
         let own = OwnConnection {
             server_id,
-            class: flow.class,
+            class: flow.class.number,
+            priority_weight: flow.class.priority_weight,
             tenant: flow.tenant,
             group: flow.group.clone(),
             is_connected: false,
@@ -91,6 +97,7 @@
             return;
         };
         let total = self.loads.entry(own.class).or_default();
+        total.priority_weight = own.priority_weight;
         total.count += if own.load.is_none() { 1.0 } else { 0.0 };
         total.sum += load - own.load.replace(load).unwrap_or(0.0);
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 //! use nettlemux_policy::*;
 //!
 //! let class = TrafficClass {
+//!     number: 0,
 //!     latency_objective: 300 * MS,
 //!     priority_weight: 1.0,
 //!     idempotency: Idempotency::Idempotent,
@@ -30,12 +31,12 @@
 //!     retry: RetryConfig { attempts_max: 3, deadline_margin: 4 * MS, ..RetryConfig::default() },
 //!     ..PolicyConfig::default()
 //! };
-//! let mut policy = Policy::new(1, 0, vec![class], config);
+//! let mut policy = Policy::new(1, 0, config);
 //! let state = EndpointState::Ready;
 //! let server = Endpoint { server_id: 51, state, weight: 1.0, ..Endpoint::default() };
 //! policy.update_endpoints(0, &[server], true);
 //!
-//! let flow = Flow { id: 7, deadline: 2 * SEC, ..Flow::default() };
+//! let flow = Flow { id: 7, class, deadline: 2 * SEC, ..Flow::default() };
 //! let Placement::Forward { server_id, timeout, .. } = policy.place(0, &flow) else {
 //!     panic!("there is room")
 //! };
@@ -65,7 +66,6 @@
 mod rotation;
 mod shedding;
 mod slow_start;
-mod traffic_classes;
 mod types;
 
 pub use config::PolicyConfig;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -16,7 +16,7 @@
 use crate::retry::RetryPolicy;
 use crate::rotation;
 use crate::slow_start::SlowStart;
-use crate::types::{Flow, ServerId, Time, TrafficClass};
+use crate::types::{Flow, ServerId, Time};
 
 /// Flows without priority are placed only on servers whose expected utilization is below this
 /// limit. The gap to [`OVERLOAD_UTILIZATION`] keeps newly placed clients from being migrated soon.
@@ -75,7 +75,6 @@
     pub(crate) flow: &'a Flow,
     /// The servers to consider; all listed servers if `None`.
     pub(crate) scope: Option<&'a [ServerId]>,
-    pub(crate) class: TrafficClass,
     pub(crate) zone: u64,
     pub(crate) balancers: f64,
     /// Utilization by which the flow may exceed the limits that apply to all flows.
@@ -121,11 +120,9 @@
     /// once per flow, because this is most of the cost of a placement.
     fn permitted(&self, servers: Vec<&'a Server>) -> Vec<Candidate<'a>> {
         let may_attempt = |server: &&Server| {
-            let idempotency = self.class.idempotency;
             self.retry.may_attempt(
                 self.view.now,
                 self.flow,
-                idempotency,
                 &server.endpoint,
                 self.view.endpoints,
             )
@@ -145,7 +142,7 @@
     /// flight. Guards against a server that does not answer and soon holds all the attempts that
     /// may be in flight.
     fn prefer_responsive(&self, permitted: Vec<Candidate<'a>>) -> Vec<Candidate<'a>> {
-        let objective = self.class.latency_objective;
+        let objective = self.flow.class.latency_objective;
         let overdue: BTreeSet<ServerId> = self
             .view
             .connections
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -23,10 +23,8 @@
 use crate::rotation;
 use crate::shedding::LoadShedding;
 use crate::slow_start::{self, SlowStart};
-use crate::traffic_classes::TrafficClasses;
 use crate::types::{
     Actions, Endpoint, Flow, FlowId, GroupPlacement, Placement, PolicyEvent, SEC, ServerId, Time,
-    TrafficClass,
 };
 
 /// Shortest time until a failed poll of the endpoint list is repeated; the longest is twice as
@@ -43,7 +41,6 @@
     rng: WyRand,
     zone: u64,
     balancers: f64,
-    classes: TrafficClasses,
     endpoints: Endpoints,
     connections: ConnectionTable,
     recent_connections: RecentConnections,
@@ -60,13 +57,12 @@
 impl Policy {
     /// Creates the policy of a balancer that does not know any servers yet. The same seed and the
     /// same calls lead to the same decisions.
-    pub fn new(seed: u64, zone: u64, classes: Vec<TrafficClass>, config: PolicyConfig) -> Self {
+    pub fn new(seed: u64, zone: u64, config: PolicyConfig) -> Self {
         let balancers = config.balancers.max(1.0);
         Policy {
             rng: WyRand::new_seed(seed),
             zone,
             balancers,
-            classes: TrafficClasses::new(classes),
             endpoints: Endpoints::new(&config.endpoints, seed),
             connections: ConnectionTable::default(),
             recent_connections: RecentConnections::default(),
@@ -81,8 +77,8 @@
         }
     }
 
-    /// Replaces the settings by those of `new`, which has to keep the indices of the traffic
-    /// classes and tenants that flows in progress refer to.
+    /// Replaces the settings by those of `new`, which has to keep the indices of the tenants that
+    /// flows in progress refer to. These flows keep the traffic class with which they were accepted.
     pub fn apply_settings(&mut self, new: Policy) {
         let old = mem::replace(self, new);
         self.rng = old.rng;
@@ -158,9 +154,7 @@
         if self.concurrency.is_reached(now, in_flight) {
             return self.queue_or_give_up(now, flow);
         }
-        let priority_utilization =
-            self.shedding
-                .priority_utilization(flow, &self.classes, &self.connections);
+        let priority_utilization = self.shedding.priority_utilization(flow, &self.connections);
         let utilization_max = priority_utilization + PLACEMENT_UTILIZATION_MAX;
         if self.queue.is_placement_futile(now, flow, utilization_max) {
             return self.queue_or_give_up(now, flow);
--- a/crates/policy/src/policy/placing.rs
+++ b/crates/policy/src/policy/placing.rs
@@ -58,7 +58,6 @@
             view: self.view(now),
             flow,
             scope,
-            class: self.classes.of(flow),
             zone: self.zone,
             balancers: self.balancers,
             priority_utilization,
@@ -90,7 +89,7 @@
         selection: &Selection,
     ) -> bool {
         let servers = &selection.needs_report;
-        let has_time = now < flow.accepted_at + self.classes.of(flow).latency_objective
+        let has_time = now < flow.accepted_at + flow.class.latency_objective
             && time_left > 2 * QUEUE_RECHECK_INTERVAL;
         if servers.is_empty() || self.queue.is_full(&self.concurrency) || !has_time {
             return false;
@@ -127,7 +126,7 @@
         Placement::Forward {
             server_id,
             timeout: time_left,
-            send_within: time_left.min(self.resend_time_left(now, flow)),
+            send_within: time_left.min(self.retry.resend_time_left(now, flow)),
         }
     }
 
@@ -138,7 +137,7 @@
         // Guards against a flow that is placed again only after its deadline.
         let recheck_interval = self.queue.recheck_interval(self.endpoints.scan_size());
         if self.retry.is_answer_due_within(now, flow, recheck_interval)
-            || waited >= self.classes.of(flow).latency_objective
+            || waited >= flow.class.latency_objective
             || self.queue.is_full(&self.concurrency)
         {
             return self.reject_or_fail(now, flow);
@@ -149,19 +148,8 @@
 
     /// Gives the flow up: rejects or fails it.
     pub(super) fn reject_or_fail(&mut self, now: Time, flow: &Flow) -> Placement {
-        let resend_time_left = self.resend_time_left(now, flow);
-        self.shedding.reject_or_fail(
-            flow,
-            self.classes.of(flow).idempotency,
-            resend_time_left,
-            &self.concurrency,
-            &mut self.rng,
-        )
-    }
-
-    /// Returns the time within which an attempt of this flow may still be sent.
-    fn resend_time_left(&self, now: Time, flow: &Flow) -> Time {
-        let idempotency = self.classes.of(flow).idempotency;
-        self.retry.resend_time_left(now, flow, idempotency)
+        let resend_time_left = self.retry.resend_time_left(now, flow);
+        self.shedding
+            .reject_or_fail(flow, resend_time_left, &self.concurrency, &mut self.rng)
     }
 }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -74,14 +74,13 @@
         &self,
         now: Time,
         flow: &Flow,
-        idempotency: Idempotency,
         endpoint: &Endpoint,
         endpoints: &Endpoints,
     ) -> bool {
         if endpoint.state != EndpointState::Ready {
             return false;
         }
-        match idempotency {
+        match flow.class.idempotency {
             Idempotency::Idempotent => true,
             Idempotency::NonIdempotent => !flow.may_have_executed(),
             Idempotency::Deduplicated { scope, .. } => {
@@ -92,8 +91,7 @@
                             scope.drops_repeats_between(&earlier.endpoint, endpoint)
                         })
                 };
-                self.resend_time_left(now, flow, idempotency) > 0
-                    && possibly_executed(flow).all(is_deduplicated)
+                self.resend_time_left(now, flow) > 0 && possibly_executed(flow).all(is_deduplicated)
             }
         }
     }
@@ -101,21 +99,16 @@
     /// Returns the time within which an attempt may still be sent, less the delay on the way to the
     /// server. Guards against a repeat that is placed in time but sent too late because its
     /// connection is established late.
-    pub(crate) fn resend_time_left(
-        &self,
-        now: Time,
-        flow: &Flow,
-        idempotency: Idempotency,
-    ) -> Time {
+    pub(crate) fn resend_time_left(&self, now: Time, flow: &Flow) -> Time {
         let delay = self.config.deadline_margin + SCHEDULING_DELAY_MAX;
-        latest_send_time(flow, idempotency).saturating_sub(now + delay)
+        latest_send_time(flow).saturating_sub(now + delay)
     }
 }
 
 /// Returns the latest time at which an attempt may be sent. For a deduplicated flow this is the
 /// time until which servers remember all attempts that may have been executed.
-fn latest_send_time(flow: &Flow, idempotency: Idempotency) -> Time {
-    let Idempotency::Deduplicated { window, .. } = idempotency else {
+fn latest_send_time(flow: &Flow) -> Time {
+    let Idempotency::Deduplicated { window, .. } = flow.class.idempotency else {
         return Time::MAX;
     };
     possibly_executed(flow)
--- a/crates/policy/src/shedding.rs
+++ b/crates/policy/src/shedding.rs
@@ -5,7 +5,6 @@
 
 use crate::concurrency::ConcurrencyLimit;
 use crate::connections::{ConnectionTable, LoadTotal};
-use crate::traffic_classes::TrafficClasses;
 use crate::types::{DeduplicationScope, Flow, Idempotency, Placement, SEC, Time};
 
 /// Utilization beyond the limits for all flows that only flows with priority may use.
@@ -50,13 +49,8 @@
     }
 
     /// Returns the utilization by which the flow may exceed the limits that apply to all flows.
-    pub(crate) fn priority_utilization(
-        &self,
-        flow: &Flow,
-        classes: &TrafficClasses,
-        connections: &ConnectionTable,
-    ) -> f64 {
-        if self.has_priority(flow, classes, connections) {
+    pub(crate) fn priority_utilization(&self, flow: &Flow, connections: &ConnectionTable) -> f64 {
+        if self.has_priority(flow, connections) {
             PRIORITY_UTILIZATION
         } else {
             0.0
@@ -65,25 +59,20 @@
 
     /// Whether the flow brings at least as much priority weight for its load as own connections do
     /// on average. If no loads are reported, every flow has priority.
-    fn has_priority(
-        &self,
-        flow: &Flow,
-        classes: &TrafficClasses,
-        connections: &ConnectionTable,
-    ) -> bool {
+    fn has_priority(&self, flow: &Flow, connections: &ConnectionTable) -> bool {
         let (mut load, mut weight) = (0.0, 0.0);
-        for (class, total) in &connections.loads {
+        for total in connections.loads.values() {
             load += total.sum;
-            weight += classes.get(*class).priority_weight * total.count;
+            weight += total.priority_weight * total.count;
         }
-        let own_class = connections.loads.get(&flow.class).copied();
-        let LoadTotal { count, sum } = own_class.unwrap_or_default();
+        let own_class = connections.loads.get(&flow.class.number).copied();
+        let LoadTotal { count, sum, .. } = own_class.unwrap_or_default();
         let kept_fraction = if self.is_over_quota(flow, connections) {
             self.config.surplus_weight
         } else {
             1.0
         };
-        let own_weight = classes.of(flow).priority_weight * kept_fraction;
+        let own_weight = flow.class.priority_weight * kept_fraction;
         // The ratios are compared by cross-multiplication: without reported loads both sides are 0.
         own_weight * count * load >= weight * sum
     }
@@ -106,13 +95,12 @@
     pub(crate) fn reject_or_fail(
         &self,
         flow: &Flow,
-        idempotency: Idempotency,
         resend_time_left: Time,
         concurrency: &ConcurrencyLimit,
         rng: &mut WyRand,
     ) -> Placement {
         let may_have_executed = flow.may_have_executed();
-        match idempotency {
+        match flow.class.idempotency {
             Idempotency::NonIdempotent if may_have_executed => return Placement::Fail,
             Idempotency::Deduplicated { scope, .. }
                 if may_have_executed && scope != DeduplicationScope::All =>
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -36,7 +36,7 @@
 }
 
 /// The effect of a repeated attempt of a flow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Idempotency {
     /// A repeat does no harm.
     Idempotent,
@@ -49,12 +49,17 @@
         window: Time,
     },
     /// A repeat takes effect again.
+    #[default]
     NonIdempotent,
 }
 
-/// The objective, priority and idempotency of the flows of one class.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// The objective, priority and idempotency of the flows of one class. The default is assumed for
+/// flows of an unknown class: no objective, no priority, and attempts that are not repeated.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TrafficClass {
+    /// The class's number, by which the loads of its connections are added up. A class keeps it
+    /// when settings change.
+    pub number: usize,
     /// Nanoseconds within which a flow should be connected.
     pub latency_objective: Time,
     /// Value of a flow relative to flows of other classes.
@@ -77,12 +82,13 @@
 }
 
 /// A flow that the caller holds and that has not been answered yet.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Flow {
     /// The flow's number.
     pub id: FlowId,
-    /// Index of its traffic class.
-    pub class: usize,
+    /// Its traffic class, by the settings under which the flow was accepted. Later settings don't
+    /// change it: an attempt that was made of a non-idempotent flow must never be repeated.
+    pub class: TrafficClass,
     /// Index of its tenant.
     pub tenant: usize,
     /// The flow's group: a server does the common work of a group once, however many of its flows
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -9,6 +9,7 @@
 /// Returns a traffic class with a latency objective of 100 ms.
 pub fn traffic_class(idempotency: Idempotency) -> TrafficClass {
     TrafficClass {
+        number: 0,
         latency_objective: 100 * MS,
         priority_weight: 1.0,
         idempotency,
@@ -61,15 +62,14 @@
     }
 }
 
-/// Returns the policy of a balancer in zone 0 with one traffic class and the settings of most test
-/// cases.
-pub fn balancer(idempotency: Idempotency) -> Policy {
-    balancer_with(idempotency, config())
+/// Returns the policy of a balancer in zone 0 with the settings of most test cases.
+pub fn balancer() -> Policy {
+    balancer_with(config())
 }
 
-/// Returns the policy of a balancer in zone 0 with one traffic class and these settings.
-pub fn balancer_with(idempotency: Idempotency, config: PolicyConfig) -> Policy {
-    Policy::new(7, 0, vec![traffic_class(idempotency)], config)
+/// Returns the policy of a balancer in zone 0 with these settings.
+pub fn balancer_with(config: PolicyConfig) -> Policy {
+    Policy::new(7, 0, config)
 }
 
 /// Returns a warm server of zone 0 that is ready.
@@ -85,10 +85,11 @@
     }
 }
 
-/// Returns a flow that is accepted now with a deadline in 2 s.
+/// Returns an idempotent flow that is accepted now with a deadline in 2 s.
 pub fn flow(now: Time, id: FlowId) -> Flow {
     Flow {
         id,
+        class: traffic_class(Idempotency::Idempotent),
         accepted_at: now,
         deadline: now + 2 * SEC,
         ..Flow::default()
@@ -159,12 +160,7 @@
             },
             ..PolicyConfig::default()
         };
-        let mut policy = Policy::new(
-            seed,
-            0,
-            vec![traffic_class(Idempotency::Idempotent)],
-            config,
-        );
+        let mut policy = Policy::new(seed, 0, config);
         policy.update_endpoints(T0, &(0..40).map(ready).collect::<Vec<_>>(), true);
         (0..2).for_each(|id| policy.adopt_connection(&flow(T0, id), (2 * seed + id) % 40));
         (0..40).for_each(|server_id| {
--- a/crates/policy/tests/concurrency.rs
+++ b/crates/policy/tests/concurrency.rs
@@ -19,7 +19,7 @@
             })
             .count()
     };
-    let mut policy = balancer(Idempotency::Idempotent);
+    let mut policy = balancer();
     policy.update_endpoints(T0, &(0..9).map(ready).collect::<Vec<_>>(), true);
     let before = place_until_limit(&mut policy, T0, 0);
     for id in 0..before as FlowId {
@@ -73,7 +73,7 @@
             balancers,
             ..config()
         };
-        let mut policy = balancer_with(Idempotency::Idempotent, config);
+        let mut policy = balancer_with(config);
         policy.update_endpoints(T0, &(0..9).map(ready).collect::<Vec<_>>(), true);
         let longest_retry_after = |policy: &mut Policy| {
             let late = |id| Flow {
@@ -131,7 +131,7 @@
 /// store only).
 #[test]
 fn few_flows_get_an_attempt_and_none_a_second_one_if_every_attempt_fails() {
-    let mut policy = balancer(Idempotency::Idempotent);
+    let mut policy = balancer();
     policy.update_endpoints(T0, &(0..9).map(ready).collect::<Vec<_>>(), true);
     let mut sent = 0;
     for id in 0..200 {
--- a/crates/policy/tests/fleet_slow_start.rs
+++ b/crates/policy/tests/fleet_slow_start.rs
@@ -15,7 +15,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
-use common::{ready, report_utilization, traffic_class};
+use common::{ready, report_utilization};
 use nettlemux_policy::*;
 
 const INITIAL_CAPACITY_FRACTION: f64 = 0.35;
@@ -107,12 +107,7 @@
             },
             ..common::config()
         };
-        let mut policy = Policy::new(
-            index,
-            0,
-            vec![traffic_class(Idempotency::Idempotent)],
-            config,
-        );
+        let mut policy = Policy::new(index, 0, config);
         policy.update_endpoints(T0, &(0..fleet.servers).map(ready).collect::<Vec<_>>(), true);
         let check_interval = CHECK_INTERVALS[usize::from(fleet.balancers > FEW_BALANCERS_MAX)];
         Balancer {
--- a/crates/policy/tests/gossip.rs
+++ b/crates/policy/tests/gossip.rs
@@ -22,7 +22,7 @@
             },
             ..config()
         };
-        let mut policy = balancer_with(Idempotency::Idempotent, config);
+        let mut policy = balancer_with(config);
         let endpoint = |server_id| Endpoint {
             zone: u64::from(server_id > 3),
             ..ready(server_id)
@@ -30,7 +30,7 @@
         policy.update_endpoints(T0, &(0..9).map(endpoint).collect::<Vec<_>>(), true);
         let group = Some("a".to_string());
         // The balancer that places the group announces it once.
-        let mut announcer = balancer_with(Idempotency::Idempotent, config_with_gossip(1.0));
+        let mut announcer = balancer_with(config_with_gossip(1.0));
         announcer.update_endpoints(T0, &[endpoint(7)], true);
         let mut messages = Vec::new();
         for id in 0..5 {
@@ -95,7 +95,7 @@
 fn gossip_messages_of_a_balancer_decrease_with_the_number_of_balancers() {
     // Balancers, highest number of messages in 10 s.
     for (balancers, most) in [(1.0, 100), (30.0, 12), (600.0, 2)] {
-        let mut policy = balancer_with(Idempotency::Idempotent, config_with_gossip(balancers));
+        let mut policy = balancer_with(config_with_gossip(balancers));
         policy.update_endpoints(T0, &[ready(0)], true);
         let mut messages = 0;
         for id in 0..100 {
--- a/crates/policy/tests/health_checks.rs
+++ b/crates/policy/tests/health_checks.rs
@@ -12,13 +12,10 @@
         is_polled: true,
         ..EndpointConfig::default()
     };
-    let mut policy = balancer_with(
-        Idempotency::Idempotent,
-        PolicyConfig {
-            endpoints: polled,
-            ..config()
-        },
-    );
+    let mut policy = balancer_with(PolicyConfig {
+        endpoints: polled,
+        ..config()
+    });
     assert!(
         policy
             .on_event(T0, PolicyEvent::TimerExpired)
@@ -54,7 +51,7 @@
         health_checks: HealthCheckConfig::default(),
         ..config()
     };
-    let mut unchecked = balancer_with(Idempotency::Idempotent, config);
+    let mut unchecked = balancer_with(config);
     unchecked.update_endpoints(T0, &[ready(0)], true);
     assert_eq!(
         (
@@ -82,7 +79,7 @@
             health_checks: health_check_config(cost),
             ..config()
         };
-        let mut policy = balancer_with(Idempotency::Idempotent, config);
+        let mut policy = balancer_with(config);
         policy.update_endpoints(T0, &(0..50).map(ready).collect::<Vec<_>>(), true);
         (0..own).for_each(|id| policy.adopt_connection(&flow(T0, id), id % 50));
         let (mut now, mut count) = (T0, 0);
@@ -114,7 +111,7 @@
         health_checks: health_check_config(0.002),
         ..config()
     };
-    let mut policy = balancer_with(Idempotency::Idempotent, config);
+    let mut policy = balancer_with(config);
     policy.update_endpoints(T0, &(0..5).map(ready).collect::<Vec<_>>(), true);
     let (mut now, mut count) = (T0, 0);
     while now < T0 + 8 * SEC {
@@ -144,7 +141,7 @@
             health_checks: health_check_config(0.0019),
             ..config()
         };
-        let mut policy = balancer_with(Idempotency::Idempotent, config);
+        let mut policy = balancer_with(config);
         policy.update_endpoints(T0, &(0..12).map(ready).collect::<Vec<_>>(), true);
         let (mut now, mut count) = (T0, 0);
         while now < T0 + 10 * SEC {
@@ -177,7 +174,7 @@
             health_checks: health_check_config(1.0),
             ..config_with_gossip(1.0)
         };
-        let mut policy = balancer_with(Idempotency::Idempotent, config);
+        let mut policy = balancer_with(config);
         policy.update_endpoints(T0, &(0..9).map(ready).collect::<Vec<_>>(), true);
         let mut now = T0 + 3 * SEC;
         assert_eq!(
--- a/crates/policy/tests/load_reports.rs
+++ b/crates/policy/tests/load_reports.rs
@@ -9,7 +9,7 @@
 /// stuck at a high utilization.
 #[test]
 fn reports_that_stay_identical_neither_exclude_servers_nor_migrate_clients() {
-    let mut policy = balancer(Idempotency::Idempotent);
+    let mut policy = balancer();
     policy.update_endpoints(T0, &[ready(0), ready(1)], true);
     (100..140).for_each(|id| policy.adopt_connection(&flow(T0, id), id % 2));
     let mut now = T0;
@@ -35,7 +35,7 @@
 /// when its last report shows a high utilization.
 #[test]
 fn report_expires_while_health_checks_keep_failing() {
-    let mut policy = balancer(Idempotency::Idempotent);
+    let mut policy = balancer();
     policy.update_endpoints(T0, &[ready(0)], true);
     report_utilization(&mut policy, T0, 0, 0.9);
     let mut is_placed = Vec::new();
--- a/crates/policy/tests/long_lists.rs
+++ b/crates/policy/tests/long_lists.rs
@@ -29,12 +29,7 @@
 }
 
 fn balancer_with(seed: u64, zone: u64, config: PolicyConfig) -> Policy {
-    Policy::new(
-        seed,
-        zone,
-        vec![traffic_class(Idempotency::Idempotent)],
-        config,
-    )
+    Policy::new(seed, zone, config)
 }
 
 /// Returns a list of ready servers in 31 zones.
--- a/crates/policy/tests/migration.rs
+++ b/crates/policy/tests/migration.rs
@@ -18,7 +18,7 @@
         // Half of the load, which the largest connection covers alone.
         (1.6, vec![1.0, 90.0, 1.0, 1.0], 0, 1),
     ] {
-        let mut policy = balancer(Idempotency::Idempotent);
+        let mut policy = balancer();
         policy.update_endpoints(T0, &(0..9).map(ready).collect::<Vec<_>>(), true);
         for server_id in 1..9 {
             report_utilization(&mut policy, T0, server_id, 0.2);
@@ -42,7 +42,7 @@
 /// of the load, a single connection must migrate at one report in five.
 #[test]
 fn single_connection_migrates_with_the_probability_of_the_excess_fraction() {
-    let mut policy = balancer(Idempotency::Idempotent);
+    let mut policy = balancer();
     policy.update_endpoints(T0, &[ready(0), ready(1), ready(2)], true);
     (1..3).for_each(|server_id| drop(report_utilization(&mut policy, T0, server_id, 0.1)));
     policy.adopt_connection(&flow(T0, 1), 0);
@@ -64,7 +64,7 @@
 /// i2f9edf).
 #[test]
 fn migrations_settle_for_two_seconds_and_no_flow_is_placed_if_all_servers_are_overloaded() {
-    let mut policy = balancer(Idempotency::Idempotent);
+    let mut policy = balancer();
     policy.update_endpoints(T0, &[ready(0), ready(1), ready(2)], true);
     for id in 0..100 {
         policy.adopt_connection(&flow(T0, id), 0);
@@ -100,7 +100,7 @@
 /// connections, at the first report after the connection was placed.
 #[test]
 fn connection_with_the_largest_estimate_migrates_first_if_no_loads_are_reported() {
-    let mut policy = balancer(Idempotency::Idempotent);
+    let mut policy = balancer();
     policy.update_endpoints(T0, &[ready(0), ready(1), ready(2)], true);
     (1..3).for_each(|server_id| drop(report_utilization(&mut policy, T0, server_id, 0.0)));
     let report = |utilization, count| LoadReport {
@@ -150,7 +150,7 @@
             },
             ..config()
         };
-        let mut policy = balancer_with(Idempotency::Idempotent, config);
+        let mut policy = balancer_with(config);
         policy.update_endpoints(0, &[ready(1), ready(2)], true);
         policy.adopt_connection(&flow(0, 1), 1);
         policy.adopt_connection(&flow(0, 2), 1);
@@ -195,7 +195,7 @@
         },
         ..config()
     };
-    let mut policy = balancer_with(Idempotency::Idempotent, config);
+    let mut policy = balancer_with(config);
     policy.update_endpoints(0, &[ready(1), ready(2)], true);
     (1..4).for_each(|id| policy.adopt_connection(&flow(0, id), 1));
     policy.update_endpoints(SEC, &[drains(1)], false);
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -12,7 +12,7 @@
         ("overloaded", 0.95),
         ("full for a group it doesn't hold", 0.7),
     ] {
-        let mut policy = balancer(Idempotency::Idempotent);
+        let mut policy = balancer();
         policy.update_endpoints(T0, &[ready(0), ready(1)], true);
         (100..120).for_each(|id| policy.adopt_connection(&flow(T0, id), id % 2));
         report_utilization(&mut policy, T0, 0, utilization);
@@ -21,7 +21,7 @@
             assert_eq!(place_one(&mut policy, T0, id), 1, "{case}");
         }
     }
-    let mut policy = balancer(Idempotency::Idempotent);
+    let mut policy = balancer();
     policy.update_endpoints(T0, &[ready(0), ready(1)], true);
     for _ in 0..2 {
         policy.on_event(
@@ -40,7 +40,7 @@
 /// work of the group (incident i51578f).
 #[test]
 fn flows_go_to_a_holder_of_their_group_even_if_it_is_full_for_new_groups() {
-    let mut policy = balancer(Idempotency::Idempotent);
+    let mut policy = balancer();
     policy.update_endpoints(T0, &(0..6).map(ready).collect::<Vec<_>>(), true);
     (0..6).for_each(|server_id| drop(report_utilization(&mut policy, T0, server_id, 0.66)));
     (100..160).for_each(|id| policy.adopt_connection(&flow(T0, id), id % 6));
@@ -80,7 +80,7 @@
 #[test]
 fn draining_removed_and_unlisted_servers_get_no_flows() {
     for state in [EndpointState::Draining, EndpointState::Removed] {
-        let mut policy = balancer(Idempotency::Idempotent);
+        let mut policy = balancer();
         policy.update_endpoints(T0, &[ready(0), ready(1)], true);
         policy.update_endpoints(T0, &[Endpoint { state, ..ready(0) }], false);
         (0..4).for_each(|id| assert_eq!(place_one(&mut policy, T0, id), 1));
@@ -119,12 +119,7 @@
             health_checks: health_check_config(0.0),
             ..PolicyConfig::default()
         };
-        let mut policy = Policy::new(
-            seed,
-            0,
-            vec![traffic_class(Idempotency::Idempotent)],
-            config,
-        );
+        let mut policy = Policy::new(seed, 0, config);
         policy.update_endpoints(T0, &(0..20).map(ready).collect::<Vec<_>>(), true);
         if let Some(server_id) = holder {
             policy.adopt_connection(&of_group(group, 1), server_id);
@@ -162,7 +157,7 @@
             balancers: 2.0,
             ..config()
         };
-        let mut policy = balancer_with(Idempotency::Idempotent, config);
+        let mut policy = balancer_with(config);
         policy.update_endpoints(T0, &(0..5).map(ready).collect::<Vec<_>>(), true);
         (100..100 + own).for_each(|id| policy.adopt_connection(&flow(T0, id), id % 5));
         (0..5).for_each(|server_id| drop(report_utilization(&mut policy, T0, server_id, 0.45)));
@@ -202,7 +197,7 @@
 /// in flight would wait for it.
 #[test]
 fn server_with_an_overdue_attempt_gets_no_further_flows() {
-    let mut policy = balancer(Idempotency::Idempotent);
+    let mut policy = balancer();
     policy.update_endpoints(T0, &[ready(0), ready(1)], true);
     let silent = place_one(&mut policy, T0, 0);
     for id in 1..20 {
--- a/crates/policy/tests/policy.rs
+++ b/crates/policy/tests/policy.rs
@@ -9,7 +9,7 @@
 /// and after events of flows and servers that it doesn't know.
 #[test]
 fn flows_are_placed_after_implausible_loads_and_events_of_unknown_flows() {
-    let mut policy = balancer(Idempotency::NonIdempotent);
+    let mut policy = balancer();
     policy.update_endpoints(
         T0,
         &[
@@ -26,7 +26,11 @@
         report_utilization(&mut policy, T0, 0, value);
         report_utilization(&mut policy, T0, 42, value);
         policy.update_connection_load(42, value);
-        policy.adopt_connection(&flow(T0, 7), 0);
+        let held = Flow {
+            class: traffic_class(Idempotency::NonIdempotent),
+            ..flow(T0, 7)
+        };
+        policy.adopt_connection(&held, 0);
         policy.update_connection_load(7, value);
     }
     for end in [
@@ -71,7 +75,10 @@
             .is_empty()
     );
     let unknown = Flow {
-        class: 99,
+        class: TrafficClass {
+            number: 99,
+            ..TrafficClass::default()
+        },
         ..flow(T0, 5)
     };
     assert!(matches!(
@@ -97,7 +104,7 @@
             },
             ..config()
         };
-        balancer_with(Idempotency::Idempotent, config)
+        balancer_with(config)
     };
     let mut policy = with_gossip(false);
     policy.update_endpoints(
@@ -185,7 +192,7 @@
         health_checks: health_check_config(0.002),
         ..config()
     };
-    let mut policy = balancer_with(Idempotency::Idempotent, config);
+    let mut policy = balancer_with(config);
     let list = |from: ServerId, state| -> Vec<Endpoint> {
         let endpoint = |server_id| Endpoint {
             state,
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -24,7 +24,7 @@
             false,
         ),
     ] {
-        let mut policy = balancer(Idempotency::Idempotent);
+        let mut policy = balancer();
         policy.update_endpoints(T0, &[ready(0), ready(1)], true);
         let new_flow = Flow {
             deadline: T0 + left,
@@ -81,7 +81,7 @@
             retry: five_attempts,
             ..config()
         };
-        let mut policy = balancer_with(idempotency, config);
+        let mut policy = balancer_with(config);
         policy.update_endpoints(T0, &[ready(0), ready(1)], true);
         let earlier_attempt = |(known_unexecuted, age)| Attempt {
             sent_at: T0 - age * MS,
@@ -89,6 +89,7 @@
         };
         let attempts: Vec<Attempt> = earlier.iter().copied().map(earlier_attempt).collect();
         let new_flow = Flow {
+            class: traffic_class(idempotency),
             attempts,
             accepted_at: T0 - SEC,
             deadline: T0 + 2 * SEC,
@@ -198,13 +199,14 @@
             "forward",
         ),
     ] {
-        let mut policy = balancer(idempotency);
+        let mut policy = balancer();
         policy.update_endpoints(T0, &list, true);
         let earlier = Attempt {
             sent_at: T0 - age,
             ..ended_attempt(0, known_unexecuted)
         };
         let new_flow = Flow {
+            class: traffic_class(idempotency),
             attempts: vec![earlier],
             accepted_at: T0 - SEC,
             ..flow(T0, 1)
--- a/crates/policy/tests/rotation.rs
+++ b/crates/policy/tests/rotation.rs
@@ -18,7 +18,7 @@
             vec![2, 2, 2, 2],
         ),
     ] {
-        let mut policy = balancer(Idempotency::Idempotent);
+        let mut policy = balancer();
         let list: Vec<Endpoint> = weights
             .iter()
             .enumerate()
@@ -62,12 +62,7 @@
                 },
                 ..PolicyConfig::default()
             };
-            let mut policy = Policy::new(
-                seed,
-                0,
-                vec![traffic_class(Idempotency::Idempotent)],
-                config,
-            );
+            let mut policy = Policy::new(seed, 0, config);
             policy.update_endpoints(T0, &[ready(0), ready(1), ready(2)], true);
             place_one(&mut policy, T0, 0)
         })
--- a/crates/policy/tests/shedding.rs
+++ b/crates/policy/tests/shedding.rs
@@ -20,16 +20,18 @@
         (3 * SEC, false),
         (9 * SEC, false),
     ] {
-        let mut policy = balancer(Idempotency::Deduplicated {
+        let mut policy = balancer();
+        let deduplicated = Idempotency::Deduplicated {
             scope: DeduplicationScope::All,
             window,
-        });
+        };
         let earlier = Attempt {
             sent_at: T0 - age,
             ..ended_attempt(0, false)
         };
         // The flow is not queued, as its latency objective has passed.
         let new_flow = Flow {
+            class: traffic_class(deduplicated),
             attempts: vec![earlier],
             accepted_at: T0 - 10 * SEC,
             ..flow(T0, 1)
@@ -55,7 +57,7 @@
 fn flow_is_queued_only_if_it_can_be_placed_again_before_its_deadline() {
     // Time until the deadline, whether the flow is queued.
     for (left, waits) in [(90 * MS, true), (70 * MS, true), (60 * MS, false)] {
-        let mut policy = balancer(Idempotency::Idempotent);
+        let mut policy = balancer();
         let placement = policy.place(
             T0,
             &Flow {
@@ -84,7 +86,8 @@
     // three quarters of the connections with a quota of one half.
     // Class and tenant of the flow, whether it is forwarded.
     for (class, tenant, is_forwarded) in [(0, 1, false), (1, 1, true), (1, 0, false)] {
-        let classes = [1.0, 5.0].map(|priority_weight| TrafficClass {
+        let classes = [(0, 1.0), (1, 5.0)].map(|(number, priority_weight)| TrafficClass {
+            number,
             priority_weight,
             ..traffic_class(Idempotency::Idempotent)
         });
@@ -98,11 +101,11 @@
             health_checks: health_check_config(0.0),
             ..PolicyConfig::default()
         };
-        let mut policy = Policy::new(7, 0, classes.to_vec(), config);
+        let mut policy = Policy::new(7, 0, config);
         policy.update_endpoints(T0, &[ready(0), ready(1)], true);
         for id in 0..40 {
             let held = Flow {
-                class: id as usize % 2,
+                class: classes[id as usize % 2],
                 tenant: usize::from(id >= 30),
                 ..flow(T0, 1000 + id)
             };
@@ -111,7 +114,7 @@
         }
         (0..2).for_each(|server_id| drop(report_utilization(&mut policy, T0, server_id, 0.57)));
         let new_flow = Flow {
-            class,
+            class: classes[class],
             tenant,
             accepted_at: T0 - SEC,
             ..flow(T0, 1)
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -67,7 +67,7 @@
 #[test]
 fn warming_server_gets_its_share_of_the_ramp_rate_only() {
     for (storm, restart) in [(false, false), (true, false), (false, true)] {
-        let mut policy = balancer(Idempotency::Idempotent);
+        let mut policy = balancer();
         policy.update_endpoints(T0, &[ready(0), ready(1), ready(2)], true);
         let mut now = T0;
         let mut id = 0;
--- a/crates/settings/src/platform/policy.rs
+++ b/crates/settings/src/platform/policy.rs
@@ -43,7 +43,8 @@
         drain_migration: DrainMigration,
     ) -> Result<Policy, SettingsError> {
         let slow_start = self.slow_start()?;
-        let (zone, classes) = (self.zone()?, self.traffic_classes()?);
+        // Flows bring their traffic class along; the classes are read here for their errors.
+        let (zone, _) = (self.zone()?, self.traffic_classes()?);
         let config = PolicyConfig {
             retry: RetryConfig {
                 attempts_max: self.attempts_max()?,
@@ -73,7 +74,7 @@
             },
             slow_start,
         };
-        Ok(Policy::new(seed, zone, classes, config))
+        Ok(Policy::new(seed, zone, config))
     }
 
     /// If the settings have no load multiple at which starting servers fail, slow start is
--- a/crates/settings/src/platform/traffic_class.rs
+++ b/crates/settings/src/platform/traffic_class.rs
@@ -15,7 +15,10 @@
     pub fn traffic_classes(&self) -> Result<Vec<TrafficClass>, SettingsError> {
         let classes = self.required(keys::TRAFFIC_CLASSES, |value| value.as_array().cloned())?;
         let classes = classes.into_iter().map(|value| Settings { value });
-        classes.map(|class| class.traffic_class()).collect()
+        classes
+            .enumerate()
+            .map(|(number, class)| class.traffic_class(number))
+            .collect()
     }
 
     /// Returns how long clients of each traffic class wait for an answer, in nanoseconds; `None` if
@@ -56,12 +59,14 @@
             .collect()
     }
 
-    /// Returns the traffic class that these settings, one entry of the list, describe.
-    fn traffic_class(&self) -> Result<TrafficClass, SettingsError> {
+    /// Returns the traffic class with this number that these settings, one entry of the list,
+    /// describe.
+    fn traffic_class(&self, number: usize) -> Result<TrafficClass, SettingsError> {
         let idempotency = self.idempotency()?;
         // Without a latency objective, any answer within the timeout meets it.
         let timeout = self.time_or(keys::FLOW_TIMEOUT, values::TIME_MAX)?;
         Ok(TrafficClass {
+            number,
             latency_objective: self.time_or(keys::LATENCY_OBJECTIVE, timeout)?,
             priority_weight: self.number_or(keys::PRIORITY_WEIGHT, 1.0)?,
             idempotency,
--- a/crates/settings/tests/extreme_figures.rs
+++ b/crates/settings/tests/extreme_figures.rs
@@ -9,6 +9,7 @@
 use draws::SeededRandom;
 use nettlemux_policy::{
     AttemptEnd, Endpoint, EndpointState, Flow, MS, Placement, Policy, PolicyEvent, SEC, Time,
+    TrafficClass,
 };
 use nettlemux_settings::{DrainMigration, LoadReportFormat, Settings};
 use serde_json::{Value, json};
@@ -97,16 +98,18 @@
         Ok(policy) => policy,
         Err(error) => return assert!(error.to_string().starts_with("field '"), "{error}"),
     };
+    let classes = parsed.traffic_classes().unwrap();
     let mut now = 100 * SEC;
     policy.update_endpoints(now, &endpoint_list(&mut draws), true);
     for id in 0..STEPS_PER_RUN {
         now += draws.below(400) * MS;
-        step(&mut policy, &mut draws, now, id);
+        let class = classes.first().copied().unwrap_or_default();
+        step(&mut policy, &mut draws, now, id, class);
     }
 }
 
 /// One load report, one flow with its attempt, and one timer event.
-fn step(policy: &mut Policy, draws: &mut SeededRandom, now: Time, id: u64) {
+fn step(policy: &mut Policy, draws: &mut SeededRandom, now: Time, id: u64, class: TrafficClass) {
     let report = format!(
         "busy={},rif={}",
         draws.choose(&NUMBERS),
@@ -121,6 +124,7 @@
     policy.on_event(now, health_checked);
     let flow = Flow {
         id,
+        class,
         accepted_at: now,
         deadline: now + SEC,
         ..Flow::default()
--- a/crates/testbed/src/baselines.rs
+++ b/crates/testbed/src/baselines.rs
@@ -10,7 +10,7 @@
 use nettlemux_flow_table::LoadBalancingPolicy;
 use nettlemux_policy::{
     Actions, DeduplicationScope, Endpoint, EndpointState, Flow, FlowId, Idempotency, MS, Placement,
-    Policy, PolicyEvent, ServerId, Time, TrafficClass,
+    Policy, PolicyEvent, ServerId, Time,
 };
 use nettlemux_settings::{DrainMigration, Settings};
 
@@ -94,7 +94,6 @@
 struct Baseline {
     kind: PolicyKind,
     rng: Rng,
-    traffic_classes: Vec<TrafficClass>,
     attempts_max: usize,
     servers: BTreeMap<ServerId, Endpoint>,
     /// The number of this balancer's connections and attempts at each server.
@@ -108,9 +107,6 @@
         Baseline {
             kind,
             rng: Rng::new(seed, 9),
-            traffic_classes: settings
-                .traffic_classes()
-                .expect("the testbed makes valid settings"),
             attempts_max: settings.attempts_max().unwrap_or(1),
             servers: BTreeMap::new(),
             connection_counts: BTreeMap::new(),
@@ -126,7 +122,7 @@
             .attempts
             .iter()
             .filter(|attempt| !attempt.known_unexecuted);
-        match self.traffic_classes[flow.class].idempotency {
+        match flow.class.idempotency {
             Idempotency::Idempotent => true,
             Idempotency::NonIdempotent => ran.next().is_none(),
             Idempotency::Deduplicated { scope, window } => ran.all(|attempt| {
@@ -150,7 +146,7 @@
             .attempts
             .iter()
             .any(|attempt| !attempt.known_unexecuted);
-        match self.traffic_classes[flow.class].idempotency {
+        match flow.class.idempotency {
             Idempotency::NonIdempotent if ran => Placement::Fail,
             Idempotency::Deduplicated { scope, .. } if ran && scope != DeduplicationScope::All => {
                 Placement::Fail
--- a/crates/testbed/src/mutants.rs
+++ b/crates/testbed/src/mutants.rs
@@ -5,7 +5,8 @@
 
 use nettlemux_flow_table::LoadBalancingPolicy;
 use nettlemux_policy::{
-    Actions, Endpoint, EndpointState, Flow, FlowId, Placement, PolicyEvent, ServerId, Time,
+    Actions, Endpoint, EndpointState, Flow, FlowId, Idempotency, Placement, PolicyEvent, ServerId,
+    Time,
 };
 use nettlemux_settings::Settings;
 use serde_json::Value;
@@ -87,24 +88,14 @@
             Box::new(crate::baselines::balancer_policy(&settings, seed))
         };
         match self {
-            Mutant::SendsToDraining | Mutant::FloodsCold | Mutant::RejectsWhatMayHaveRun => {
-                Box::new(MutantPolicy {
-                    inner: correct(settings),
-                    mutant: self,
-                    last_started: None,
-                })
-            }
-            Mutant::RepeatsNonIdempotent => {
-                let mut settings = settings.clone();
-                for traffic_class in settings["service-types"]
-                    .as_array_mut()
-                    .into_iter()
-                    .flatten()
-                {
-                    traffic_class["repeat"] = "free".into();
-                }
-                correct(&settings)
-            }
+            Mutant::SendsToDraining
+            | Mutant::FloodsCold
+            | Mutant::RepeatsNonIdempotent
+            | Mutant::RejectsWhatMayHaveRun => Box::new(MutantPolicy {
+                inner: correct(settings),
+                mutant: self,
+                last_started: None,
+            }),
             _ => correct(settings),
         }
     }
@@ -119,6 +110,15 @@
 }
 
 impl MutantPolicy {
+    /// Returns the flow as the mutant takes it.
+    fn alter_flow(&self, flow: &Flow) -> Flow {
+        let mut flow = flow.clone();
+        if self.mutant == Mutant::RepeatsNonIdempotent {
+            flow.class.idempotency = Idempotency::Idempotent;
+        }
+        flow
+    }
+
     fn alter_placement(&self, placement: Placement, flow: &Flow) -> Placement {
         match (placement, self.mutant, self.last_started) {
             (
@@ -144,22 +144,29 @@
 
 impl LoadBalancingPolicy for MutantPolicy {
     fn place(&mut self, now: Time, flow: &Flow) -> Placement {
-        let placement = self.inner.place(now, flow);
+        let placement = self.inner.place(now, &self.alter_flow(flow));
         self.alter_placement(placement, flow)
     }
 
     fn on_event(&mut self, now: Time, event: PolicyEvent) -> Actions {
-        let mut actions = self.inner.on_event(now, event);
-        if let (
-            Some(placement),
-            PolicyEvent::AttemptEnded {
-                unanswered: Some(flow),
-                ..
-            },
-        ) = (actions.placement, event)
-        {
-            actions.placement = Some(self.alter_placement(placement, flow));
-        }
+        let PolicyEvent::AttemptEnded {
+            flow,
+            server_id,
+            end,
+            unanswered: Some(unanswered),
+        } = event
+        else {
+            return self.inner.on_event(now, event);
+        };
+        let altered = PolicyEvent::AttemptEnded {
+            flow,
+            server_id,
+            end,
+            unanswered: Some(&self.alter_flow(unanswered)),
+        };
+        let mut actions = self.inner.on_event(now, altered);
+        let placement = actions.placement;
+        actions.placement = placement.map(|placement| self.alter_placement(placement, unanswered));
         actions
     }
 
--- a/crates/testbed/src/scale/decisions.rs
+++ b/crates/testbed/src/scale/decisions.rs
@@ -13,7 +13,7 @@
 use nettlemux_flow_table::{AdmissionAttributes, FlowTable, LoadBalancingPolicy, PolicyCommand};
 use nettlemux_policy::{
     Actions, Endpoint, EndpointState, Flow, FlowId, GroupPlacement, LoadReport, MS, Placement,
-    Policy, PolicyEvent, SEC, ServerId, Time,
+    Policy, PolicyEvent, SEC, ServerId, Time, TrafficClass,
 };
 use nettlemux_settings::{DrainMigration, Settings};
 
@@ -194,6 +194,8 @@
     events: BTreeMap<(Time, u64), Event>,
     next_event: u64,
     next_flow: FlowId,
+    /// The traffic class of all flows.
+    class: TrafficClass,
     groups: u64,
     servers: u64,
     /// The server that has been listed longest. The listed servers are the `servers` ids from this
@@ -213,6 +215,7 @@
         };
         let settings = Settings::from_embedded(&settings(varying))?;
         let policy = settings.policy(seed, ANSWER_MARGIN, DrainMigration::Enabled)?;
+        let class = settings.traffic_classes()?[0];
         let calls = Rc::new(RefCell::new(Calls::new()));
         Ok(Driver {
             flow_table: FlowTable::new(MeasuredPolicy {
@@ -226,6 +229,7 @@
             events: BTreeMap::new(),
             next_event: 0,
             next_flow: 1,
+            class,
             groups: counts.groups,
             servers: counts.servers,
             first_server: 0,
@@ -274,6 +278,7 @@
         let group = Some(format!("g{}", self.rng.index_below(self.groups as usize)));
         Flow {
             id,
+            class: self.class,
             group,
             accepted_at,
             deadline: accepted_at + DEADLINE_MS * MS,
--- a/crates/testbed/src/simulate/clients.rs
+++ b/crates/testbed/src/simulate/clients.rs
@@ -104,7 +104,7 @@
             .expect("clients with a new flow are known");
         Flow {
             id,
-            class: known.class,
+            class: self.traffic_classes[known.class],
             tenant: known.tenant,
             group: known.group.map(|group| format!("g{group}")),
             reconnecting: known.reconnecting,
--- a/crates/testbed/src/simulate/simulation.rs
+++ b/crates/testbed/src/simulate/simulation.rs
@@ -10,7 +10,8 @@
 use nettlemux_fleet_model::rng::Rng;
 use nettlemux_fleet_model::scenario::Scenario;
 use nettlemux_fleet_model::time::seconds;
-use nettlemux_policy::{FlowId, MS, Time};
+use nettlemux_policy::{FlowId, MS, Time, TrafficClass};
+use nettlemux_settings::Settings;
 use serde_json::Value;
 
 use super::balancer::{Balancer, Incarnation};
@@ -41,6 +42,8 @@
     pub(super) next_flow: FlowId,
     /// The balancers' settings by zone.
     pub(super) settings: Vec<Value>,
+    /// The traffic classes of these settings, by number.
+    pub(super) traffic_classes: Vec<TrafficClass>,
     pub(super) policy: PolicyChoice,
     pub(super) seed: u64,
     pub(super) rng: Rng,
@@ -64,6 +67,9 @@
         let zones = scenario.zones.number;
         // Balancers act on updates that took this long to arrive; the rule checker allows for it.
         let tolerance = seconds(scenario.zones.between.max(scenario.zones.inside)) + MS;
+        let settings: Vec<Value> = (0..zones)
+            .map(|zone| file::settings(&scenario, zone))
+            .collect();
         Simulation {
             now: 0,
             end: scenario.end(),
@@ -76,9 +82,8 @@
             flows: BTreeMap::new(),
             flow_of_client: BTreeMap::new(),
             next_flow: 1,
-            settings: (0..zones)
-                .map(|zone| file::settings(&scenario, zone))
-                .collect(),
+            traffic_classes: traffic_classes(&settings[0]),
+            settings,
             policy,
             seed,
             rng: Rng::new(seed, RNG_STREAM),
@@ -226,3 +231,10 @@
         }
     }
 }
+
+/// Returns the traffic classes of a balancer's settings, by number.
+fn traffic_classes(settings: &Value) -> Vec<TrafficClass> {
+    Settings::from_embedded(settings)
+        .and_then(|settings| settings.traffic_classes())
+        .expect("the testbed makes valid settings")
+}
--- a/examples/toy/agent.rs
+++ b/examples/toy/agent.rs
@@ -17,6 +17,8 @@
     /// The version of the list in which this entry was last changed.
     version: u64,
     address: SocketAddr,
+    /// Servers of the same cell drop each other's repeats.
+    cell: u64,
     /// `Ready`, `Terminating` or `Gone`.
     lifecycle: String,
     /// The server's start time as Unix time in milliseconds; 0 stands for long ago.
@@ -27,12 +29,13 @@
     fn to_json(&self, id: &str) -> String {
         let ListEntry {
             address,
+            cell,
             lifecycle,
             started_ms,
             ..
         } = self;
         format!(
-            r#"{{"instanceId":"{id}","hostPort":"{address}","zone":"a","machineType":"m","cell":0,"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":{started_ms}}}"#
+            r#"{{"instanceId":"{id}","hostPort":"{address}","zone":"a","machineType":"m","cell":{cell},"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":{started_ms}}}"#
         )
     }
 }
@@ -158,14 +161,31 @@
 
     /// Lists a server with this lifecycle state and this start time, as Unix time in milliseconds.
     pub fn publish_started(&self, id: &str, address: SocketAddr, lifecycle: &str, started_ms: u64) {
-        let mut list = self.list.lock().unwrap();
-        list.version += 1;
-        let entry = ListEntry {
-            version: list.version,
+        self.insert(id, |version| ListEntry {
+            version,
             address,
+            cell: 0,
             lifecycle: lifecycle.into(),
             started_ms,
-        };
+        });
+    }
+
+    /// Lists a server of this cell with this lifecycle state, as a server that started long ago.
+    pub fn publish_in_cell(&self, id: &str, address: SocketAddr, lifecycle: &str, cell: u64) {
+        self.insert(id, |version| ListEntry {
+            version,
+            address,
+            cell,
+            lifecycle: lifecycle.into(),
+            started_ms: 0,
+        });
+    }
+
+    /// Replaces a server's entry by the one that `entry` returns for the list's new version.
+    fn insert(&self, id: &str, entry: impl FnOnce(u64) -> ListEntry) {
+        let mut list = self.list.lock().unwrap();
+        list.version += 1;
+        let entry = entry(list.version);
         list.entries.insert(id.into(), entry);
         self.changed.notify_all();
     }
