Admit a flow by the settings in force when its line is read

What callers saw: an OPEN that follows a PING on the same connection was checked against the settings in force at the connection's first line, up to 2.5 s old.

Cause: the acceptor took the settings once for each connection and passed them to the loop over its lines.

Why it works: the settings are read for each line that asks for a connection. Their lock and its rule on client keys stand in a type of their own, SharedFirstLineSettings.

request_after_a_ping_is_accepted_under_the_settings_in_force failed on the text before (ERR) and passes now.

--- a/crates/balancer/tests/reload.rs
+++ b/crates/balancer/tests/reload.rs
@@ -377,3 +377,19 @@
     balancer.agent.publish("s-0", server.address, "Ready");
     assert_eq!(waiting.read_line(), "UP 1");
 }
+
+/// Guards against a request that is accepted under replaced settings because its connection was
+/// open, with another line answered on it, before the new ones came.
+#[test]
+fn request_after_a_ping_is_accepted_under_the_settings_in_force() {
+    let balancer = TestBalancer::new(1);
+    let mut earlier = Client::connect_and_send(balancer.address, b"PING\r\n");
+    assert_eq!(earlier.read_line(), "PONG");
+    let changes = [("service-types/1", service_type("late", "free", "all", 0))];
+    balancer.reload(&with_settings(&balancer.config_text, &changes));
+    wait_for("the new settings", || {
+        balancer.client("c=late,d=900").next_line_is("UP 1")
+    });
+    earlier.send("OPEN 7c01 7f3a c=late,d=900\r\n");
+    assert_eq!(earlier.read_line(), "UP 1");
+}
--- a/crates/line-protocol/src/acceptor.rs
+++ b/crates/line-protocol/src/acceptor.rs
@@ -4,7 +4,7 @@
 
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use may::io::{CoIo, WaitIo};
@@ -24,7 +24,7 @@
 use crate::accepted::AcceptedConnection;
 use crate::admit::admit;
 use crate::pending::PendingConnections;
-use crate::settings::FirstLineSettings;
+use crate::settings::{FirstLineSettings, SharedFirstLineSettings};
 
 /// Number of clients that may wait to be accepted. All clients of a balancer that failed may connect
 /// at once, and a client that finds the queue full retries only after a second.
@@ -60,7 +60,7 @@
 /// The state that all connections of this frontend share.
 pub struct Acceptor {
     dataplane: Arc<Dataplane>,
-    settings: Mutex<Arc<FirstLineSettings>>,
+    settings: SharedFirstLineSettings,
     pending_connections: Arc<PendingConnections>,
 }
 
@@ -69,19 +69,14 @@
     pub fn new(dataplane: Arc<Dataplane>, settings: FirstLineSettings) -> Arc<Self> {
         Arc::new(Acceptor {
             dataplane,
-            settings: Mutex::new(Arc::new(settings)),
+            settings: SharedFirstLineSettings::new(settings),
             pending_connections: Arc::default(),
         })
     }
 
     /// Replaces the settings for first lines. The client keys of admission control are kept.
     pub fn replace_settings(&self, settings: FirstLineSettings) {
-        let mut current = self.lock_settings();
-        *current = Arc::new(settings.with_client_keys(current.client_keys));
-    }
-
-    fn lock_settings(&self) -> MutexGuard<'_, Arc<FirstLineSettings>> {
-        self.settings.lock().unwrap_or_else(PoisonError::into_inner)
+        self.settings.replace(settings);
     }
 
     /// Serves one client's connection until it ends.
@@ -89,8 +84,7 @@
         let Some(accepted) = self.read_first_line(stream, permit) else {
             return;
         };
-        let settings = self.lock_settings().clone();
-        if let Some(admitted) = admit(&self.dataplane, &settings, accepted) {
+        if let Some(admitted) = admit(&self.dataplane, &self.settings, accepted) {
             pipeline::serve(&self.dataplane, admitted);
         }
     }
--- a/crates/line-protocol/src/admit.rs
+++ b/crates/line-protocol/src/admit.rs
@@ -13,7 +13,7 @@
 
 use crate::accepted::AcceptedConnection;
 use crate::first_line::{self, ConnectRequest, MalformedLine, Request};
-use crate::settings::{FirstLineSettings, TrafficClassSettings};
+use crate::settings::{FirstLineSettings, SharedFirstLineSettings, TrafficClassSettings};
 
 /// How long a connection that was open before the balancer started waits for its server. Such a
 /// connection is lost 40 s after the start.
@@ -57,16 +57,18 @@
 }
 
 /// Answers a client's lines until one asks for a connection to a server, and admits this flow.
-/// `None` if the client's connection ends, or is refused or rejected, before a flow is admitted.
+/// `None` if the client's connection ends, or is refused or rejected, before a flow is admitted. A
+/// flow is admitted by the settings that are in force when its line has been read: the connection
+/// may be older, if other lines came first.
 pub fn admit(
     dataplane: &Dataplane,
-    settings: &FirstLineSettings,
+    settings: &SharedFirstLineSettings,
     mut accepted: AcceptedConnection,
 ) -> Option<AdmittedFlow> {
     for _ in 0..LINES_MAX {
         let answer = match parse_request(&accepted) {
             Ok(Request::Connect(request)) => {
-                return match new_flow(dataplane, settings, &accepted, &request) {
+                return match new_flow(dataplane, &settings.current(), &accepted, &request) {
                     Ok(new_flow) => admit_flow(dataplane, accepted, new_flow),
                     Err(error) => refuse(accepted, error),
                 };
--- a/crates/line-protocol/src/settings.rs
+++ b/crates/line-protocol/src/settings.rs
@@ -1,6 +1,8 @@
 //! The settings for first lines: the traffic classes and tenants that a first line may name, and how
 //! admission control identifies clients. It must never decide whether a client is served.
 
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
 use nettlemux_flow_table::AdmissionAttributes;
 use nettlemux_policy::{MS, SEC, Time, TrafficClass};
 use nettlemux_settings::operator::AdmissionKey;
@@ -131,3 +133,32 @@
         nettlemux_admission::hash_key(seed, name.as_bytes())
     }
 }
+
+/// The settings for first lines that are in force, which are replaced as a whole.
+pub struct SharedFirstLineSettings {
+    current: Mutex<Arc<FirstLineSettings>>,
+}
+
+impl SharedFirstLineSettings {
+    /// Returns shared settings with the given initial value.
+    pub fn new(settings: FirstLineSettings) -> Self {
+        SharedFirstLineSettings {
+            current: Mutex::new(Arc::new(settings)),
+        }
+    }
+
+    /// Returns the settings in force.
+    pub fn current(&self) -> Arc<FirstLineSettings> {
+        self.lock().clone()
+    }
+
+    /// Replaces the settings. The client keys of admission control are kept.
+    pub fn replace(&self, settings: FirstLineSettings) {
+        let mut current = self.lock();
+        *current = Arc::new(settings.with_client_keys(current.client_keys));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Arc<FirstLineSettings>> {
+        self.current.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
