Don't take settings with fewer balancers for a fault that servers share

What callers saw: after SIGHUP with a smaller replicas-of-me, a request whose attempt broke was rejected with the longest Retry-After, though it may be repeated.

Cause: the limit of attempts in flight starts at a value that depends on the number of balancers, and a limit below its start counts as congestion, in which what may have run is not repeated.

Evidence: found by reading, as a path on which new settings change what a request under way may expect; flow_is_retried_after_settings_with_fewer_balancers gives Reject on the text before and Forward now.

Why it works: a limit that was not below its old start is raised to the new one, and a limit that failures have lowered stays.

--- a/crates/policy/src/concurrency.rs
+++ b/crates/policy/src/concurrency.rs
@@ -37,10 +37,21 @@
         }
     }
 
-    /// Takes over the limit of the policy that had the previous settings.
+    /// Takes over the limit of the policy that had the previous settings. A limit that was not below
+    /// its initial value is raised to the new one: that there are fewer balancers now is not the
+    /// sign of a fault.
     pub(crate) fn take_state_from(&mut self, old: ConcurrencyLimit) {
         let initial = self.initial;
-        *self = ConcurrencyLimit { initial, ..old };
+        let limit = if old.is_congested() {
+            old.limit
+        } else {
+            old.limit.max(initial)
+        };
+        *self = ConcurrencyLimit {
+            initial,
+            limit,
+            ..old
+        };
     }
 
     /// Whether no further attempt may be sent. A limit below one permits one attempt in `1 / limit`
--- a/crates/policy/tests/concurrency.rs
+++ b/crates/policy/tests/concurrency.rs
@@ -156,3 +156,27 @@
     }
     assert!((4..30).contains(&sent), "{sent} attempts in 20 s");
 }
+
+/// Guards against retries that are withheld because new settings name fewer balancers, which raises
+/// the initial limit above the present one without any fault.
+#[test]
+fn flow_is_retried_after_settings_with_fewer_balancers() {
+    let of_fleet = |balancers| {
+        balancer_with(PolicyConfig {
+            balancers,
+            ..config()
+        })
+    };
+    let mut policy = of_fleet(600.0);
+    policy.update_endpoints(T0, &[ready(0), ready(1)], true);
+    policy.apply_settings(of_fleet(1.0));
+    let attempted = Flow {
+        attempts: vec![ended_attempt(0, false)],
+        ..flow(T0, 1)
+    };
+    let placed = policy.place(T0, &attempted);
+    assert!(
+        matches!(placed, Placement::Forward { server_id: 1, .. }),
+        "{placed:?}"
+    );
+}
