Work out when all servers are warm from the warm-up in force

What callers saw: after SIGHUP with a longer warm-up, servers that had been warm by the old settings got no flow until the new warm-up had passed; with few others, rejections.

Cause: the moment when all servers are warm was stored when a server was listed, from the settings of then. After it no ramp rate is computed, and a warming server without one has no budget.

Why it works: the time of the last start is stored, and the warm-up in force is added when the moment is needed. Without new settings the moment is the same as before.

--- a/crates/policy/src/slow_start.rs
+++ b/crates/policy/src/slow_start.rs
@@ -73,8 +73,8 @@
     config: SlowStartConfig,
     /// Multiple of the ramp rate that a server with full capacity may get in a slot.
     budget_multiple: f64,
-    /// When the last of the listed servers has warmed up.
-    all_warm_at: Time,
+    /// When the server that started last did so; 0 means long ago.
+    last_start: Time,
     ramp_rates: RampRates,
     ramp_rates_at: Time,
 }
@@ -86,7 +86,7 @@
             budget_multiple: config.overload_multiple * window as f64
                 / (window + BUDGET_SLOT) as f64,
             config,
-            all_warm_at: 0,
+            last_start: 0,
             ramp_rates: RampRates::new(),
             ramp_rates_at: 0,
         }
@@ -94,14 +94,12 @@
 
     /// Takes over the state of the policy that had the previous settings.
     pub(crate) fn take_state_from(&mut self, old: &SlowStart) {
-        self.all_warm_at = old.all_warm_at;
+        self.last_start = old.last_start;
     }
 
     /// Records when a server started; 0 means long ago.
     pub(crate) fn record_start(&mut self, started: Time) {
-        if started > 0 {
-            self.all_warm_at = self.all_warm_at.max(started + self.config.warm_up);
-        }
+        self.last_start = self.last_start.max(started);
     }
 
     /// Returns the fraction of its full capacity that the server has at least.
@@ -119,6 +117,11 @@
         }
     }
 
+    /// Whether all listed servers have warmed up.
+    fn is_all_warm(&self, now: Time) -> bool {
+        self.last_start == 0 || now >= self.last_start + self.config.warm_up
+    }
+
     /// Whether the server has warmed up.
     pub(crate) fn is_warm(&self, now: Time, server: &Server) -> bool {
         self.capacity_fraction(now, server) >= 1.0
@@ -149,7 +152,7 @@
     pub(crate) fn due_ramp_rates(&self, view: &FleetView) -> Option<RampRates> {
         if view.endpoints.is_long() && view.now < self.ramp_rates_at + RAMP_RATE_INTERVAL {
             None
-        } else if view.now < self.all_warm_at {
+        } else if !self.is_all_warm(view.now) {
             Some(self.ramp_rates(view))
         } else {
             Some(RampRates::new())
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -156,3 +156,36 @@
         "{sent} attempts of {balancers} balancers in one second"
     );
 }
+
+/// Guards against a server that gets nothing until it is warm, because new settings have a longer
+/// warm-up than those under which all servers counted as warm.
+#[test]
+fn warming_server_gets_flows_after_settings_with_a_longer_warm_up() {
+    let with_warm_up = |warm_up| {
+        let slow_start = SlowStartConfig {
+            warm_up,
+            ..config().slow_start
+        };
+        balancer_with(PolicyConfig {
+            slow_start,
+            ..config()
+        })
+    };
+    let mut policy = with_warm_up(SEC);
+    let started = |server_id| Endpoint {
+        started: T0,
+        ..ready(server_id)
+    };
+    policy.update_endpoints(T0, &[ready(0), ready(1), started(2)], true);
+    (100..160).for_each(|id| policy.adopt_connection(&flow(T0, id), id % 2));
+    let now = T0 + 5 * SEC;
+    policy.apply_settings(with_warm_up(20 * SEC));
+    let sent = (0..100).filter(|id| {
+        let at = now + id * 50 * MS;
+        (0..2).for_each(|server_id| drop(report_utilization(&mut policy, at, server_id, 0.79)));
+        report_utilization(&mut policy, at, 2, 0.1);
+        let placed = policy.place(at, &flow(at, 1000 + id));
+        matches!(placed, Placement::Forward { server_id: 2, .. })
+    });
+    assert!(sent.count() > 0, "no flow was sent to the warming server");
+}
