Wait in tests for the list itself, not for a client that isn't served in 60 ms

The setup waited for a new endpoint list until a client with 60 ms to wait got anything but UP. On a machine that stalls for as long, a client of the old server gets that too.

The program had left nothing out.

The wait is now for a call that asks for changes after the agent's present version: stricter, since the list is known to be there, and no client of the setup is left over. No bound, count or assertion of a test changed. The setup of leave.rs needs no wait for leftover connects.

--- a/crates/balancer/tests/common/balancer.rs
+++ b/crates/balancer/tests/common/balancer.rs
@@ -100,6 +100,16 @@
         });
     }
 
+    /// Waits until it has received the agent's endpoint list in its present version: from then on it
+    /// asks for the changes after this version. Clients that connect later are placed by this list.
+    pub fn wait_for_current_list(&self) {
+        wait_for("the present endpoint list", || {
+            let version = self.agent.version();
+            let calls = self.agent.recorded_calls();
+            calls.iter().any(|call| call.from_version == Some(version))
+        });
+    }
+
     fn wait_until_listening(&self) {
         wait_for("the listener", || TcpStream::connect(self.address).is_ok());
     }
--- a/crates/balancer/tests/common/scripted_server.rs
+++ b/crates/balancer/tests/common/scripted_server.rs
@@ -82,9 +82,7 @@
         balancer
             .agent
             .publish("s-0", balancer.servers[0].address, "Terminating");
-        wait_for("the server to be listed as draining", || {
-            balancer.client("c=chat,d=60").read_line() != "UP 1"
-        });
+        balancer.wait_for_current_list();
         balancer
     }
 }
--- a/crates/balancer/tests/crossings.rs
+++ b/crates/balancer/tests/crossings.rs
@@ -34,10 +34,7 @@
     balancer
         .agent
         .publish("s-0", balancer.servers[0].address, "Gone");
-    // The entry of the late server is known as soon as the removal of the other one is.
-    wait_for("the new endpoint list", || {
-        balancer.client("c=chat,d=60").read_line() != "UP 1"
-    });
+    balancer.wait_for_current_list();
     balancer
 }
 
--- a/crates/balancer/tests/leave.rs
+++ b/crates/balancer/tests/leave.rs
@@ -95,14 +95,12 @@
     (balancer, RecordingServer::start())
 }
 
-/// Drains the only server and waits until no client is placed any more.
+/// Drains the only server and waits until the balancer knows it.
 fn drain_only_server(balancer: &TestBalancer) {
     balancer
         .agent
         .publish("s-0", balancer.servers[0].address, "Terminating");
-    wait_for("end of placements", || {
-        balancer.client("c=chat,d=60").read_line() != "UP 1"
-    });
+    balancer.wait_for_current_list();
 }
 
 /// Connects this many clients whose ids begin with this name.
@@ -339,12 +337,7 @@
                     balancer
                         .agent
                         .publish("s-0", balancer.servers[0].address, "Gone");
-                    wait_for("the new endpoint list", || {
-                        balancer.client("c=chat,d=60").read_line() != "UP 1"
-                    });
-                    wait_for("end of the pending connects", || {
-                        !late.has_pending_connect()
-                    });
+                    balancer.wait_for_current_list();
                     let leaving = connect_clients(&balancer, "leaving", 1).remove(0);
                     wait_for("a pending connect", || late.has_pending_connect());
                     let disconnect_and_time_out = || {
--- a/crates/balancer/tests/reload.rs
+++ b/crates/balancer/tests/reload.rs
@@ -285,11 +285,7 @@
     balancer
         .agent
         .publish_in_cell("s-1", other.address, "Ready", 1);
-    wait_for("the new endpoint list", || {
-        let version = balancer.agent.version();
-        let calls = balancer.agent.recorded_calls();
-        calls.iter().any(|call| call.from_version == Some(version))
-    });
+    balancer.wait_for_current_list();
     for (number, classes) in new.iter().enumerate() {
         // A type of its own shows that these settings are in force.
         let marker = format!("marker-{number}");
