Log a panic through the log's thread, not on the thread that panics

What callers could see: a decision that panics fails its flow alone, but before that the worker wrote the panic's report to standard error itself, with a backtrace where RUST_BACKTRACE asks for one. All flows waited for it: tens of milliseconds for a backtrace, and without end while nobody read the pipe.

Cause: the standard library's panic hook.

Why it works: the hook logs one line with message and place. The log never waits for its reader. No backtrace is written any more.

Looked at as well: log lines and a reload's files don't hold up the worker.

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -16,6 +16,7 @@
 mod config_file;
 mod log;
 mod operator_file;
+mod panic_log;
 mod re_exec;
 mod reload;
 mod signals;
--- a/crates/balancer/src/startup.rs
+++ b/crates/balancer/src/startup.rs
@@ -12,6 +12,7 @@
 use crate::config_file;
 use crate::log;
 use crate::operator_file;
+use crate::panic_log;
 use crate::start_error::StartError;
 
 /// Runs the balancer until it is told to terminate.
@@ -28,6 +29,7 @@
     let operator = operator_file::load_at_start(files.operator.as_deref())?;
     let level = level.unwrap_or(log_level(operator.log.level));
     let _guard = log::start(level, format.unwrap_or(operator.log.format));
+    panic_log::install();
     config.warn_of_unknown_keys();
     operator_file::warn_of_deprecated(&operator);
     let signals = signals.map_err(StartError::Signals)?;
