Forget traffic classes and tenants that the settings no longer name

What callers saw: after a change to settings with shorter connect timeouts and other types, a planned restart migrated clients by the old timeout.

Cause: a reload merged the new lists into the old ones, since flows referred to classes and tenants by their place there. No name ever left, and the longest timeout was taken from the merged list. It also grew with each new name, and a tenant named by its position was looked up in the merged order.

Why it works: there is no merged list. A flow has its class by value; totals by class and tenant use a number that a name keeps over a reload and that isn't used again. The load totals of unused classes go at a reload. Clients that still name a removed class or tenant are served for 4 s, in which new settings may not count yet, then they get ERR; before, until the next start. Quotas and positions are those of the settings in force.

reloaded_settings_keep_the_numbers_of_traffic_classes asserted the merged list; in its place stands a test of the numbers over three reloads, tenants and errors included.

--- a/crates/balancer/src/reload.rs
+++ b/crates/balancer/src/reload.rs
@@ -52,10 +52,10 @@
 /// Reloads the files and applies the changes.
 pub struct Reloader {
     pub files: Files,
-    /// The configuration in force. Traffic classes and tenants that earlier settings named keep
-    /// their numbers in it.
+    /// The configuration in force. Traffic classes and tenants that the settings before named too
+    /// have the same numbers in it.
     pub config: Config,
-    /// The settings as last read from the file, before they were merged with earlier settings.
+    /// The settings as last read from the file, before they were numbered.
     pub settings_in_file: Settings,
     /// The seed of admission control's hash keys. `None` if admission control is off.
     pub admission_seed: Option<u64>,
@@ -67,8 +67,8 @@
     pub dispatcher: Sender<DispatcherMessage>,
 }
 
-/// New settings, merged with the settings in force and validated.
-struct MergedSettings {
+/// New settings, numbered after the settings in force and validated.
+struct NumberedSettings {
     settings: Settings,
     first_line: FirstLineSettings,
 }
@@ -82,11 +82,11 @@
         // Every step that can fail comes before the first change is applied.
         let new = config_file::load(self.files.config.as_deref())?;
         let operator = operator_file::load(self.files.operator.as_deref())?;
-        let merged = self.merge_settings(&new)?;
+        let numbered = self.number_settings(&new)?;
         new.warn_of_unknown_keys();
         operator_file::warn_of_deprecated(&operator);
         if new.settings != self.settings_in_file {
-            self.apply_settings(&new, merged);
+            self.apply_settings(&new, numbered);
         }
         self.apply_peers(&operator);
         warn_of_missing_peers(&new.settings, self.gossip_peering.as_ref());
@@ -98,29 +98,29 @@
         Ok(())
     }
 
-    fn merge_settings(&self, new: &Config) -> Result<MergedSettings, SettingsError> {
-        let settings = new.settings.merged_with_previous(&self.config.settings)?;
+    fn number_settings(&self, new: &Config) -> Result<NumberedSettings, SettingsError> {
+        let settings = new.settings.numbered_after(&self.config.settings)?;
         let first_line = FirstLineSettings::from_platform(&settings)?;
-        Ok(MergedSettings {
+        Ok(NumberedSettings {
             settings,
             first_line,
         })
     }
 
-    fn apply_settings(&mut self, new: &Config, merged: MergedSettings) {
+    fn apply_settings(&mut self, new: &Config, numbered: NumberedSettings) {
         let policy_settings = match self.gossip_peering {
-            Some(_) => merged.settings.clone(),
-            None => merged.settings.clone().without_gossip(),
+            Some(_) => numbered.settings.clone(),
+            None => numbered.settings.clone().without_gossip(),
         };
-        // The dispatcher is told first. It processes its mailbox in order, so the policy knows a
-        // new traffic class before a client's first line can name it.
+        // The dispatcher is told first. It processes its mailbox in order, so the policy knows the
+        // quota of a new tenant before a client's first line can name it.
         self.dispatcher
             .send(DispatcherMessage::ApplySettings(Box::new(policy_settings)));
         self.runtime_settings.replace(new.runtime_settings());
-        self.acceptor.replace_settings(merged.first_line);
+        self.acceptor.replace_settings(numbered.first_line);
         info!("settings applied");
         self.settings_in_file = new.settings.clone();
-        self.config.settings = merged.settings;
+        self.config.settings = numbered.settings;
     }
 
     fn apply_peers(&self, operator: &OperatorFile) {
--- a/crates/balancer/tests/shutdown.rs
+++ b/crates/balancer/tests/shutdown.rs
@@ -9,10 +9,17 @@
 
 use common::toy::ServerBehavior;
 use common::{Client, TestBalancer, deadline_settings, wait_for, with_settings};
+use serde_json::json;
 
 /// Time from the longest deadline after SIGTERM until the earliest SIGKILL.
 const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
 
+/// The longest deadline after a reload that makes it shorter.
+const SHORT_DEADLINE: Duration = Duration::from_millis(500);
+
+/// Time after which new settings alone count, and a little more.
+const RELOAD_SETTLING_TIME: Duration = Duration::from_millis(4200);
+
 /// Starts a balancer whose traffic classes all have this longest deadline.
 fn start_balancer(deadline_ms: u64) -> TestBalancer {
     let mut balancer = TestBalancer::new(1);
@@ -281,3 +288,40 @@
         balancer.process.wait().unwrap().success() && since.elapsed() < Duration::from_millis(900)
     );
 }
+
+/// Guards against connections that are cut off at SIGKILL because a traffic class that the settings
+/// no longer name still sets the time of the shutdown.
+#[test]
+fn clients_are_migrated_in_time_after_a_reload_that_removes_a_class_with_a_longer_deadline() {
+    let mut balancer = start_balancer(2500);
+    let mut open = vec![balancer.client("c=order,d=2000")];
+    let classes = json!([{"name": "other", "setup-target": 300_000, "value": 1.0, "repeat": "free",
+        "hard-limit": SHORT_DEADLINE.as_micros() as u64}]);
+    balancer.reload(&with_settings(
+        &balancer.config_text,
+        &[("service-types", classes)],
+    ));
+    wait_for("the new settings", || {
+        balancer.client("c=other,d=400").next_line_is("UP 1")
+    });
+    // A client that doesn't know the new settings is served until they have settled.
+    open.push(balancer.client("c=order,d=2000"));
+    std::thread::sleep(RELOAD_SETTLING_TIME);
+    assert_eq!(balancer.client("c=order,d=400").read_line(), "ERR");
+    open.extend((0..20).map(|_| balancer.client("c=other,d=400")));
+    for client in &mut open {
+        assert_eq!(client.read_line(), "UP 1");
+    }
+    let since = Instant::now();
+    balancer.terminate();
+    for client in &mut open {
+        assert_eq!(client.read_line(), "MOVE");
+    }
+    drop(open);
+    let status = balancer.process.wait().unwrap();
+    let took = since.elapsed();
+    assert!(
+        status.success() && took < SHORT_DEADLINE + KILL_AFTER_DEADLINE,
+        "expected exit status 0 in time, got {status} after {took:?}"
+    );
+}
--- a/crates/dataplane/src/shutdown.rs
+++ b/crates/dataplane/src/shutdown.rs
@@ -9,7 +9,7 @@
 /// flow timeout, but no later than 0.7 s after this time.
 const ANSWER_TIMEOUT_MAX: Time = 3 * SEC;
 /// Time after the signal for a reload until the new configuration counts as applied.
-const RELOAD_SETTLING_TIME: Time = 4 * SEC;
+pub const RELOAD_SETTLING_TIME: Time = 4 * SEC;
 
 /// How long after SIGTERM the last answer is due.
 #[derive(Clone, Copy, Debug)]
--- a/crates/dataplane/src/shutdown/tests.rs
+++ b/crates/dataplane/src/shutdown/tests.rs
@@ -1,5 +1,8 @@
 //! Tests of reloads before, between and after two SIGTERMs.
 
+use nettlemux_policy::MS;
+use nettlemux_settings::Settings;
+
 use super::*;
 
 #[test]
@@ -65,3 +68,30 @@
         );
     }
 }
+
+/// Guards against a traffic class that the settings no longer name and that still sets the time of
+/// the last answer, so that open connections are cut off at SIGKILL.
+#[test]
+fn a_removed_class_does_not_count_once_the_new_settings_count_as_applied() {
+    let with_timeouts = |classes: &[(&str, u64)]| {
+        let entry =
+            |(name, ms): &(&str, u64)| serde_json::json!({"name": name, "hard-limit": ms * 1000});
+        let classes: Vec<_> = classes.iter().map(entry).collect();
+        Settings::from_embedded(&serde_json::json!({"service-types": classes})).unwrap()
+    };
+    let first = with_timeouts(&[("long", 2800), ("short", 1800)]);
+    let second = with_timeouts(&[("other", 1200)])
+        .numbered_after(&first)
+        .unwrap();
+    let third = with_timeouts(&[("long", 900)])
+        .numbered_after(&second)
+        .unwrap();
+    let mut deadline = AnswerDeadline::new(first.flow_timeout_max());
+    for (at, settings, timeout) in [(10 * SEC, &second, 1200 * MS), (20 * SEC, &third, 900 * MS)] {
+        deadline.reload(at, settings.flow_timeout_max());
+        assert_eq!(deadline.timeout_at(at + RELOAD_SETTLING_TIME), timeout);
+    }
+    deadline.reload(30 * SEC, first.flow_timeout_max());
+    deadline.terminate(30 * SEC + RELOAD_SETTLING_TIME);
+    assert_eq!(deadline.timeout_at(40 * SEC), 2800 * MS);
+}
--- a/crates/line-protocol/src/acceptor.rs
+++ b/crates/line-protocol/src/acceptor.rs
@@ -76,7 +76,7 @@
 
     /// Replaces the settings for first lines. The client keys of admission control are kept.
     pub fn replace_settings(&self, settings: FirstLineSettings) {
-        self.settings.replace(settings);
+        self.settings.replace(clock::now(), settings);
     }
 
     /// Serves one client's connection until it ends.
--- a/crates/line-protocol/src/admit.rs
+++ b/crates/line-protocol/src/admit.rs
@@ -68,7 +68,7 @@
     for _ in 0..LINES_MAX {
         let answer = match parse_request(&accepted) {
             Ok(Request::Connect(request)) => {
-                return match new_flow(dataplane, &settings.current(), &accepted, &request) {
+                return match new_flow_by_settings(dataplane, settings, &accepted, &request) {
                     Ok(new_flow) => admit_flow(dataplane, accepted, new_flow),
                     Err(error) => refuse(accepted, error),
                 };
@@ -92,6 +92,25 @@
     Ok(first_line::parse(accepted.line())?)
 }
 
+/// Creates the flow by the settings in force, or by those that they have just replaced if only these
+/// have the request's class or tenant.
+fn new_flow_by_settings(
+    dataplane: &Dataplane,
+    settings: &SharedFirstLineSettings,
+    accepted: &AcceptedConnection,
+    request: &ConnectRequest,
+) -> Result<NewFlow, MalformedRequest> {
+    use MalformedRequest::{UnknownClass, UnknownTenant};
+    match new_flow(dataplane, &settings.current(), accepted, request) {
+        Err(error @ (UnknownClass | UnknownTenant)) => settings
+            .unsettled(accepted.line_received_at)
+            .map_or(Err(error), |replaced| {
+                new_flow(dataplane, &replaced, accepted, request)
+            }),
+        result => result,
+    }
+}
+
 fn new_flow(
     dataplane: &Dataplane,
     settings: &FirstLineSettings,
@@ -103,12 +122,9 @@
         .ok_or(MalformedRequest::UnknownClass)?;
     let class = class_settings.class;
     let wait = wait_time(request, class_settings)?;
-    let tenant = match request.tenant {
-        Some(name) => settings
-            .tenant_index(name)
-            .ok_or(MalformedRequest::UnknownTenant)?,
-        None => 0,
-    };
+    let tenant = settings
+        .tenant_number(request.tenant)
+        .ok_or(MalformedRequest::UnknownTenant)?;
     if accepted.has_more_than_line() {
         return Err(MalformedRequest::EarlyBytes);
     }
--- a/crates/line-protocol/src/settings.rs
+++ b/crates/line-protocol/src/settings.rs
@@ -1,12 +1,14 @@
 //! The settings for first lines: the traffic classes and tenants that a first line may name, and how
 //! admission control identifies clients. It must never decide whether a client is served.
 
+use std::mem;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use nettlemux_dataplane::shutdown::RELOAD_SETTLING_TIME;
 use nettlemux_flow_table::AdmissionAttributes;
 use nettlemux_policy::{MS, SEC, Time, TrafficClass};
 use nettlemux_settings::operator::AdmissionKey;
-use nettlemux_settings::{Settings, SettingsError};
+use nettlemux_settings::{Settings, SettingsError, Tenant};
 
 use crate::first_line::ConnectRequest;
 
@@ -38,7 +40,7 @@
     /// How admission control identifies clients; `None` without admission control.
     pub client_keys: Option<ClientKeys>,
     classes: Vec<TrafficClassSettings>,
-    tenants: Vec<String>,
+    tenants: Vec<Tenant>,
     uses_groups: bool,
 }
 
@@ -62,7 +64,7 @@
         Ok(FirstLineSettings {
             client_keys: None,
             classes: classes.collect(),
-            tenants: settings.tenant_names(),
+            tenants: settings.tenants(),
             uses_groups: settings.has_groups(),
         })
     }
@@ -85,17 +87,20 @@
         request.group.filter(|_| self.uses_groups)
     }
 
-    /// Returns the index of the tenant with this name or number; `None` if it is unknown. If the
-    /// settings have no tenants, all tenants have the index 0.
-    pub fn tenant_index(&self, name: &str) -> Option<usize> {
-        if self.tenants.is_empty() {
-            return Some(0);
+    /// Returns the number of the tenant that a request names, or of the first tenant if it names
+    /// none; `None` if the name is unknown. If the settings have no tenants, all requests have the
+    /// number 0.
+    pub fn tenant_number(&self, name: Option<&str>) -> Option<usize> {
+        match name {
+            Some(name) if !self.tenants.is_empty() => self.tenant(name).map(|tenant| tenant.number),
+            _ => Some(self.tenants.first().map_or(0, |tenant| tenant.number)),
         }
-        let by_name = self.tenants.iter().position(|tenant| tenant == name);
-        by_name.or_else(|| {
-            let number = name.parse().ok();
-            number.filter(|number| *number < self.tenants.len())
-        })
+    }
+
+    /// Returns the tenant with this name, or at this position of the list.
+    fn tenant(&self, name: &str) -> Option<&Tenant> {
+        let by_name = self.tenants.iter().find(|tenant| tenant.name == name);
+        by_name.or_else(|| self.tenants.get(name.parse::<usize>().ok()?))
     }
 
     /// Returns the identity of the client for admission control. Without admission control, all
@@ -126,39 +131,73 @@
 
     /// Returns the key of a tenant, which is the same for the tenant's name and number.
     fn tenant_key(&self, name: &str, seed: u64) -> u64 {
-        let tenant = self
-            .tenant_index(name)
-            .and_then(|index| self.tenants.get(index));
-        let name = tenant.map_or(name, String::as_str);
+        let name = self
+            .tenant(name)
+            .map_or(name, |tenant| tenant.name.as_str());
         nettlemux_admission::hash_key(seed, name.as_bytes())
     }
 }
 
 /// The settings for first lines that are in force, which are replaced as a whole.
 pub struct SharedFirstLineSettings {
-    current: Mutex<Arc<FirstLineSettings>>,
+    versions: Mutex<Versions>,
+}
+
+struct Versions {
+    current: Arc<FirstLineSettings>,
+    /// The settings before the last reload.
+    replaced: Option<ReplacedSettings>,
+}
+
+struct ReplacedSettings {
+    settings: Arc<FirstLineSettings>,
+    replaced_at: Time,
 }
 
 impl SharedFirstLineSettings {
     /// Returns shared settings with the given initial value.
     pub fn new(settings: FirstLineSettings) -> Self {
         SharedFirstLineSettings {
-            current: Mutex::new(Arc::new(settings)),
+            versions: Mutex::new(Versions {
+                current: Arc::new(settings),
+                replaced: None,
+            }),
         }
     }
 
     /// Returns the settings in force.
     pub fn current(&self) -> Arc<FirstLineSettings> {
-        self.lock().clone()
+        self.lock().current.clone()
+    }
+
+    /// Returns the settings before the last reload while they may still count, because the new ones
+    /// have not settled: a client that doesn't know these may name a class or tenant of the old ones.
+    pub fn unsettled(&self, now: Time) -> Option<Arc<FirstLineSettings>> {
+        let mut versions = self.lock();
+        let settled =
+            |replaced: &mut ReplacedSettings| now >= replaced.replaced_at + RELOAD_SETTLING_TIME;
+        versions.replaced.take_if(settled);
+        versions
+            .replaced
+            .as_ref()
+            .map(|replaced| replaced.settings.clone())
     }
 
     /// Replaces the settings. The client keys of admission control are kept.
-    pub fn replace(&self, settings: FirstLineSettings) {
-        let mut current = self.lock();
-        *current = Arc::new(settings.with_client_keys(current.client_keys));
+    pub fn replace(&self, now: Time, settings: FirstLineSettings) {
+        let mut versions = self.lock();
+        let settings = settings.with_client_keys(versions.current.client_keys);
+        let replaced = mem::replace(&mut versions.current, Arc::new(settings));
+        versions.replaced = Some(ReplacedSettings {
+            settings: replaced,
+            replaced_at: now,
+        });
     }
 
-    fn lock(&self) -> MutexGuard<'_, Arc<FirstLineSettings>> {
-        self.current.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Versions> {
+        self.versions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -102,6 +102,11 @@
         total.sum += load - own.load.replace(load).unwrap_or(0.0);
     }
 
+    /// Forgets the load totals of classes without any reported load.
+    pub(crate) fn forget_unused_classes(&mut self) {
+        self.loads.retain(|_, total| total.count > 0.0);
+    }
+
     /// Sets this load estimate for the connections of a server that have none yet.
     pub(crate) fn estimate_loads(&mut self, server_id: ServerId, estimate: Option<f64>) {
         for flow in self.by_server.get(&server_id).into_iter().flatten() {
--- a/crates/policy/src/connections/tests.rs
+++ b/crates/policy/src/connections/tests.rs
@@ -62,3 +62,17 @@
     table.estimate_loads(51, Some(0.25));
     assert_eq!(table.own[&1].estimated_load, Some(0.5));
 }
+
+#[test]
+fn load_totals_of_classes_without_a_reported_load_are_forgotten() {
+    let mut table = ConnectionTable::default();
+    for (id, number) in [(1, 0), (2, 5)] {
+        let mut flow = flow(id, 0, "a");
+        flow.class.number = number;
+        table.record_connection(&flow, 51);
+        table.update_load(id, 2.0);
+    }
+    table.remove(1);
+    table.forget_unused_classes();
+    assert_eq!(table.loads.keys().collect::<Vec<_>>(), [&5]);
+}
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -77,12 +77,13 @@
         }
     }
 
-    /// Replaces the settings by those of `new`, which has to keep the indices of the tenants that
-    /// flows in progress refer to. These flows keep the traffic class with which they were accepted.
+    /// Replaces the settings by those of `new`. Flows in progress keep the traffic class with which
+    /// they were accepted. A tenant that `new` doesn't have has no quota.
     pub fn apply_settings(&mut self, new: Policy) {
         let old = mem::replace(self, new);
         self.rng = old.rng;
         self.connections = old.connections;
+        self.connections.forget_unused_classes();
         self.recent_connections = old.recent_connections;
         self.concurrency.take_state_from(old.concurrency);
         self.queue = FlowQueue::with_state_of(old.queue);
--- a/crates/policy/src/shedding.rs
+++ b/crates/policy/src/shedding.rs
@@ -1,6 +1,8 @@
 //! Load shedding: decides which flows may use the last of the capacity, and how the others are
 //! answered.
 
+use std::collections::BTreeMap;
+
 use nanorand::{Rng, WyRand};
 
 use crate::concurrency::ConcurrencyLimit;
@@ -20,8 +22,9 @@
 /// Quotas of the tenants, and the Retry-After of rejected clients.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SheddingConfig {
-    /// Each tenant's quota as a fraction of all own connections, by the tenant's index.
-    pub tenant_quotas: Vec<f64>,
+    /// Each tenant's quota as a fraction of all own connections, by the tenant's number. A tenant
+    /// that is not in it has no quota.
+    pub tenant_quotas: BTreeMap<usize, f64>,
     /// Fraction of its priority weight that a flow keeps if its tenant is over the quota.
     pub surplus_weight: f64,
     /// The longest Retry-After in nanoseconds; `None` if clients are not sent one.
@@ -31,7 +34,7 @@
 impl Default for SheddingConfig {
     fn default() -> Self {
         SheddingConfig {
-            tenant_quotas: Vec::new(),
+            tenant_quotas: BTreeMap::new(),
             surplus_weight: 1.0,
             retry_after_max: None,
         }
@@ -85,7 +88,7 @@
             .copied()
             .unwrap_or(0) as f64;
         let quotas = &self.config.tenant_quotas;
-        let quota = quotas.get(flow.tenant).copied().unwrap_or(1.0);
+        let quota = quotas.get(&flow.tenant).copied().unwrap_or(1.0);
         held > QUOTA_TOLERANCE * quota * connections.own.len() as f64
     }
 
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -89,7 +89,8 @@
     /// Its traffic class, by the settings under which the flow was accepted. Later settings don't
     /// change it: an attempt that was made of a non-idempotent flow must never be repeated.
     pub class: TrafficClass,
-    /// Index of its tenant.
+    /// The number of its tenant, by which the tenant's connections are counted. A tenant keeps it
+    /// when settings change.
     pub tenant: usize,
     /// The flow's group: a server does the common work of a group once, however many of its flows
     /// it serves.
--- a/crates/policy/tests/shedding.rs
+++ b/crates/policy/tests/shedding.rs
@@ -94,7 +94,7 @@
         let config = PolicyConfig {
             retry: retry_config(),
             shedding: SheddingConfig {
-                tenant_quotas: vec![0.5, 0.5],
+                tenant_quotas: [(0, 0.5), (1, 0.5)].into(),
                 surplus_weight: 0.1,
                 retry_after_max: None,
             },
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -16,4 +16,4 @@
 pub use crate::error::{SettingsError, SettingsProblem};
 pub use crate::load_report::{LoadReportFormat, parse_number};
 pub use crate::names::{NameHint, UnknownName, nearest_name, unknown_names};
-pub use crate::platform::{DrainMigration, Settings};
+pub use crate::platform::{DrainMigration, Settings, Tenant};
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -1,8 +1,8 @@
 //! The platform's settings: one JSON object, the same for every protocol.
 
 mod keys;
+mod numbering;
 mod policy;
-mod reload;
 mod traffic_class;
 mod values;
 
@@ -10,6 +10,7 @@
 use serde_json::Value;
 
 pub use self::policy::DrainMigration;
+pub use self::traffic_class::Tenant;
 pub use self::values::Settings;
 use crate::error::{SettingsError, SettingsProblem};
 use crate::load_report::LoadReportFormat;
@@ -40,7 +41,7 @@
 
     fn from_object(value: Value, field: &str) -> Result<Self, SettingsError> {
         if value.is_object() {
-            Ok(Settings { value })
+            Ok(Settings::from_value(value))
         } else {
             Err(SettingsError::new(field, SettingsProblem::NotAnObject))
         }
@@ -144,12 +145,7 @@
         self.names(keys::MACHINE_MODELS)
     }
 
-    /// Returns the names of the tenants, in the order of their numbers.
-    pub fn tenant_names(&self) -> Vec<String> {
-        self.names(keys::TENANTS)
-    }
-
-    /// Returns the names of the traffic classes, in the order of their numbers.
+    /// Returns the names of the traffic classes, in the order of the list.
     pub fn traffic_class_names(&self) -> Vec<String> {
         self.names(keys::TRAFFIC_CLASSES)
     }
--- a/crates/settings/src/platform/traffic_class.rs
+++ b/crates/settings/src/platform/traffic_class.rs
@@ -1,4 +1,6 @@
-//! Traffic classes and the quotas of tenants.
+//! Traffic classes and tenants.
+
+use std::collections::BTreeMap;
 
 use nettlemux_policy::{DeduplicationScope, Idempotency, Time, TrafficClass};
 use serde_json::Value;
@@ -7,17 +9,27 @@
 use super::values::{self, Settings};
 use crate::error::{SettingsError, SettingsProblem};
 
+/// A tenant that first lines may name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tenant {
+    /// The tenant's name.
+    pub name: String,
+    /// The number by which the tenant's connections are counted. A tenant keeps it when settings
+    /// are reloaded.
+    pub number: usize,
+}
+
 impl Settings {
-    /// Returns the traffic classes, in the order of their numbers.
+    /// Returns the traffic classes, in the order of the list.
     ///
     /// # Errors
     /// If the list is missing or a setting in it is invalid.
     pub fn traffic_classes(&self) -> Result<Vec<TrafficClass>, SettingsError> {
         let classes = self.required(keys::TRAFFIC_CLASSES, |value| value.as_array().cloned())?;
-        let classes = classes.into_iter().map(|value| Settings { value });
+        let classes = classes.into_iter().map(Settings::from_value);
         classes
-            .enumerate()
-            .map(|(number, class)| class.traffic_class(number))
+            .zip(self.class_numbers.iter())
+            .map(|(class, number)| class.traffic_class(number))
             .collect()
     }
 
@@ -41,21 +53,31 @@
         timeouts.max().unwrap_or(Time::MAX)
     }
 
-    /// Returns the quota of each tenant as a fraction of the capacity. The list is empty if there
-    /// are no tenants.
+    /// Returns the tenants, in the order of the list.
+    pub fn tenants(&self) -> Vec<Tenant> {
+        let names = self.names(keys::TENANTS).into_iter();
+        names
+            .zip(self.tenant_numbers.iter())
+            .map(|(name, number)| Tenant { name, number })
+            .collect()
+    }
+
+    /// Returns the quota of each tenant as a fraction of the capacity, by the tenant's number. Empty
+    /// if there are no tenants.
     ///
     /// # Errors
     /// If a setting is invalid.
-    pub fn tenant_quotas(&self) -> Result<Vec<f64>, SettingsError> {
+    pub fn tenant_quotas(&self) -> Result<BTreeMap<usize, f64>, SettingsError> {
         let Some(tenants) = self.optional(keys::TENANTS) else {
-            return Ok(Vec::new());
+            return Ok(BTreeMap::new());
         };
         let tenants = tenants
             .as_array()
             .ok_or_else(|| SettingsError::new(keys::TENANTS, SettingsProblem::NotAList))?;
-        let tenants = tenants.iter().cloned().map(|value| Settings { value });
+        let tenants = tenants.iter().cloned().map(Settings::from_value);
         tenants
-            .map(|tenant| tenant.number_or(keys::QUOTA, 1.0))
+            .zip(self.tenant_numbers.iter())
+            .map(|(tenant, number)| Ok((number, tenant.number_or(keys::QUOTA, 1.0)?)))
             .collect()
     }
 
--- a/crates/settings/src/platform/values.rs
+++ b/crates/settings/src/platform/values.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 
 use super::keys;
+use super::numbering::EntryNumbers;
 use crate::error::{SettingsError, SettingsProblem};
 
 /// The unit of times in the settings, in nanoseconds.
@@ -31,9 +32,25 @@
 #[derive(Clone, PartialEq)]
 pub struct Settings {
     pub(super) value: Value,
+    pub(super) class_numbers: EntryNumbers,
+    pub(super) tenant_numbers: EntryNumbers,
 }
 
 impl Settings {
+    /// Returns settings with this value. Traffic classes and tenants are numbered by their position.
+    pub(super) fn from_value(value: Value) -> Self {
+        let mut settings = Settings {
+            value,
+            class_numbers: EntryNumbers::default(),
+            tenant_numbers: EntryNumbers::default(),
+        };
+        let classes = settings.list(keys::TRAFFIC_CLASSES).len();
+        let tenants = settings.list(keys::TENANTS).len();
+        settings.class_numbers = EntryNumbers::by_position(classes);
+        settings.tenant_numbers = EntryNumbers::by_position(tenants);
+        settings
+    }
+
     /// The value of a setting; `None` if it is missing or `null`.
     pub(super) fn optional(&self, path: &str) -> Option<&Value> {
         path.split('/')
--- a/crates/settings/tests/platform_settings.rs
+++ b/crates/settings/tests/platform_settings.rs
@@ -92,24 +92,65 @@
     assert!(settings.has_load_reports());
 }
 
+/// Returns settings with traffic classes and tenants of these names.
+fn named(classes: &[&str], tenants: &[&str]) -> Settings {
+    let entries =
+        |names: &[&str]| -> Vec<Value> { names.iter().map(|name| json!({"name": name})).collect() };
+    let value = json!({"service-types": entries(classes), "accounts": entries(tenants)});
+    Settings::from_embedded(&value).unwrap()
+}
+
+fn class_numbers(settings: &Settings) -> Vec<usize> {
+    let classes = settings.traffic_classes().unwrap();
+    classes.iter().map(|class| class.number).collect()
+}
+
+fn tenant_numbers(settings: &Settings) -> Vec<usize> {
+    let tenants = settings.tenants();
+    tenants.iter().map(|tenant| tenant.number).collect()
+}
+
+/// Guards against connections that are counted for another class or tenant after a reload.
 #[test]
-fn reloaded_settings_keep_the_numbers_of_traffic_classes() {
-    let previous = Settings::from_embedded(&settings()).unwrap();
-    let reload = |names: &[&str]| {
-        let classes: Vec<Value> = names.iter().map(|name| json!({"name": name})).collect();
-        let new = Settings::from_embedded(&json!({"service-types": classes})).unwrap();
-        let merged = new.merged_with_previous(&previous);
-        merged
-            .map(|merged| merged.traffic_class_names())
-            .map_err(|e| e.to_string())
-    };
-    let merged = reload(&["c", "b"]).unwrap();
-    assert_eq!(merged, ["a", "b", "c"]);
-    assert_eq!(
-        reload(&["b", "b"]),
-        Err(
-            "field 'service-types': an entry has no name or the same name as another entry"
-                .to_string()
-        )
-    );
+fn reloaded_settings_keep_the_numbers_of_traffic_classes_and_tenants() {
+    let first = named(&["a", "b"], &["x"]);
+    assert_eq!(class_numbers(&first), [0, 1]);
+    let second = named(&["c", "b"], &["y", "x"]);
+    let second = second.numbered_after(&first).unwrap();
+    assert_eq!(class_numbers(&second), [2, 1]);
+    assert_eq!(tenant_numbers(&second), [1, 0]);
+    assert_eq!(second.tenant_quotas().unwrap(), [(0, 1.0), (1, 1.0)].into());
+    // A name that comes back gets a new number: flows of its earlier time may still be open.
+    let third = named(&["a", "b"], &[]).numbered_after(&second).unwrap();
+    assert_eq!(class_numbers(&third), [3, 1]);
+    for (classes, list) in [(["b", "b"], "service-types"), (["b", "c"], "accounts")] {
+        let tenants = if list == "accounts" {
+            ["x", "x"]
+        } else {
+            ["x", "y"]
+        };
+        let error = named(&classes, &tenants).numbered_after(&third).err();
+        assert_eq!(
+            error.map(|error| error.to_string()),
+            Some(format!(
+                "field '{list}': an entry has no name or the same name as another entry"
+            ))
+        );
+    }
+}
+
+/// Guards against a balancer whose types of long ago still count, and whose settings grow, after
+/// reloads with ever new names.
+#[test]
+fn a_hundred_reloads_leave_only_the_names_of_the_newest_settings() {
+    let mut settings = named(&["kept"], &["kept"]);
+    for reload in 0..100 {
+        let new_name = format!("name-{reload}");
+        let new = named(&["kept", &new_name], &[&new_name, "kept"]);
+        settings = new.numbered_after(&settings).unwrap();
+    }
+    assert_eq!(settings.traffic_class_names(), ["kept", "name-99"]);
+    assert_eq!(class_numbers(&settings), [0, 100]);
+    assert_eq!(tenant_numbers(&settings), [100, 0]);
+    assert_eq!(settings.tenant_quotas().unwrap().len(), 2);
 }
