--- a/crates/settings/src/platform/policy.rs
+++ b/crates/settings/src/platform/policy.rs
@@ -43,8 +43,10 @@
         drain_migration: DrainMigration,
     ) -> Result<Policy, SettingsError> {
         let slow_start = self.slow_start()?;
-        // Flows bring their traffic class along; the classes are read here for their errors.
-        let (zone, _) = (self.zone()?, self.traffic_classes()?);
+        let zone = self.zone()?;
+        // The policy gets the traffic class with each flow. The classes are read here so that an
+        // invalid one is an error.
+        self.traffic_classes()?;
         let config = PolicyConfig {
             retry: RetryConfig {
                 attempts_max: self.attempts_max()?,
