Split the testbed's long functions and its stand-in server's file

No change of behaviour; the order of random draws is the same. The stand-in server's connection and its slot in the model have modules of their own, and its longest function (97 lines) gives the model's part away. Baseline placement, the update of processes, the registration of a flow and the faulty balancer's start are split into named steps.

--- a/crates/testbed/src/baselines.rs
+++ b/crates/testbed/src/baselines.rs
@@ -161,6 +161,48 @@
         }
     }
 
+    /// The servers that may get an attempt of this flow, without those that it has tried if others
+    /// are left.
+    fn candidates(&self, now: Time, flow: &Flow) -> Vec<ServerId> {
+        let ready = self.servers.values().filter(|server| {
+            server.state == EndpointState::Ready && self.is_repeat_safe(now, flow, server)
+        });
+        let all: Vec<ServerId> = ready.map(|server| server.server_id).collect();
+        let was_tried = |server_id: ServerId| {
+            let mut attempts = flow.attempts.iter();
+            attempts.any(|attempt| attempt.server_id == server_id)
+        };
+        let untried = all.iter().copied();
+        let untried: Vec<ServerId> = untried.filter(|id| !was_tried(*id)).collect();
+        if untried.is_empty() { all } else { untried }
+    }
+
+    /// Chooses one of the candidates, of which there is at least one.
+    fn choose(&mut self, candidates: &[ServerId]) -> ServerId {
+        self.placements += 1;
+        let start = self.rng.index_below(candidates.len());
+        match self.kind {
+            PolicyKind::Random | PolicyKind::Nettlemux => candidates[start],
+            PolicyKind::RoundRobin => candidates[self.placements % candidates.len()],
+            // Ties are broken at random, so that balancers don't all choose the first server.
+            PolicyKind::LeastConnections => {
+                let order =
+                    (0..candidates.len()).map(|i| candidates[(start + i) % candidates.len()]);
+                order
+                    .min_by_key(|server_id| self.connection_count(*server_id))
+                    .expect("at least one candidate")
+            }
+            PolicyKind::PowerOfTwo => {
+                let second = self.rng.index_below(candidates.len());
+                let two_candidates = [candidates[start], candidates[second]];
+                two_candidates
+                    .into_iter()
+                    .min_by_key(|server_id| self.connection_count(*server_id))
+                    .expect("two candidates")
+            }
+        }
+    }
+
     fn connection_count(&self, server_id: ServerId) -> usize {
         self.connection_counts.get(&server_id).copied().unwrap_or(0)
     }
@@ -189,47 +231,11 @@
         {
             return self.reject_or_fail(flow);
         }
-        let ready = self.servers.values().filter(|server| {
-            server.state == EndpointState::Ready && self.is_repeat_safe(now, flow, server)
-        });
-        let all: Vec<ServerId> = ready.map(|server| server.server_id).collect();
-        let untried: Vec<ServerId> = all
-            .iter()
-            .copied()
-            .filter(|server_id| {
-                flow.attempts
-                    .iter()
-                    .all(|attempt| attempt.server_id != *server_id)
-            })
-            .collect();
-        let candidates = if untried.is_empty() { all } else { untried };
+        let candidates = self.candidates(now, flow);
         if candidates.is_empty() {
             return self.reject_or_fail(flow);
         }
-        self.placements += 1;
-        let start = self.rng.index_below(candidates.len());
-        let server_id = match self.kind {
-            PolicyKind::Random | PolicyKind::Nettlemux => candidates[start],
-            PolicyKind::RoundRobin => candidates[self.placements % candidates.len()],
-            // Ties are broken at random, so that balancers don't all choose the first server.
-            PolicyKind::LeastConnections => {
-                let order =
-                    (0..candidates.len()).map(|i| candidates[(start + i) % candidates.len()]);
-                order
-                    .min_by_key(|server_id| self.connection_count(*server_id))
-                    .expect("at least one candidate")
-            }
-            PolicyKind::PowerOfTwo => {
-                let two_candidates = [
-                    candidates[start],
-                    candidates[self.rng.index_below(candidates.len())],
-                ];
-                two_candidates
-                    .into_iter()
-                    .min_by_key(|server_id| self.connection_count(*server_id))
-                    .expect("two candidates")
-            }
-        };
+        let server_id = self.choose(&candidates);
         self.assign(flow.id, server_id);
         // Each remaining attempt gets an equal share of the time that is left.
         let attempts_left = (self.attempts_max - flow.attempts.len()) as u64;
--- a/crates/testbed/src/sockets/client.rs
+++ b/crates/testbed/src/sockets/client.rs
@@ -16,6 +16,7 @@
 use super::run_state::FlowState;
 use super::shared_run::SharedRun;
 use super::to_duration;
+use crate::figures::FigureCollector;
 
 /// Time limit of a connect to a balancer's machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -203,13 +204,7 @@
     let idempotency = state.population.idempotency(id, &shared.scenario);
     let accepted_at = shared.now();
     if standing.is_none() {
-        state.figures.flows += 1;
-        if client.reconnecting {
-            state.figures.returned(accepted_at);
-        }
-        if client.follows_retry_after {
-            state.figures.came_when_told(accepted_at);
-        }
+        count_request(&mut state.figures, client, accepted_at);
         state.observe(Observation::Accepted {
             at: accepted_at,
             balancer,
@@ -229,6 +224,17 @@
     })
 }
 
+/// Counts a new request of a client.
+fn count_request(figures: &mut FigureCollector, client: &Client, accepted_at: Time) {
+    figures.flows += 1;
+    if client.reconnecting {
+        figures.returned(accepted_at);
+    }
+    if client.follows_retry_after {
+        figures.came_when_told(accepted_at);
+    }
+}
+
 /// Formats the first line of a flow.
 fn first_line(shared: &SharedRun, request: &OpenRequest<'_>) -> String {
     let &OpenRequest {
--- a/crates/testbed/src/sockets/faulty.rs
+++ b/crates/testbed/src/sockets/faulty.rs
@@ -104,20 +104,10 @@
             })
     };
     let (listen, discovery) = (address("listen")?, address("discovery")?);
-    let types = config["settings"]["service-types"]
-        .as_array()
-        .cloned()
-        .unwrap_or_default();
-    let non_idempotent = types
-        .iter()
-        .filter(|class| class["repeat"] == "single_shot");
-    let non_idempotent = non_idempotent
-        .filter_map(|class| class["name"].as_str().map(String::from))
-        .collect();
     let shared = Arc::new(Shared {
         mutant,
         servers: Mutex::default(),
-        non_idempotent,
+        non_idempotent: non_idempotent_classes(&config),
     });
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -141,6 +131,16 @@
         })
 }
 
+/// Returns the names of the traffic classes that must not be repeated.
+fn non_idempotent_classes(config: &Value) -> Vec<String> {
+    let classes = config["settings"]["service-types"].as_array();
+    let classes = classes.into_iter().flatten();
+    classes
+        .filter(|class| class["repeat"] == "single_shot")
+        .filter_map(|class| class["name"].as_str().map(String::from))
+        .collect()
+}
+
 /// Updates the servers from discovery for as long as the process runs.
 async fn follow_discovery(shared: Arc<Shared>, discovery: SocketAddr) {
     let mut from = None;
--- a/crates/testbed/src/sockets/processes.rs
+++ b/crates/testbed/src/sockets/processes.rs
@@ -222,6 +222,18 @@
 
     /// Carries out planned restarts and detects processes that have exited.
     pub fn update(&mut self, now: Time) {
+        self.begin_due_restarts(now);
+        for b in 0..self.balancers.len() {
+            match self.balancers[b].state {
+                State::Running | State::Terminating(..) => self.check_running(b, now),
+                State::Down(until) if until <= now => self.start_again(b, now),
+                State::Down(_) => {}
+            }
+        }
+    }
+
+    /// Sends SIGTERM to the processes whose planned restart is due.
+    fn begin_due_restarts(&mut self, now: Time) {
         let is_due = |planned: &(Time, usize, Time)| planned.0 <= now;
         let (due, later): (Vec<_>, Vec<_>) = self.planned.drain(..).partition(is_due);
         self.planned = later;
@@ -239,42 +251,40 @@
                     .mark_dead(b, now + FRONT_END_DELAY);
             }
         }
-        for b in 0..self.balancers.len() {
-            match self.balancers[b].state {
-                State::Running | State::Terminating(..) => {
-                    let ended = matches!(self.balancers[b].child.try_wait(), Ok(Some(_)));
-                    match self.balancers[b].state {
-                        State::Terminating(_, downtime) if ended => {
-                            self.record_end(b, now, true, downtime)
-                        }
-                        State::Terminating(since, downtime) if now >= since + KILL_DELAY => {
-                            let _ = self.balancers[b].child.kill();
-                            let _ = self.balancers[b].child.wait();
-                            self.record_end(b, now, true, downtime);
-                        }
-                        _ if ended => {
-                            self.died.push(format!(
-                                "balancer {b} died unexpectedly; end of its log:\n{}",
-                                log_end(&self.balancers[b].log)
-                            ));
-                            self.record_end(b, now, false, SEC);
-                        }
-                        _ => {}
-                    }
-                }
-                State::Down(until) if until <= now => match self.spawn(b, now) {
-                    Ok((child, ..)) => {
-                        (self.balancers[b].child, self.balancers[b].state) =
-                            (child, State::Running);
-                        self.shared.lock().alive[b] = true;
-                        tokio::spawn(mark_alive_when_ready(self.shared.clone(), b));
-                    }
-                    Err(error) => {
-                        self.died.push(error.to_string());
-                        self.balancers[b].state = State::Down(Time::MAX);
-                    }
-                },
-                State::Down(_) => {}
+    }
+
+    /// Detects a process that has exited, and kills one that takes too long to end.
+    fn check_running(&mut self, b: usize, now: Time) {
+        let ended = matches!(self.balancers[b].child.try_wait(), Ok(Some(_)));
+        match self.balancers[b].state {
+            State::Terminating(_, downtime) if ended => self.record_end(b, now, true, downtime),
+            State::Terminating(since, downtime) if now >= since + KILL_DELAY => {
+                let _ = self.balancers[b].child.kill();
+                let _ = self.balancers[b].child.wait();
+                self.record_end(b, now, true, downtime);
+            }
+            _ if ended => {
+                self.died.push(format!(
+                    "balancer {b} died unexpectedly; end of its log:\n{}",
+                    log_end(&self.balancers[b].log)
+                ));
+                self.record_end(b, now, false, SEC);
+            }
+            _ => {}
+        }
+    }
+
+    /// Starts a balancer whose downtime is over.
+    fn start_again(&mut self, b: usize, now: Time) {
+        match self.spawn(b, now) {
+            Ok((child, ..)) => {
+                (self.balancers[b].child, self.balancers[b].state) = (child, State::Running);
+                self.shared.lock().alive[b] = true;
+                tokio::spawn(mark_alive_when_ready(self.shared.clone(), b));
+            }
+            Err(error) => {
+                self.died.push(error.to_string());
+                self.balancers[b].state = State::Down(Time::MAX);
             }
         }
     }
--- a/crates/testbed/src/sockets/server.rs
+++ b/crates/testbed/src/sockets/server.rs
@@ -3,6 +3,9 @@
 //! server's side of each connection; [`ConnectionSlot`] removes the connection from the model when
 //! it ends. It sends nothing that does not come from the model.
 
+mod connection;
+mod connection_slot;
+
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,11 +14,11 @@
 use nettlemux_fleet_model::server::{AttemptResponse, ServerStatus};
 use nettlemux_fleet_model::time::seconds;
 use nettlemux_policy::Time;
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch};
 
+use self::connection::Connection;
+use self::connection_slot::ConnectionSlot;
 use super::run_state::{RunState, ServerSignal};
 use super::shared_run::SharedRun;
 use super::to_duration;
@@ -24,8 +27,6 @@
 const ACCEPT_BACKLOG: u32 = 1024;
 /// Interval between attempts to bind: after a restart of a server, its address may not be free yet.
 const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(20);
-/// Longest line in bytes: the platform's limit of a first line, with its CRLF.
-const LINE_BYTES_MAX: usize = 4096 + 2;
 
 /// Listens until the run ends, except while the server's process is down.
 pub async fn listen(
@@ -66,117 +67,6 @@
     socket.listen(ACCEPT_BACKLOG)
 }
 
-/// Both halves of a connection.
-struct Connection {
-    lines: BufReader<OwnedReadHalf>,
-    out: OwnedWriteHalf,
-    line: Vec<u8>,
-}
-
-impl Connection {
-    fn new(stream: TcpStream) -> Self {
-        let _ = stream.set_nodelay(true);
-        let (read, out) = stream.into_split();
-        Connection {
-            lines: BufReader::with_capacity(512, read),
-            out,
-            line: Vec::new(),
-        }
-    }
-
-    /// Reads the next line, without its line end. Returns `None` if the connection is closed or the
-    /// line is too long.
-    async fn read_line(&mut self) -> Option<&str> {
-        // An incomplete line is kept in `self.line` if this future is dropped.
-        loop {
-            let bytes = self
-                .lines
-                .fill_buf()
-                .await
-                .ok()
-                .filter(|bytes| !bytes.is_empty())?;
-            let end = bytes.iter().position(|byte| *byte == b'\n');
-            let count = end.map_or(bytes.len(), |end| end + 1);
-            if self.line.last() == Some(&b'\n') {
-                self.line.clear();
-            }
-            self.line.extend_from_slice(&bytes[..count]);
-            self.lines.consume(count);
-            if end.is_some() {
-                return std::str::from_utf8(&self.line).ok().map(str::trim_end);
-            }
-            if self.line.len() > LINE_BYTES_MAX {
-                return None;
-            }
-        }
-    }
-
-    /// Writes a text. Returns whether this succeeded.
-    async fn send(&mut self, text: &str) -> bool {
-        self.out.write_all(text.as_bytes()).await.is_ok()
-    }
-
-    /// Closes the connection with a reset.
-    fn reset(self) {
-        let _ = self.out.as_ref().set_zero_linger();
-    }
-
-    /// Sends nothing until the other side closes the connection, or resets the connection once the
-    /// server's machine is back.
-    async fn hold_silent(mut self, shared: &SharedRun, server: usize) {
-        loop {
-            let up = shared.lock().model.servers[server].status == ServerStatus::Up;
-            let received = tokio::time::timeout(Duration::from_millis(500), self.read_line()).await;
-            if matches!(received, Ok(None)) {
-                return;
-            }
-            if up && received.is_err() {
-                return self.reset();
-            }
-        }
-    }
-}
-
-/// A connection in the model and its attempt in progress. Dropping this ends the attempt and removes
-/// the connection from the model.
-struct ConnectionSlot<'a> {
-    shared: &'a SharedRun,
-    server: usize,
-    flow: u64,
-    /// Whether the connection has been added to the model.
-    attached: bool,
-    /// The number of the attempt in progress.
-    attempt: Option<usize>,
-}
-
-impl ConnectionSlot<'_> {
-    /// Records the end of the attempt in progress, if there is one.
-    fn end_attempt(&mut self, known_unexecuted: bool) {
-        if let Some(number) = self.attempt.take() {
-            let at = self.shared.now();
-            self.shared.observe(Observation::AttemptEnded {
-                at,
-                flow: self.flow,
-                number,
-                known_unexecuted,
-            });
-        }
-    }
-}
-
-impl Drop for ConnectionSlot<'_> {
-    fn drop(&mut self) {
-        self.end_attempt(false);
-        let mut inner = self.shared.lock();
-        if self.attached {
-            inner.model.servers[self.server].detach(self.flow);
-        }
-        if let Some(state) = inner.flows.get_mut(&self.flow) {
-            state.signals = None;
-        }
-    }
-}
-
 /// Answers health checks on a connection until a first line opens a flow.
 async fn serve_connection(shared: Arc<SharedRun>, server: usize, zone: usize, stream: TcpStream) {
     let mut connection = Connection::new(stream);
@@ -262,41 +152,7 @@
         attached: false,
         attempt: None,
     };
-    let response = {
-        let now = shared.now();
-        let mut inner = shared.lock();
-        let balancer = inner.flows.get(&flow).map_or(0, |state| state.balancer);
-        let mut events = Vec::new();
-        let response = match standing {
-            true => AttemptResponse::Accepted(0.0),
-            false => {
-                inner.figures.attempts += 1;
-                let number = inner.figures.attempts as usize;
-                inner.observe(Observation::Attempt {
-                    at: now,
-                    balancer,
-                    flow,
-                    number,
-                    server,
-                });
-                slot.attempt = Some(number);
-                let (response, caused) = inner.model.deliver_attempt(now, zone, server);
-                events = caused;
-                response
-            }
-        };
-        if let AttemptResponse::Accepted(_) = response {
-            if let Some(state) = inner.flows.get_mut(&flow) {
-                (state.server, state.signals, state.closed_by_server) =
-                    (Some(server), Some(sender), None);
-            }
-            slot.attached = attach_to_model(&mut inner, flow, server);
-        }
-        drop(inner);
-        // An attempt causes no events that concern the balancers' processes.
-        shared.handle_events(events);
-        response
-    };
+    let response = open_in_model(shared, &mut slot, zone, standing, sender);
     match response {
         AttemptResponse::Overloaded => {
             slot.end_attempt(true);
@@ -346,6 +202,52 @@
     .await;
 }
 
+/// Delivers the flow's attempt to the model, unless its connection was open before the run, and adds
+/// the connection to the model if the server accepts it. Returns the server's response.
+fn open_in_model(
+    shared: &Arc<SharedRun>,
+    slot: &mut ConnectionSlot<'_>,
+    zone: usize,
+    standing: bool,
+    sender: mpsc::UnboundedSender<ServerSignal>,
+) -> AttemptResponse {
+    let (flow, server) = (slot.flow, slot.server);
+    let now = shared.now();
+    let mut inner = shared.lock();
+    let (response, events) = if standing {
+        (AttemptResponse::Accepted(0.0), Vec::new())
+    } else {
+        slot.attempt = Some(observe_attempt(&mut inner, now, flow, server));
+        inner.model.deliver_attempt(now, zone, server)
+    };
+    if let AttemptResponse::Accepted(_) = response {
+        if let Some(state) = inner.flows.get_mut(&flow) {
+            (state.server, state.signals, state.closed_by_server) =
+                (Some(server), Some(sender), None);
+        }
+        slot.attached = attach_to_model(&mut inner, flow, server);
+    }
+    drop(inner);
+    // An attempt causes no events that concern the balancers' processes.
+    shared.handle_events(events);
+    response
+}
+
+/// Records an attempt and returns its number.
+fn observe_attempt(inner: &mut RunState, now: Time, flow: u64, server: usize) -> usize {
+    let balancer = inner.flows.get(&flow).map_or(0, |state| state.balancer);
+    inner.figures.attempts += 1;
+    let number = inner.figures.attempts as usize;
+    inner.observe(Observation::Attempt {
+        at: now,
+        balancer,
+        flow,
+        number,
+        server,
+    });
+    number
+}
+
 /// Adds the flow's connection to the server in the model. Returns `false` if its client is gone.
 fn attach_to_model(inner: &mut RunState, flow: u64, server: usize) -> bool {
     let client = inner
