--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -19,8 +19,7 @@
 const CLIENTS: usize = 150;
 
 fn main() {
-    let record = Record::open();
-    std::process::exit(run(&record));
+    play(run);
 }
 
 fn run(record: &Record) -> i32 {
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -13,6 +13,8 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -31,8 +33,12 @@
 pub const CONT: i32 = 18;
 pub const STOP: i32 = 19;
 
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 /// Sends a signal to a process that this program has started.
@@ -41,6 +47,28 @@
     unsafe { kill(pid as i32, signal) };
 }
 
+/// Starts a command of the deploy file by the shell, in the repository's root. The process ends with
+/// this program at the latest.
+pub fn deployed(key: &str) -> Command {
+    let mut command = Command::new("/bin/sh");
+    command.args(["-c", &deploy_command(key)]);
+    // SAFETY: between fork and exec only `prctl` is called, which takes two numbers.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, KILL as std::ffi::c_ulong);
+            Ok(())
+        });
+    }
+    command
+}
+
+/// Plays a case and exits with its result.
+pub fn play(case: fn(&Record) -> i32) -> ! {
+    let record = Record::open();
+    let result = catch_unwind(AssertUnwindSafe(|| case(&record)));
+    std::process::exit(result.unwrap_or(COULD_NOT_RUN));
+}
+
 /// Whether the disruption is played. `TROUBLE=0` leaves it out.
 pub fn trouble() -> bool {
     std::env::var("TROUBLE").as_deref() != Ok("0")
@@ -186,6 +214,8 @@
     pub address: SocketAddr,
     state: Mutex<AgentState>,
     changed: Condvar,
+    /// How many milliseconds each call takes before it is answered by the page.
+    pub slow_ms: AtomicU64,
     record: Record,
 }
 
@@ -203,6 +233,7 @@
                 is_retired: false,
             }),
             changed: Condvar::new(),
+            slow_ms: AtomicU64::new(0),
             record: record.clone(),
         });
         let accepting = agent.clone();
@@ -317,6 +348,12 @@
                 self.record
                     .line(format!("agent {}: {path}: {plan:?}", self.name));
             }
+            let slow_ms = self.slow_ms.load(Ordering::Relaxed);
+            if slow_ms > 0 {
+                self.record
+                    .line(format!("agent {}: {path}: takes {slow_ms} ms", self.name));
+                sleep_ms(slow_ms);
+            }
             let (status, body) = match plan {
                 CallPlan::TurnAway(ms) => {
                     sleep_ms(ms);
@@ -705,8 +742,7 @@
         let text = Self::config_text(address, discovery.address, &known, settings, seed);
         fs::write(&config, text).expect("a configuration file");
         let log = File::create(folder.0.join("balancer.log")).expect("a log file");
-        let process = Command::new("/bin/sh")
-            .args(["-c", &deploy_command("run")])
+        let process = deployed("run")
             .env("LB_NAME", "n1")
             .env("LB_LISTEN", address.to_string())
             .env("LB_DISCOVERY", discovery.address.to_string())
@@ -786,7 +822,7 @@
 }
 
 /// Returns a command of the deploy file.
-pub fn deploy_command(key: &str) -> String {
+fn deploy_command(key: &str) -> String {
     let text = fs::read_to_string("deploy/balancer.toml").expect("deploy/balancer.toml");
     let line = text
         .lines()
