--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -34,8 +34,7 @@
 }
 
 fn main() {
-    let record = Record::open();
-    std::process::exit(run(&record));
+    play(run);
 }
 
 fn run(record: &Record) -> i32 {
@@ -47,7 +46,7 @@
     for server in &servers {
         agent.add(&server.name, server);
     }
-    let settings = settings("ask", GRACE_MS, &class("live", 1800, "free"));
+    let settings = settings("ask", GRACE_MS, &class("live", 3200, "free"));
     let balancer = Balancer::start(&folder, &agent, &settings, record);
     sleep_ms(1500);
 
@@ -56,9 +55,9 @@
         let (stop, record, address) = (stop.clone(), record.clone(), balancer.address);
         thread::spawn(move || {
             while !is_set(&stop) {
-                if let Ok(mut client) = Client::open(address, "c=live,d=1800", &record) {
+                if let Ok(mut client) = Client::open(address, "c=live,d=3200", &record) {
                     thread::spawn(move || {
-                        client.hear_answer(2500);
+                        client.hear_answer(4000);
                         sleep_ms(500);
                         client.close();
                     });
