--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -5,7 +5,7 @@
 mod rig;
 
 use std::io::{BufRead, BufReader, Write};
-use std::process::{Command, Stdio};
+use std::process::Stdio;
 
 use rig::*;
 
@@ -13,13 +13,11 @@
 const REQUEST: u64 = 1_564_119_492;
 
 fn main() {
-    let record = Record::open();
-    std::process::exit(run(&record));
+    play(run);
 }
 
 fn run(record: &Record) -> i32 {
-    let mut adapter = Command::new("/bin/sh")
-        .args(["-c", &deploy_command("sim")])
+    let mut adapter = deployed("sim")
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .spawn()
