Review case 7: a draining server turns new connections away

The stand-ins do so now (review/rig-2), and a case ends with what it has started when its script is gone, also by KILL.

--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -71,6 +71,7 @@
     balancer.signal(HUP);
     first.retire();
     record.sleep_until(hup_at + DRAIN_AFTER_HUP_MS);
+    server.drain();
     second.set_lifecycle(&server.name, "Terminating");
     record.sleep_until(hup_at + WATCHED_MS);
     set(&stop);
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -13,7 +13,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::os::unix::process::CommandExt;
+use std::os::unix::process::{CommandExt, parent_id};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -65,6 +65,7 @@
 /// Plays a case and exits with its result.
 pub fn play(case: fn(&Record) -> i32) -> ! {
     let record = Record::open();
+    end_with_the_script();
     let result = catch_unwind(AssertUnwindSafe(|| case(&record)));
     std::process::exit(result.unwrap_or(COULD_NOT_RUN));
 }
@@ -135,16 +136,36 @@
 fn end_if_too_long() {
     thread::spawn(|| {
         thread::sleep(LONGEST_RUN);
-        let balancer = BALANCER.load(Ordering::Relaxed) as u32;
-        if balancer != 0 {
-            send_signal(balancer, KILL);
-        }
-        let _ = fs::remove_dir_all(TemporaryFolder::path());
         eprintln!("the case took too long");
-        std::process::exit(COULD_NOT_RUN);
+        give_up();
     });
 }
 
+/// Ends the case and the balancer when the script that has started the case is gone.
+fn end_with_the_script() {
+    let script = parent_id();
+    thread::spawn(move || {
+        while parent_id() == script {
+            sleep_ms(100);
+        }
+        give_up();
+    });
+}
+
+fn give_up() -> ! {
+    let balancer = BALANCER.load(Ordering::Relaxed) as u32;
+    if balancer != 0 {
+        send_signal(balancer, KILL);
+    }
+    // The temporary folder of the run, and the script's folder round it.
+    let folder = TemporaryFolder::path();
+    let _ = fs::remove_dir_all(&folder);
+    if let Some(around) = folder.parent() {
+        let _ = fs::remove_dir(around);
+    }
+    std::process::exit(COULD_NOT_RUN);
+}
+
 /// Returns a listener at a free port of 127.0.0.1.
 pub fn listen() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").expect("a free port")
@@ -452,13 +473,15 @@
     pub id: String,
 }
 
-/// A sound server: it answers a first line with `UP` and each later line at once.
+/// A sound server: it answers a first line with `UP` and each later line at once. While it drains it
+/// answers first lines with `BUSY`.
 pub struct Server {
     pub name: String,
     pub address: SocketAddr,
     pub arrivals: Mutex<Vec<Arrival>>,
     pub open: AtomicU64,
     connections: Mutex<Vec<TcpStream>>,
+    is_draining: AtomicBool,
     is_stopped: AtomicBool,
     record: Record,
 }
@@ -472,6 +495,7 @@
             arrivals: Mutex::new(Vec::new()),
             open: AtomicU64::new(0),
             connections: Mutex::default(),
+            is_draining: AtomicBool::new(false),
             is_stopped: AtomicBool::new(false),
             record: record.clone(),
         });
@@ -493,6 +517,13 @@
         server
     }
 
+    /// Begins to drain: the server keeps what it has, and turns new connections away.
+    pub fn drain(&self) {
+        self.record
+            .line(format!("server {}: begins to drain", self.name));
+        self.is_draining.store(true, Ordering::Relaxed);
+    }
+
     /// Ends the server as at the end of a drain: it takes no new connection, and what is left on it
     /// is cut off.
     pub fn stop(&self) {
@@ -528,13 +559,18 @@
                 format!("PONG busy={load:.2},x0={load:.2}\r\n")
             } else if line.starts_with("OPEN ") {
                 let id = line.split(' ').nth(1).unwrap_or("?").to_string();
+                let turns_away = self.is_draining.load(Ordering::Relaxed);
+                let what = if turns_away { "turns away" } else { "runs" };
                 self.record
-                    .line(format!("server {}: runs {line}", self.name));
+                    .line(format!("server {}: {what} {line}", self.name));
                 self.arrivals.lock().unwrap().push(Arrival {
                     at: self.record.now(),
                     server: self.name.clone(),
                     id: id.clone(),
                 });
+                if turns_away {
+                    return writer.write_all(b"BUSY\r\n");
+                }
                 is_up = true;
                 self.open.fetch_add(1, Ordering::Relaxed);
                 format!("UP {id}\r\n")
