Review case 8: servers begin to drain 1.5 s after SIGHUP and turn requests away

With servers that answer BUSY while they drain, one request a round is left, once the balancer has passed the server over for 1 and 2 s.

--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -18,7 +18,7 @@
 /// Each time limit is 50 ms longer on sockets.
 const SLACK_MS: u64 = 50;
 /// When a server begins to drain, after SIGHUP.
-const DRAIN_AFTER_HUP_MS: u64 = 200;
+const DRAIN_AFTER_HUP_MS: u64 = 1500;
 /// The service's time-out: a call that has waited so long is turned away.
 const TURNED_AWAY_AFTER_MS: u64 = 2000;
 /// The wait of the next call in the service's queue.
@@ -84,6 +84,7 @@
         agent.retire();
         record.sleep_until(hup_at + DRAIN_AFTER_HUP_MS);
         let server = servers[number - 1].name.clone();
+        servers[number - 1].drain();
         next.set_lifecycle(&server, "Terminating");
         rounds.push(Round { hup_at, server });
         record.sleep_until(hup_at + ROUND_MS);
