--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -75,27 +75,30 @@
     let status = adapter.wait().map(|status| status.to_string());
     record.line(format!("the adapter ended: {status:?}"));
 
-    let about_request: Vec<_> = reply
+    // A late `DECLINE`, `REPORT_FAILURE` or `RECALL` does no harm, says the page; a `SUBMIT_TO` counts.
+    let sent = format!("SUBMIT_TO {REQUEST} ");
+    let submits: Vec<_> = reply
         .iter()
-        .filter(|action| action.split(' ').any(|part| part == REQUEST.to_string()))
+        .filter(|action| action.starts_with(&sent))
         .collect();
-    let submits = about_request
-        .iter()
-        .filter(|action| action.starts_with("SUBMIT_TO "))
-        .count();
     if !trouble() {
         record.say(format!(
-            "the request of a living instance was sent {submits} times"
+            "the request of a living instance was sent {} times",
+            submits.len()
         ));
-        return if submits == 1 { HELD } else { COULD_NOT_RUN };
+        return if submits.len() == 1 {
+            HELD
+        } else {
+            COULD_NOT_RUN
+        };
     }
-    for action in &about_request {
+    for action in &submits {
         record.say(format!(
-            "the new instance acts on a request of the killed one: {action}"
+            "the new instance sends the request of the killed one: {action}"
         ));
     }
-    if about_request.is_empty() {
-        record.say("the new instance did not act on the request of the killed one");
+    if submits.is_empty() {
+        record.say("the new instance did not send the request of the killed one");
         HELD
     } else {
         BROKEN
