Bring a shutdown forward on new settings, but never end it in the past

What callers saw: SIGTERM, and later SIGHUP with shorter deadlines.

Cause: the shorter deadline was counted from SIGTERM. If it and 0.5 s had passed, the last migrations, the last answers and the exit were due in one turn of the dispatcher, and the process ended before the clients' coroutines read their commands. Clients inside a line waited for its end until a time after the exit. With deadlines of 10 ms the last migrations and the exit met without any reload.

Change: a reload makes the last answer due at the time of the reload at the earliest; all later steps follow from there. Clients told to migrate are told again with the nearer time. The exit comes at least 0.18 s after the last migrations.

--- a/crates/balancer/tests/shutdown.rs
+++ b/crates/balancer/tests/shutdown.rs
@@ -325,3 +325,106 @@
         "expected exit status 0 in time, got {status} after {took:?}"
     );
 }
+
+/// A change of settings during a shutdown.
+struct Change {
+    /// When SIGHUP comes, after SIGTERM.
+    at: Duration,
+    settings: Vec<(&'static str, serde_json::Value)>,
+}
+
+impl Change {
+    fn deadline(at_ms: u64, deadline_ms: u64) -> Self {
+        Change {
+            at: Duration::from_millis(at_ms),
+            settings: deadline_settings(deadline_ms).into(),
+        }
+    }
+
+    /// A change that leaves a single traffic class, which no connection has.
+    fn only_another_class(at_ms: u64) -> Self {
+        let classes = json!([{"name": "other", "setup-target": 300_000, "value": 1.0,
+            "repeat": "free", "hard-limit": SHORT_DEADLINE.as_micros() as u64}]);
+        Change {
+            at: Duration::from_millis(at_ms),
+            settings: vec![("service-types", classes)],
+        }
+    }
+}
+
+/// Guards against a shutdown that ends as soon as new settings with a shorter deadline arrive, so
+/// that open connections are cut off without `MOVE` and waiting clients get no answer.
+#[test]
+fn no_client_is_cut_off_if_settings_change_at_any_moment_of_a_shutdown() {
+    const DEADLINE_MS: u64 = 3000;
+    // The changes, and whether the servers have sent the beginning of a line to each client.
+    let cases = [
+        (vec![Change::deadline(2000, 1200)], false),
+        (vec![Change::deadline(2800, 100)], false),
+        (
+            vec![Change::deadline(600, 1600), Change::deadline(1100, 400)],
+            false,
+        ),
+        (vec![Change::only_another_class(1100)], false),
+        (vec![Change::deadline(1900, 600)], true),
+    ];
+    thread::scope(|scope| {
+        for (number, (changes, with_partial_lines)) in cases.into_iter().enumerate() {
+            scope.spawn(move || {
+                let what = format!("case {number}");
+                shut_down_with_changes(&what, DEADLINE_MS, &changes, with_partial_lines);
+            });
+        }
+    });
+}
+
+fn shut_down_with_changes(
+    what: &str,
+    deadline_ms: u64,
+    changes: &[Change],
+    with_partial_lines: bool,
+) {
+    const OPEN_CLIENTS: usize = 80;
+    const WAITING_CLIENTS: usize = 10;
+    let mut balancer = start_balancer(deadline_ms);
+    let mut open = Vec::new();
+    for _ in 0..OPEN_CLIENTS {
+        let mut client = balancer.client("c=chat,d=900");
+        assert_eq!(client.read_line(), "UP 1", "{what}");
+        open.push(client);
+    }
+    if with_partial_lines {
+        balancer.servers[0].send_to_all("half a l");
+    }
+    balancer.servers[0].set_behavior(ServerBehavior::Silent);
+    let since = Instant::now();
+    balancer.terminate();
+    thread::sleep(Duration::from_millis(100));
+    let waiting: Vec<Client> = (0..WAITING_CLIENTS)
+        .map(|_| balancer.client(&format!("c=order,d={deadline_ms}")))
+        .collect();
+    for change in changes {
+        thread::sleep(change.at.saturating_sub(since.elapsed()));
+        balancer.reload(&with_settings(&balancer.config_text, &change.settings));
+    }
+    let moved = open
+        .into_iter()
+        .filter_map(|mut client| client.next_line_is("MOVE").then_some(()))
+        .count();
+    let answered = waiting
+        .into_iter()
+        .map(|mut client| client.read_line())
+        .filter(|answer| answer == "ERR" || answer.starts_with("BUSY"))
+        .count();
+    assert_eq!(
+        (moved, answered),
+        (OPEN_CLIENTS, WAITING_CLIENTS),
+        "{what}: expected MOVE on each connection and an answer to each waiting client"
+    );
+    let status = balancer.process.wait().unwrap();
+    let took = since.elapsed();
+    assert!(
+        status.success() && took < Duration::from_millis(deadline_ms) + KILL_AFTER_DEADLINE,
+        "{what}: expected exit status 0 in time, got {status} after {took:?}"
+    );
+}
--- a/crates/dataplane/src/dispatcher/graceful_shutdown.rs
+++ b/crates/dataplane/src/dispatcher/graceful_shutdown.rs
@@ -15,6 +15,9 @@
 const LAST_MIGRATIONS_TIMEOUT: Time = 200 * MS;
 /// Time after the answer deadline at which the balancer exits even if connections are open.
 const EXIT_TIMEOUT: Time = 500 * MS;
+/// Shortest time from the last migrations to that exit. The clients' coroutines carry the migrations
+/// out meanwhile, and the process may be held up for 0.15 s.
+const LAST_MIGRATIONS_MARGIN: Time = 180 * MS;
 /// Time after SIGTERM in which new clients are still sent to this balancer. Matters if deadlines
 /// are short: guards against migrated clients that come straight back, and against an exit after
 /// which new clients find the port closed.
@@ -85,9 +88,17 @@
         self.started_at.is_some()
     }
 
-    /// Applies the longest flow timeout of new settings.
+    /// Applies the longest flow timeout of new settings. If that shortens a shutdown that has
+    /// started, the flows that have been told to migrate are told again, with the new deadline for
+    /// the ends of their lines.
     pub fn reload(&mut self, now: Time, flow_timeout_max: Time) {
+        let timeout_before = self.answer_deadline.timeout_at(now);
         self.answer_deadline.reload(now, flow_timeout_max);
+        let is_shortened = self.answer_deadline.timeout_at(now) < timeout_before;
+        if self.is_started() && is_shortened {
+            self.next_flow = 0;
+            self.next_migrations_at = now;
+        }
     }
 
     /// Returns whether the answer deadline has passed. From then on a waiting flow is failed.
@@ -113,7 +124,7 @@
     }
 
     /// Returns the flows to migrate now; empty between two batches. Each flow is returned once, in
-    /// order.
+    /// order, and once more after each reload that shortens the shutdown.
     ///
     /// Migrations begin late because the connections still work and other balancers may be
     /// restarting too. They are spread over the remaining time, so that the clients don't all
@@ -155,7 +166,9 @@
 
     /// Returns whether the balancer may exit.
     pub fn is_complete(&self, progress: &Progress, clients: &ClientTable) -> bool {
-        if progress.elapsed >= progress.answer_timeout + EXIT_TIMEOUT {
+        let exit_timeout = (progress.answer_timeout + EXIT_TIMEOUT)
+            .max(progress.migration_timeout + LAST_MIGRATIONS_MARGIN);
+        if progress.elapsed >= exit_timeout {
             return true;
         }
         let all_closed = clients.is_empty() && self.pending_connections.in_use() == 0;
--- a/crates/dataplane/src/shutdown.rs
+++ b/crates/dataplane/src/shutdown.rs
@@ -1,7 +1,9 @@
 //! How long after SIGTERM the last answer may be sent. The time of SIGKILL depends on the longest
 //! flow timeout of the deployment, which a reload may change just before or after SIGTERM. It isn't
-//! known then whether the old or the new timeout applies, so the shorter one is used. This module
-//! owns these timeouts and must never read a clock.
+//! known then whether the old or the new timeout applies, so the shorter one is used. A reload after
+//! SIGTERM makes the answers due at once at the earliest, never in the past: the steps that follow
+//! the last answer take the same time as without a reload. This module owns these timeouts and must
+//! never read a clock.
 
 use nettlemux_policy::{SEC, Time};
 
@@ -16,8 +18,15 @@
 pub struct AnswerDeadline {
     current: Time,
     previous: Option<ReplacedTimeout>,
+    termination: Option<Termination>,
+}
+
+/// The shutdown that SIGTERM has started.
+#[derive(Clone, Copy, Debug)]
+struct Termination {
+    at: Time,
     /// The timeout that applied at SIGTERM, or a shorter one from a later reload.
-    after_termination: Option<Time>,
+    timeout: Time,
 }
 
 /// The timeout that applied before the last reload.
@@ -33,7 +42,7 @@
         AnswerDeadline {
             current: flow_timeout_max.min(ANSWER_TIMEOUT_MAX),
             previous: None,
-            after_termination: None,
+            termination: None,
         }
     }
 
@@ -45,19 +54,26 @@
             replaced_at: now,
         });
         self.current = timeout;
-        self.after_termination = self.after_termination.map(|fixed| fixed.min(timeout));
+        if let Some(termination) = &mut self.termination {
+            // Guards against a deadline so far in the past that the last migrations and the exit are
+            // due at the same time.
+            let elapsed = now.saturating_sub(termination.at);
+            termination.timeout = termination.timeout.min(timeout.max(elapsed));
+        }
     }
 
     /// Records SIGTERM. Further calls have no effect.
     pub fn terminate(&mut self, now: Time) {
-        self.after_termination = self.after_termination.or(Some(self.timeout_at(now)));
+        let timeout = self.timeout_at(now);
+        self.termination
+            .get_or_insert(Termination { at: now, timeout });
     }
 
     /// Returns how long after SIGTERM the last answer is due. Before SIGTERM, this is the timeout
     /// that a SIGTERM at `now` would get.
     pub fn timeout_at(&self, now: Time) -> Time {
-        if let Some(timeout) = self.after_termination {
-            return timeout;
+        if let Some(termination) = &self.termination {
+            return termination.timeout;
         }
         let settling = self
             .previous
--- a/crates/dataplane/src/shutdown/tests.rs
+++ b/crates/dataplane/src/shutdown/tests.rs
@@ -52,6 +52,22 @@
             ],
             SEC,
         ),
+        // After SIGTERM, the last answer is due at the time of the reload at the earliest.
+        (
+            3 * SEC,
+            vec![(5 * SEC, Terminate), (7 * SEC, Reload(SEC))],
+            2 * SEC,
+        ),
+        (
+            3 * SEC,
+            vec![
+                (5 * SEC, Terminate),
+                (6 * SEC, Reload(2 * SEC)),
+                (6500 * MS, Reload(SEC)),
+                (7 * SEC, Reload(100 * MS)),
+            ],
+            1500 * MS,
+        ),
     ] {
         let mut deadline = AnswerDeadline::new(start);
         let times: Vec<Time> = steps.iter().map(|(at, _)| *at).collect();
