Limit the backoff of discovery by the 4 s after SIGHUP

What callers saw: SIGHUP moves discovery, one call is turned away after 2.0 s and the next waits 1.5 s.

Cause: the backoff knew one clock, 6 s from when discovery can be reached, and could take 3.1 s. It was also slept through, so that after SIGHUP the new agent was asked up to 3.1 s later if calls to the old one had failed before.

Change: a reload carries the time of its signal. The time left until 4 s (and 6 s) after it limits the next two backoffs: the poll starts so that it can wait for the longest time in the queue, or else within a quarter of what is left. A reload also ends or shortens a backoff that has begun, and doesn't put off the deadline of an earlier one.

--- a/crates/balancer/src/reload.rs
+++ b/crates/balancer/src/reload.rs
@@ -11,6 +11,7 @@
 use nettlemux_dataplane::runtime_settings::SharedSettings;
 use nettlemux_line_protocol::acceptor::Acceptor;
 use nettlemux_line_protocol::settings::FirstLineSettings;
+use nettlemux_policy::Time;
 use nettlemux_settings::operator::OperatorFile;
 use nettlemux_settings::{Settings, SettingsError};
 use tracing::{info, warn};
@@ -74,11 +75,12 @@
 }
 
 impl Reloader {
-    /// Reloads the files and applies the changes.
+    /// Reloads the files and applies the changes. `signalled_at` is when the signal came, which may
+    /// be earlier if the files couldn't be used at first.
     ///
     /// # Errors
     /// If one of the files can't be read or is invalid; nothing is changed in that case.
-    pub fn reload(&mut self) -> Result<(), ReloadError> {
+    pub fn reload(&mut self, signalled_at: Time) -> Result<(), ReloadError> {
         // Every step that can fail comes before the first change is applied.
         let new = config_file::load(self.files.config.as_deref())?;
         let operator = operator_file::load(self.files.operator.as_deref())?;
@@ -94,7 +96,7 @@
             warn_of_required_restart(key);
         }
         self.apply_admission(&operator);
-        self.apply_discovery(&new);
+        self.apply_discovery(&new, signalled_at);
         Ok(())
     }
 
@@ -146,13 +148,11 @@
         }
     }
 
-    fn apply_discovery(&mut self, new: &Config) {
+    fn apply_discovery(&mut self, new: &Config, signalled_at: Time) {
         let changed = new.discovery != self.config.discovery;
         info!(discovery = %new.discovery, changed, "reloaded");
-        if changed {
-            self.config.discovery = new.discovery;
-            self.agent.set_address(new.discovery);
-        }
+        self.config.discovery = new.discovery;
+        self.agent.reload(new.discovery, signalled_at);
     }
 }
 
--- a/crates/balancer/src/signals.rs
+++ b/crates/balancer/src/signals.rs
@@ -8,9 +8,11 @@
 use std::thread;
 use std::time::Duration;
 
+use nettlemux_dataplane::clock;
 use nettlemux_dataplane::mailbox::Sender;
 use nettlemux_dataplane::messages::DispatcherMessage;
 use nettlemux_dataplane::retry;
+use nettlemux_policy::Time;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tracing::{debug, error};
@@ -26,6 +28,13 @@
 const RELOAD_ATTEMPTS_MAX: u32 = 31;
 const RELOAD_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// A reload that hasn't succeeded yet.
+struct PendingReload {
+    /// When the first signal came that asked for it.
+    signalled_at: Time,
+    attempts_left: u32,
+}
+
 /// Installs the signal handlers. Must be called first: until then SIGHUP terminates the process.
 /// Signals received before [`spawn_handler_thread`] is called are kept for it.
 ///
@@ -56,22 +65,27 @@
     mut reloader: Reloader,
     dispatcher: &Sender<DispatcherMessage>,
 ) -> ! {
-    let mut reload_attempts_left = 0;
+    let mut reload = None;
     loop {
-        let received = if reload_attempts_left > 0 {
-            signals_before_retry(&mut signals)
-        } else {
-            signals.wait().collect()
+        let received = match reload {
+            Some(_) => signals_before_retry(&mut signals),
+            None => signals.wait().collect(),
         };
         for signal in received {
             match signal {
-                SIGHUP => reload_attempts_left = RELOAD_ATTEMPTS_MAX,
+                SIGHUP => reload = Some(requested_reload(reload)),
                 _ => dispatcher.send(DispatcherMessage::Terminate),
             }
         }
-        if reload_attempts_left > 0 {
-            reload_attempts_left = attempt_reload(&mut reloader, reload_attempts_left - 1);
-        }
+        reload = reload.and_then(|reload| attempt_reload(&mut reloader, reload));
+    }
+}
+
+/// Returns the reload that a SIGHUP asks for now, while `pending` hasn't succeeded.
+fn requested_reload(pending: Option<PendingReload>) -> PendingReload {
+    PendingReload {
+        signalled_at: pending.map_or_else(clock::now, |pending| pending.signalled_at),
+        attempts_left: RELOAD_ATTEMPTS_MAX,
     }
 }
 
@@ -81,22 +95,27 @@
     signals.pending().collect()
 }
 
-/// Attempts a reload. Returns the number of attempts left, 0 if the reload succeeded.
-fn attempt_reload(reloader: &mut Reloader, attempts_left: u32) -> u32 {
+/// Attempts a reload. Returns it if it failed and has attempts left.
+fn attempt_reload(reloader: &mut Reloader, reload: PendingReload) -> Option<PendingReload> {
+    let attempts_left = reload.attempts_left.saturating_sub(1);
+    let attempt = || reloader.reload(reload.signalled_at);
     // Without this, a panic during a reload would end the thread, and SIGTERM would have no effect.
-    match catch_unwind(AssertUnwindSafe(|| reloader.reload())) {
-        Ok(Ok(())) => 0,
+    match catch_unwind(AssertUnwindSafe(attempt)) {
+        Ok(Ok(())) => None,
         Ok(Err(error)) if attempts_left > 0 => {
             debug!(%error, attempts_left, "reload failed; retrying");
-            attempts_left
+            Some(PendingReload {
+                attempts_left,
+                ..reload
+            })
         }
         Ok(Err(error)) => {
             error!(%error, "reload failed; the configuration in force is unchanged");
-            0
+            None
         }
         Err(_) => {
             error!("reload panicked");
-            0
+            None
         }
     }
 }
--- a/crates/balancer/tests/discovery.rs
+++ b/crates/balancer/tests/discovery.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::toy::AgentBehavior;
+use common::toy::{AgentBehavior, DiscoveryAgent};
 use common::{TestBalancer, wait_for, with_settings};
 use serde_json::json;
 
@@ -19,6 +19,9 @@
 /// reachable.
 const CHANGE_DEADLINE: Duration = Duration::from_secs(6);
 
+/// The time after SIGHUP within which the balancer must know what discovery has to tell.
+const RELOAD_DEADLINE: Duration = Duration::from_secs(4);
+
 /// How long a call waits in the queue of a discovery service that all balancers share. The service
 /// rejects calls after 2 s in the queue, so this is just below that limit.
 const QUEUE_WAIT: Duration = Duration::from_millis(1900);
@@ -94,6 +97,139 @@
     );
 }
 
+/// What happens to discovery around the last of one or more reloads.
+#[derive(Clone, Copy, Debug)]
+struct ReloadCase {
+    /// How the agent of the last reload handles its first calls.
+    first_calls: &'static [AgentBehavior],
+    /// How the agent before it handles its calls.
+    agent_before: AgentBehavior,
+    /// The time between two reloads that move discovery, or `None` for a single reload.
+    second_reload_after: Option<Duration>,
+    /// Whether the last reload leaves discovery at the agent before it, which answers from then on.
+    keeps_agent: bool,
+}
+
+impl ReloadCase {
+    const fn first_calls(first_calls: &'static [AgentBehavior]) -> Self {
+        ReloadCase {
+            first_calls,
+            agent_before: AgentBehavior::Serving(Duration::ZERO),
+            second_reload_after: None,
+            keeps_agent: false,
+        }
+    }
+}
+
+/// How long a service that all balancers share leaves a call in its queue before it rejects it.
+const REJECTED_AFTER: Duration = Duration::from_secs(2);
+
+/// The wait in the queue of a call that follows a rejected one.
+const QUEUED: AgentBehavior = AgentBehavior::Serving(Duration::from_millis(1500));
+
+const RELOAD_CASES: &[ReloadCase] = &[
+    ReloadCase::first_calls(&[AgentBehavior::Rejecting(REJECTED_AFTER), QUEUED]),
+    ReloadCase::first_calls(&[AgentBehavior::Rejecting(Duration::ZERO), QUEUED]),
+    ReloadCase::first_calls(&[AgentBehavior::Silent]),
+    ReloadCase::first_calls(&[AgentBehavior::Closing(Duration::from_millis(1000)), QUEUED]),
+    // The reload comes while the balancer waits for the end of a backoff.
+    ReloadCase {
+        agent_before: AgentBehavior::Closing(Duration::from_millis(800)),
+        ..ReloadCase::first_calls(&[AgentBehavior::Rejecting(REJECTED_AFTER)])
+    },
+    ReloadCase {
+        agent_before: AgentBehavior::Closing(Duration::from_millis(800)),
+        keeps_agent: true,
+        ..ReloadCase::first_calls(&[QUEUED])
+    },
+    ReloadCase {
+        agent_before: AgentBehavior::Silent,
+        second_reload_after: Some(Duration::from_secs(1)),
+        ..ReloadCase::first_calls(&[AgentBehavior::Rejecting(REJECTED_AFTER), QUEUED])
+    },
+];
+
+/// Returns the time from the last reload until its agent has answered a call.
+fn time_until_answered_after_reload(case: &ReloadCase, seed: u64) -> Duration {
+    /// Time in which calls to the agent before the reload fail.
+    const FAILING_TIME: Duration = Duration::from_millis(3500);
+    let balancer = TestBalancer::with_config(1, |config| {
+        with_settings(
+            &config.replace("8c1f30d27a5be964", &format!("{seed:016x}")),
+            &[("discovery", json!("ask"))],
+        )
+    });
+    let config_with_agent = |agent: &DiscoveryAgent| {
+        let settings = with_settings(&balancer.config_text, &[("discovery", json!("ask"))]);
+        settings.replace(
+            &balancer.agent.address.to_string(),
+            &agent.address.to_string(),
+        )
+    };
+    let start_agent = || {
+        let agent = DiscoveryAgent::start("127.0.0.1:0").unwrap();
+        agent.publish("s-0", balancer.servers[0].address, "Ready");
+        agent
+    };
+    balancer.agent.set_behavior(case.agent_before);
+    if !matches!(case.agent_before, AgentBehavior::Serving(_)) {
+        thread::sleep(FAILING_TIME);
+    }
+    if let Some(interval) = case.second_reload_after {
+        let agent = start_agent();
+        agent.set_behavior(AgentBehavior::Silent);
+        balancer.reload(&config_with_agent(&agent));
+        thread::sleep(interval);
+    }
+    let agent = match case.keeps_agent {
+        true => balancer.agent.clone(),
+        false => start_agent(),
+    };
+    agent.resume();
+    agent.set_next_behaviors(case.first_calls);
+    let reloaded_at = Instant::now();
+    balancer.reload(&config_with_agent(&agent));
+    let answered = || {
+        let calls = agent.recorded_calls();
+        calls
+            .iter()
+            .find_map(|call| call.answered_at.filter(|at| *at > reloaded_at))
+    };
+    // Waits longer than the limit so that a time above the limit can be reported.
+    while answered().is_none() && reloaded_at.elapsed() < 3 * RELOAD_DEADLINE {
+        thread::sleep(Duration::from_millis(20));
+    }
+    answered().map_or(reloaded_at.elapsed(), |at| at - reloaded_at)
+}
+
+/// Guards against a drain that is learned over 4 s after SIGHUP because one call to a shared
+/// discovery service failed, or because a backoff had begun before.
+#[test]
+fn update_calls_are_answered_within_4_s_of_a_reload_whatever_one_call_met() {
+    const SEEDS: u64 = 3;
+    let late = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for case in RELOAD_CASES {
+            for seed in 1..=SEEDS {
+                let late = &late;
+                scope.spawn(move || {
+                    let took = time_until_answered_after_reload(case, seed);
+                    if took >= RELOAD_DEADLINE {
+                        late.lock()
+                            .unwrap()
+                            .push(format!("{case:?}, seed {seed}: answered {took:?} later"));
+                    }
+                });
+            }
+        }
+    });
+    let late = late.into_inner().unwrap();
+    assert!(
+        late.is_empty(),
+        "expected an answer within {RELOAD_DEADLINE:?} of the reload: {late:#?}"
+    );
+}
+
 /// Guards against a missed drain after the agent restarts. The agent counts versions anew, and its
 /// different list reaches the same version that the balancer already has. Only the closed
 /// connection tells the balancer about the restart.
--- a/crates/dataplane/src/discovery.rs
+++ b/crates/dataplane/src/discovery.rs
@@ -4,8 +4,8 @@
 //! is silent, refuses connections or sends an unreadable response, it is polled again soon.
 //!
 //! [`watch`](fn@watch) is the loop. Each iteration makes one poll (`poll`) of the agent's current
-//! address (`agent`) over HTTP (`http`). `list` parses the response body, and `backoff` computes
-//! the delay after a failed poll.
+//! address (`agent`) over HTTP (`http`). `list` parses the response body, `backoff` computes the
+//! delay after a failed poll, and `reload_deadline` tells how much time is left after a reload.
 
 mod agent;
 mod backoff;
@@ -13,6 +13,7 @@
 mod http;
 mod list;
 mod poll;
+mod reload_deadline;
 mod watch;
 
 pub use self::agent::Agent;
--- a/crates/dataplane/src/discovery/backoff/tests.rs
+++ b/crates/dataplane/src/discovery/backoff/tests.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::super::reload_deadline::{RELOAD_DEADLINE, RecentReloads, ShortenedBackoffs};
 use super::*;
 
 #[test]
@@ -68,6 +69,39 @@
     }
 }
 
+/// Guards against a pause after a failed poll that is worked out only from the deadline for changes
+/// and not from the shorter one after a reload.
+#[test]
+fn response_after_one_failed_poll_arrives_within_the_deadline_after_a_reload() {
+    let mut rng = WyRand::new_seed(13);
+    let reloaded_at = 100 * SEC;
+    let mut reloads = RecentReloads::default();
+    reloads.record(reloaded_at);
+    // How long the failed poll took, and how long the next poll waits in the service's queue.
+    for (kind, duration, queue_time) in [
+        (FailureKind::NoResponse, 0, 2500 * MS),
+        (FailureKind::BadResponse, MS, 2500 * MS),
+        (FailureKind::NoResponse, 500 * MS, 2500 * MS),
+        (FailureKind::BadResponse, 2 * SEC, 1500 * MS),
+        (FailureKind::NoResponse, QUEUE_TIMEOUT, SEC),
+    ] {
+        for failures in [0, 1, 5, u32::MAX] {
+            let limit = backoff_limit(kind, duration, 10 * SEC);
+            let limit =
+                ShortenedBackoffs::default().shorten(limit, &reloads, reloaded_at + duration);
+            let longest = (0..500)
+                .map(|_| draw_backoff(duration, failures, limit, &mut rng))
+                .max()
+                .unwrap();
+            let known_after = duration + longest + queue_time;
+            assert!(
+                known_after < RELOAD_DEADLINE,
+                "{kind:?} {duration} {failures}: {known_after}"
+            );
+        }
+    }
+}
+
 /// A poll of the shared service. The service handles polls in the derived order: by arrival time,
 /// then by balancer.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -87,8 +121,12 @@
 
 /// Simulates a service with one first-in-first-out queue. It rejects a poll that has been queued
 /// for 2 s, and a rejection takes as long as a response. A hundred balancers poll it at the same
-/// time.
-fn poll_shared_service(answers_per_second: u64, rng: &mut WyRand) -> SharedPolls {
+/// time, which is that of their reload if `reloads` has one.
+fn poll_shared_service(
+    answers_per_second: u64,
+    reloads: RecentReloads,
+    rng: &mut WyRand,
+) -> SharedPolls {
     let answer_time = SEC / answers_per_second;
     let wait_max = 2 * SEC;
     let mut queue: BTreeSet<SharedPoll> = (0..100)
@@ -98,6 +136,7 @@
             failures: 0,
         })
         .collect();
+    let mut shortened_backoffs = vec![ShortenedBackoffs::default(); 100];
     let mut service_free_at = 0;
     let mut answered_at = Vec::new();
     let mut rejections = 0;
@@ -109,6 +148,8 @@
         }
         rejections += 1;
         let limit = backoff_limit(FailureKind::BadResponse, wait_max, 10 * SEC);
+        let limit =
+            shortened_backoffs[poll.balancer].shorten(limit, &reloads, poll.arrives_at + wait_max);
         let backoff = draw_backoff(wait_max, poll.failures, limit, rng);
         queue.insert(SharedPoll {
             arrives_at: poll.arrives_at + wait_max + backoff,
@@ -127,15 +168,16 @@
 /// answer all of them in time, and a slower one must still answer all of them.
 #[test]
 fn hundred_balancers_with_one_queue_all_get_a_response() {
+    let no_reload = RecentReloads::default();
     for seed in 0..50 {
         let mut rng = WyRand::new_seed(seed);
-        let fast = poll_shared_service(30, &mut rng);
+        let fast = poll_shared_service(30, no_reload, &mut rng);
         let is_in_time = |at: &Time| *at < CHANGE_DEADLINE;
         assert!(
             fast.answered_at.len() == 100 && fast.answered_at.iter().all(is_in_time),
             "seed {seed}"
         );
-        let slow = poll_shared_service(18, &mut rng);
+        let slow = poll_shared_service(18, no_reload, &mut rng);
         assert!(
             slow.answered_at.len() == 100 && slow.rejections < 400,
             "seed {seed}: {} rejected",
@@ -144,6 +186,32 @@
     }
 }
 
+/// Guards against a hundred balancers that keep the service's queue full because they have to know
+/// its list soon after a reload. A service that is fast enough must answer all of them in time, and
+/// a slower one must still answer all of them.
+#[test]
+fn hundred_balancers_with_one_queue_all_get_a_response_after_a_reload() {
+    let mut reload = RecentReloads::default();
+    reload.record(0);
+    for seed in 0..50 {
+        let mut rng = WyRand::new_seed(seed);
+        for (answers_per_second, deadline) in [
+            (50, RELOAD_DEADLINE),
+            (30, CHANGE_DEADLINE),
+            (18, Time::MAX),
+        ] {
+            let polls = poll_shared_service(answers_per_second, reload, &mut rng);
+            let latest = polls.answered_at.iter().max().unwrap();
+            assert!(
+                polls.answered_at.len() == 100 && *latest < deadline,
+                "seed {seed}, {answers_per_second}/s: {} answered, the last at {latest}, {} rejected",
+                polls.answered_at.len(),
+                polls.rejections
+            );
+        }
+    }
+}
+
 /// The longest backoff and the longest wait in the queue fit into [`CHANGE_DEADLINE`], and that
 /// wait is longer than the service's own limit of 2 s.
 #[test]
--- a/crates/dataplane/src/discovery/poll.rs
+++ b/crates/dataplane/src/discovery/poll.rs
@@ -7,7 +7,7 @@
 use nettlemux_policy::Time;
 use thiserror::Error;
 
-use super::agent::Location;
+use super::agent::{Location, Notifier, WaitKind};
 use super::backoff::FailureKind;
 use super::context::DiscoveryContext;
 use super::http::{self, HttpError, ResponseError};
@@ -194,8 +194,11 @@
             .try_acquire()
             .ok_or(PollError::NoDescriptor)?;
         let mailbox = Mailbox::new();
-        let agent = &self.context.agent;
-        if !agent.notify_on_change(mailbox.sender(), location) {
+        let notifier = Notifier {
+            sender: mailbox.sender(),
+            wait: WaitKind::Response,
+        };
+        if !self.context.agent.notify_on_reload(notifier, location) {
             return Err(PollError::AddressChanged);
         }
         let connection = Connection::dial(mailbox, location.address, permit, deadline)?;
--- a/crates/dataplane/src/discovery/watch.rs
+++ b/crates/dataplane/src/discovery/watch.rs
@@ -9,13 +9,16 @@
 use nettlemux_policy::{MS, SEC, Time};
 use tracing::{debug, info, warn};
 
-use super::agent::Location;
-use super::backoff::{BACKOFF_MIN, QUEUE_TIMEOUT, backoff_limit, draw_backoff};
+use super::agent::{Location, Notifier, WaitKind};
+use super::backoff::{
+    BACKOFF_MIN, FailureKind, QUEUE_TIMEOUT, backoff_limit, backoff_span, draw_backoff,
+};
 use super::context::DiscoveryContext;
 use super::list::ListUpdate;
 use super::poll::{AgentClient, Poll, PollError, PollFailure};
+use super::reload_deadline::ShortenedBackoffs;
 use crate::clock;
-use crate::mailbox::Sender;
+use crate::mailbox::{Mailbox, Sender};
 use crate::messages::DispatcherMessage;
 use crate::timer;
 
@@ -60,6 +63,7 @@
     agent_revision: u64,
     /// The number of failed polls since the last successful one.
     failures: u32,
+    shortened_backoffs: ShortenedBackoffs,
     /// Whether the next poll starts a watch: it is the first poll, or the previous one failed or
     /// was interrupted.
     begins_watch: bool,
@@ -84,6 +88,7 @@
             version: known_version,
             agent_revision: 0,
             failures: 0,
+            shortened_backoffs: ShortenedBackoffs::default(),
             begins_watch: true,
             has_been_answered: false,
             next_complete_list_at: 0,
@@ -110,8 +115,8 @@
                 sleep(BACKOFF_MIN);
             }
             Err(PollError::Failed(failure)) => {
-                let backoff = self.record_failure(&failure, &poll);
-                sleep(backoff);
+                let failed = self.record_failure(&failure, &poll);
+                self.back_off(&failed, &location);
             }
         }
     }
@@ -198,36 +203,78 @@
         }
     }
 
-    /// Records a failed poll and returns the backoff before the next one.
-    fn record_failure(&mut self, failure: &PollFailure, poll: &Poll) -> Time {
+    /// Records a failed poll.
+    fn record_failure(&mut self, failure: &PollFailure, poll: &Poll) -> FailedPoll {
         if self.failures == 0 {
             warn!(error = %failure, "discovery poll failed");
             self.dispatcher.send(DispatcherMessage::EndpointPollFailed);
         }
-        let duration = clock::now() - poll.started_at;
-        let backoff = self.backoff(failure, duration, poll);
+        let failed = FailedPoll {
+            kind: failure.kind(),
+            duration: clock::now() - poll.started_at,
+            failures_before: self.failures,
+            interval_max: poll.interval_max,
+        };
         debug!(
             error = %failure,
             path = poll.path(),
-            duration_ms = duration / MS,
-            backoff_ms = backoff / MS,
+            duration_ms = failed.duration / MS,
             "discovery poll will be retried"
         );
         self.failures = self.failures.saturating_add(1);
-        backoff
+        failed
+    }
+
+    /// Waits until the next poll may start. A reload shortens the wait, and a new address of the
+    /// agent ends it.
+    fn back_off(&mut self, failed: &FailedPoll, location: &Location) {
+        let mailbox = Mailbox::new();
+        let notifier = Notifier {
+            sender: mailbox.sender(),
+            wait: WaitKind::Backoff,
+        };
+        let agent = &self.context.agent;
+        let mut until = Time::MAX;
+        while agent.notify_on_reload(notifier.clone(), location) {
+            let now = clock::now();
+            let backoff = self.draw_backoff(failed, now);
+            debug!(backoff_ms = backoff / MS, "backoff of the discovery poll");
+            until = until.min(now + backoff);
+            if mailbox.next(until).is_none() {
+                return;
+            }
+        }
     }
 
-    /// Returns the backoff: random if one service answers the polls of all balancers, else
+    /// Draws the backoff: random if one service answers the polls of all balancers, else
     /// [`BACKOFF_MIN`].
-    fn backoff(&mut self, failure: &PollFailure, duration: Time, poll: &Poll) -> Time {
-        let Some(interval_max) = poll.interval_max else {
+    fn draw_backoff(&mut self, failed: &FailedPoll, now: Time) -> Time {
+        let Some(interval_max) = failed.interval_max else {
             return BACKOFF_MIN;
         };
-        let limit = backoff_limit(failure.kind(), duration, interval_max);
-        draw_backoff(duration, self.failures, limit, &mut self.rng)
+        let limit = backoff_limit(failed.kind, failed.duration, interval_max)
+            .min(backoff_span(failed.duration, failed.failures_before));
+        let reloads = self.context.agent.location().reloads;
+        let limit = self.shortened_backoffs.shorten(limit, &reloads, now);
+        draw_backoff(
+            failed.duration,
+            failed.failures_before,
+            limit,
+            &mut self.rng,
+        )
     }
 }
 
+/// A failed poll, as far as the backoff depends on it.
+struct FailedPoll {
+    kind: FailureKind,
+    duration: Time,
+    /// The number of failed polls in a row before this one.
+    failures_before: u32,
+    /// The longest interval between polls; `None` if the agent isn't shared.
+    interval_max: Option<Time>,
+}
+
 fn sleep(time: Time) {
     timer::sleep(Duration::from_nanos(time));
 }
--- a/examples/toy/agent.rs
+++ b/examples/toy/agent.rs
@@ -1,6 +1,6 @@
 //! A toy discovery agent. It serves an endpoint list over HTTP/1.1 and can simulate faults.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, BufRead, BufReader, Lines, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -101,6 +101,8 @@
     list: Mutex<EndpointList>,
     changed: Condvar,
     behavior: Mutex<AgentBehavior>,
+    /// How the next calls are handled; later ones are handled by `behavior`.
+    next_behaviors: Mutex<VecDeque<AgentBehavior>>,
     recorded_calls: Mutex<Vec<RecordedCall>>,
 }
 
@@ -142,6 +144,7 @@
             list: Mutex::default(),
             changed: Condvar::new(),
             behavior: Mutex::new(AgentBehavior::Serving(Duration::ZERO)),
+            next_behaviors: Mutex::default(),
             recorded_calls: Mutex::default(),
         });
         let serving = agent.clone();
@@ -207,6 +210,11 @@
         *self.behavior.lock().unwrap() = behavior;
     }
 
+    /// Sets how each of the next calls is handled, whatever the agent's behavior is meanwhile.
+    pub fn set_next_behaviors(&self, behaviors: &[AgentBehavior]) {
+        *self.next_behaviors.lock().unwrap() = behaviors.iter().copied().collect();
+    }
+
     /// Stops answering calls until [`resume`](Self::resume).
     pub fn stop_answering(&self) {
         self.set_behavior(AgentBehavior::Silent);
@@ -251,12 +259,14 @@
         loop {
             let request = ListRequest::read(&mut lines)?;
             let call = self.record_call(request.from_version);
-            match self.behavior() {
+            let next = self.next_behaviors.lock().unwrap().pop_front();
+            match next.unwrap_or_else(|| self.behavior()) {
                 AgentBehavior::Serving(delay) => thread::sleep(delay),
                 AgentBehavior::Silent => continue,
                 AgentBehavior::Rejecting(delay) => {
                     thread::sleep(delay);
-                    if !matches!(self.behavior(), AgentBehavior::Serving(_)) {
+                    let recovered = matches!(self.behavior(), AgentBehavior::Serving(_));
+                    if next.is_some() || !recovered {
                         out.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
                             .ok()?;
                         continue;
