Bound all connections by the memory limit, and not flows alone

Cause: the limit bounded the number of flows. Pending connections, health checks and discovery were a fixed part of the descriptors, and each takes two coroutines, whose stacks are mapped at the start. First lines were kept as long as their connection.

Change: pending and control connections are bounded by a share of the memory, and flows get what is left at 52 KB each. A first line is dropped once its client is served.

--- a/crates/balancer/src/assembly.rs
+++ b/crates/balancer/src/assembly.rs
@@ -16,7 +16,7 @@
 use nettlemux_dataplane::buffers::BufferPool;
 use nettlemux_dataplane::client_ids::ClientIds;
 use nettlemux_dataplane::dataplane::Dataplane;
-use nettlemux_dataplane::descriptors::DescriptorBudgets;
+use nettlemux_dataplane::descriptors::{DescriptorBudgets, client_ids_bytes};
 use nettlemux_dataplane::discovery::{self, Agent, DiscoveryContext};
 use nettlemux_dataplane::dispatcher::{Dispatcher, DispatcherConfig, DispatcherError};
 use nettlemux_dataplane::gossip::GossipTransport;
@@ -50,8 +50,6 @@
 /// The size of a coroutine's stack in words of 8 bytes, which is 64 KB. The system allocates only
 /// the pages that are touched. Discovery needs the largest stack, since it parses JSON.
 const COROUTINE_STACK_WORDS: usize = 0x2000;
-/// One in this many bytes of memory is for the ids of recently ended flows.
-const MEMORY_PER_CLIENT_IDS: usize = 16;
 /// The longest Retry-After of admission control if the settings do not allow Retry-After.
 const RETRY_AFTER_MAX_DEFAULT: Time = SEC;
 /// The lower bound of the longest Retry-After of admission control.
@@ -233,7 +231,7 @@
             dispatcher: dispatcher.clone(),
             buffers: BufferPool::new(),
             descriptor_budgets: budgets,
-            client_ids: ClientIds::new(config.memory_bytes_max / MEMORY_PER_CLIENT_IDS),
+            client_ids: ClientIds::new(client_ids_bytes(config.memory_bytes_max)),
             settings: runtime_settings.clone(),
             next_flow: AtomicU64::new(1),
         });
--- a/crates/balancer/tests/abusive_clients.rs
+++ b/crates/balancer/tests/abusive_clients.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use std::io::Write;
 use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -62,3 +63,55 @@
     assert_eq!(runs.count(), 1, "of {served} requests that ran");
     assert!(served > 2000, "only {served} other ids ran");
 }
+
+/// Guards against a process that passes its memory limit with hundreds of clients that write slowly,
+/// stop inside a long line or send very many short values, because only flows are limited by it.
+#[test]
+fn hundreds_of_clients_with_unfinished_lines_fit_into_the_memory_limit() {
+    const MEMORY_MB: usize = 64;
+    const CLIENTS_OF_EACH_KIND: usize = 150;
+    let balancer = TestBalancer::with_config(1, |config| {
+        config
+            .replace("\"sockets\": 1024", "\"sockets\": 20000")
+            .replace("\"memory_mb\": 192", "\"memory_mb\": 64")
+    });
+    let long_key = "k".repeat(3900);
+    let many_values = ",q=1".repeat(900);
+    let mut unfinished = Vec::new();
+    for number in 0..CLIENTS_OF_EACH_KIND {
+        for line in [
+            format!("OPEN slow{number} "),
+            format!("OPEN half{number} {long_key}"),
+            format!("OPEN values{number} k c=chat,d=900{many_values}"),
+        ] {
+            unfinished.push(Client::connect_and_send(balancer.address, line.as_bytes()));
+        }
+    }
+    let open: Vec<Client> = (0..CLIENTS_OF_EACH_KIND)
+        .map(|_| {
+            let mut client = balancer.client(&format!("c=chat,d=900,g={long_key}"));
+            assert_eq!(client.read_line(), "UP 1");
+            client
+        })
+        .collect();
+    for _ in 0..20 {
+        for client in unfinished.iter_mut().step_by(3) {
+            // Some are rejected meanwhile.
+            let _ = client.stream.write_all(b"k");
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    for client in &mut unfinished {
+        let answer = client.read_line();
+        assert!(
+            answer.starts_with("BUSY") || answer == "ERR" || answer == "reset",
+            "unexpected answer: {answer}"
+        );
+    }
+    let kb = balancer.peak_memory_kb();
+    assert!(
+        kb < MEMORY_MB << 10,
+        "{kb} KB with {} open connections",
+        open.len()
+    );
+}
--- a/crates/balancer/tests/common/balancer.rs
+++ b/crates/balancer/tests/common/balancer.rs
@@ -161,6 +161,15 @@
         Client::connect_with_open_line(self.address, values)
     }
 
+    /// Returns the largest resident memory that the process has had, in units of 1,024 bytes.
+    pub fn peak_memory_kb(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id()));
+        let status = status.unwrap();
+        let peak = status.lines().find(|line| line.starts_with("VmHWM"));
+        let kb = peak.unwrap().split_whitespace().nth(1);
+        kb.unwrap().parse().unwrap()
+    }
+
     /// Sends a signal, given as an option of `kill`, such as `-HUP`.
     pub fn signal(&self, signal: &str) {
         let pid = self.process.id().to_string();
--- a/crates/balancer/tests/limits.rs
+++ b/crates/balancer/tests/limits.rs
@@ -81,18 +81,7 @@
         open.last_mut().unwrap().next_line_is("UP 1")
     });
     let served = served.count();
-    let status =
-        std::fs::read_to_string(format!("/proc/{}/status", balancer.process.id())).unwrap();
-    let peak_memory = status
-        .lines()
-        .find(|line| line.starts_with("VmHWM"))
-        .unwrap();
-    let kb: usize = peak_memory
-        .split_whitespace()
-        .nth(1)
-        .unwrap()
-        .parse()
-        .unwrap();
+    let kb = balancer.peak_memory_kb();
     let descriptors = std::fs::read_dir(format!("/proc/{}/fd", balancer.process.id()))
         .unwrap()
         .count();
--- a/crates/dataplane/src/descriptors.rs
+++ b/crates/dataplane/src/descriptors.rs
@@ -1,5 +1,6 @@
-//! Descriptor budgets: how many sockets the process may open for each purpose. It owns the counts of
-//! open sockets. It must never wait: if no permit is left, the call returns at once without one.
+//! Descriptor budgets: how many sockets the process may open for each purpose, by its limits of
+//! descriptors and of memory. It owns the counts of open sockets. It must never wait: if no permit is
+//! left, the call returns at once without one.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -17,11 +18,21 @@
 const PENDING_DESCRIPTORS_MIN: usize = 32;
 /// The client's socket and the server's.
 const DESCRIPTORS_PER_FLOW: usize = 2;
-/// Memory that the program uses without flows.
-const PROGRAM_BYTES: usize = 8 << 20;
-/// Memory of one flow at most: two stacks and two watchers' stacks of two or three pages each, a
-/// buffer for each direction, and the flow's state in the dispatcher and the policy.
-const FLOW_BYTES_MAX: usize = 48 << 10;
+/// One in this many bytes of memory is for the ids of recently ended flows.
+const MEMORY_PER_CLIENT_IDS: usize = 16;
+/// At most one in this many bytes of memory is for pending connections.
+const MEMORY_PER_PENDING_CONNECTIONS: usize = 8;
+/// At most one in this many bytes of memory is for health checks and discovery.
+const MEMORY_PER_CONTROL_CONNECTIONS: usize = 16;
+/// Memory that the program uses without connections.
+const PROGRAM_BYTES: usize = 6 << 20;
+/// Memory of a connection that is no flow at most: its coroutine's stack and its watcher's, of three
+/// pages each, and a buffer.
+const CONNECTION_BYTES_MAX: usize = 30 << 10;
+/// Memory of one flow at most: its coroutine's stack and those of two watchers, of three pages each,
+/// a buffer for each direction, and the flow's state in the dispatcher and the policy, with the
+/// names that its client has chosen.
+const FLOW_BYTES_MAX: usize = 52 << 10;
 /// Coroutines of the process's own services and their timers.
 const SERVICE_COROUTINES: usize = 32;
 /// Largest number of coroutine stacks that are mapped at the start. The system allows a process
@@ -107,14 +118,25 @@
 
 impl DescriptorBudgets {
     /// Divides the sockets that the process may open among the budgets. `memory_bytes` limits the
-    /// number of flows.
+    /// budgets too, since connections of every purpose take memory.
     pub fn new(sockets: usize, memory_bytes: usize) -> Self {
-        let control = (sockets / SOCKETS_PER_CONTROL_DESCRIPTOR).max(CONTROL_DESCRIPTORS_MIN);
-        let pending = (sockets / SOCKETS_PER_PENDING_DESCRIPTOR).max(PENDING_DESCRIPTORS_MIN);
+        let control_in_memory =
+            memory_bytes / MEMORY_PER_CONTROL_CONNECTIONS / CONNECTION_BYTES_MAX;
+        let control = (sockets / SOCKETS_PER_CONTROL_DESCRIPTOR)
+            .min(control_in_memory)
+            .max(CONTROL_DESCRIPTORS_MIN);
+        let pending_in_memory =
+            memory_bytes / MEMORY_PER_PENDING_CONNECTIONS / CONNECTION_BYTES_MAX;
+        let pending = (sockets / SOCKETS_PER_PENDING_DESCRIPTOR)
+            .min(pending_in_memory)
+            .max(PENDING_DESCRIPTORS_MIN);
         // Clients hold up to a third of the sockets and their servers' side as many. Everything else
         // must fit into the rest.
         let flows = (sockets - STANDING_DESCRIPTORS - control - pending) / DESCRIPTORS_PER_FLOW;
-        let flows_in_memory = memory_bytes.saturating_sub(PROGRAM_BYTES) / FLOW_BYTES_MAX;
+        let other_memory = PROGRAM_BYTES
+            + client_ids_bytes(memory_bytes)
+            + (control + pending) * CONNECTION_BYTES_MAX;
+        let flows_in_memory = memory_bytes.saturating_sub(other_memory) / FLOW_BYTES_MAX;
         DescriptorBudgets {
             pending: DescriptorBudget::new(pending),
             flows: DescriptorBudget::new(flows.min(flows_in_memory)),
@@ -133,5 +155,10 @@
     }
 }
 
+/// Returns the part of the memory that is for the ids of recently ended flows.
+pub fn client_ids_bytes(memory_bytes: usize) -> usize {
+    memory_bytes / MEMORY_PER_CLIENT_IDS
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/dataplane/src/descriptors/tests.rs
+++ b/crates/dataplane/src/descriptors/tests.rs
@@ -39,3 +39,26 @@
         "memory limits the flows too"
     );
 }
+
+/// Guards against a process that passes its memory limit when all connections that it may have are
+/// open at once, for whatever purpose.
+#[test]
+fn connections_of_all_budgets_fit_into_the_memory() {
+    for memory_mb in [16, 32, 48, 64, 192, 1024] {
+        for sockets in [160, 256, 384, 1024, 4096, 65_536] {
+            let memory = memory_mb << 20;
+            let budgets = DescriptorBudgets::new(sockets, memory);
+            let connections = budgets.pending.limit() + budgets.control.limit();
+            let used = PROGRAM_BYTES
+                + client_ids_bytes(memory)
+                + connections * CONNECTION_BYTES_MAX
+                + budgets.flows.limit() * FLOW_BYTES_MAX;
+            assert!(used <= memory, "{sockets} sockets, {memory_mb} MB: {used}");
+            assert!(
+                budgets.flows.limit() >= 60.min(sockets / 4),
+                "{sockets} sockets, {memory_mb} MB: {} flows",
+                budgets.flows.limit()
+            );
+        }
+    }
+}
--- a/crates/dataplane/src/pipeline.rs
+++ b/crates/dataplane/src/pipeline.rs
@@ -57,7 +57,11 @@
     request.send(dataplane, &guard);
     while let ControlFlow::Continue(target) = next_target(dataplane, &mut guard, &request) {
         let failure = match attempt::run(dataplane, &mut guard, &target, &line, origin) {
-            Ok(server) => return relay(dataplane, guard, &target, server),
+            Ok(server) => {
+                // The client chose their lengths, and the connection may stay open for days.
+                drop((line, request));
+                return relay(dataplane, guard, &target, server);
+            }
             Err(failure) => failure,
         };
         if handle_failure(dataplane, &mut guard, &request, &target, failure).is_break() {
