Wait for the fault plan's lock in the library that tests preload

What was seen: start_fails_when_listen_keeps_failing hung for 1,198 s, with eleven other tests of its file passed; alone it hung in 19 of 60 runs on this machine (cut off after 20 s). The program had started and served, though its listen was to fail.

Cause: the library looked a call up with try_lock, so that a call made while another thread looked up one of its own was made without its fault. Threads of the runtime and of the log make such calls at the very moment in which the main thread listens.

Change: the thread waits for the lock, spinning. Only a call by a signal handler that has interrupted a lookup of the same thread is still made without a fault, which a flag of the thread shows. No test is changed, and planned faults are met more often.

--- a/crates/balancer/tests/preload/faults.rs
+++ b/crates/balancer/tests/preload/faults.rs
@@ -14,10 +14,11 @@
 //! A fault skips the first `AFTER` calls, then applies to the next call and to every `EVERY`th call
 //! from there on, at most `TIMES` times. The defaults are 0, 1 and no limit.
 
+use std::cell::Cell;
 use std::ffi::{CStr, OsString};
 use std::mem::{MaybeUninit, transmute};
 use std::os::unix::ffi::OsStringExt;
-use std::sync::{Mutex, OnceLock};
+use std::sync::{Mutex, MutexGuard, OnceLock, TryLockError};
 
 use libc::{c_char, c_int, c_long, c_void, size_t, sockaddr, socklen_t, ssize_t, timespec};
 
@@ -155,18 +156,48 @@
     }
 }
 
-/// Returns the fault to apply to this call. Returns `None` if the plan is locked, either by another
-/// thread or by a call in this thread that a signal handler has interrupted.
+thread_local! {
+    /// Whether this thread holds the plan's lock.
+    static HOLDS_PLAN: Cell<bool> = const { Cell::new(false) };
+}
+
+/// Waits for the plan's lock. Returns `None` if this thread holds it, because a signal handler has
+/// interrupted it. Spins, since a wait in the system would be a call that is looked up in the plan.
+fn lock_plan() -> Option<MutexGuard<'static, Plan>> {
+    if HOLDS_PLAN.replace(true) {
+        return None;
+    }
+    loop {
+        match PLAN.try_lock() {
+            Ok(plan) => return Some(plan),
+            Err(TryLockError::Poisoned(poisoned)) => return Some(poisoned.into_inner()),
+            Err(TryLockError::WouldBlock) => std::hint::spin_loop(),
+        }
+    }
+}
+
+/// Returns the fault to apply to this call.
 fn next_action(call: &str) -> Option<Action> {
     let path = plan_path()?;
-    let mut plan = PLAN.try_lock().ok()?;
-    let version = file_version(path);
-    if plan.version != version {
-        let text = read_file(path).unwrap_or_default();
-        (plan.version, plan.faults) = (version, text.lines().filter_map(Fault::parse).collect());
+    let mut plan = lock_plan()?;
+    let action = plan.next_action(path, call);
+    drop(plan);
+    HOLDS_PLAN.set(false);
+    action
+}
+
+impl Plan {
+    /// Reads the plan if its file has changed, and returns the fault to apply to this call.
+    fn next_action(&mut self, path: &[u8], call: &str) -> Option<Action> {
+        let version = file_version(path);
+        if self.version != version {
+            let text = read_file(path).unwrap_or_default();
+            self.version = version;
+            self.faults = text.lines().filter_map(Fault::parse).collect();
+        }
+        let mut faults = self.faults.iter_mut().filter(|fault| fault.call == call);
+        faults.find_map(|fault| fault.applies_to_next_call().then_some(fault.action))
     }
-    let mut faults = plan.faults.iter_mut().filter(|fault| fault.call == call);
-    faults.find_map(|fault| fault.applies_to_next_call().then_some(fault.action))
 }
 
 fn set_errno(errno: c_int) {
