--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -168,7 +168,7 @@
 }
 
 /// Decrements the count, and removes the entry when it reaches 0.
-fn decrement<K: Ord>(counts: &mut BTreeMap<K, usize>, key: &K) {
+pub(crate) fn decrement<K: Ord>(counts: &mut BTreeMap<K, usize>, key: &K) {
     if let Some(count) = counts.get_mut(key) {
         *count -= 1;
         if *count == 0 {
--- a/crates/policy/src/health_checks.rs
+++ b/crates/policy/src/health_checks.rs
@@ -191,7 +191,7 @@
         connections: &ConnectionTable,
         recent_connections: &RecentConnections,
     ) -> usize {
-        let connected = recent_connections.servers_within(now, RATE_WINDOW).count();
+        let connected = recent_connections.count_in_window();
         let expected = if !recent_connections.is_in_first_window(now) {
             1
         } else if recent_connections.recently_started_empty(now, connections) {
--- a/crates/policy/src/policy/events.rs
+++ b/crates/policy/src/policy/events.rs
@@ -8,6 +8,7 @@
 impl Policy {
     /// Adds the actions that are due, whichever event occurred.
     pub(super) fn add_due_actions(&mut self, now: Time, actions: &mut Actions) {
+        self.recent_connections.count_window(now);
         actions.health_checks = self.health_checks.take_due(
             now,
             &mut self.endpoints,
--- a/crates/policy/src/policy/placing.rs
+++ b/crates/policy/src/policy/placing.rs
@@ -17,6 +17,7 @@
         flow: &Flow,
         priority_utilization: f64,
     ) -> Selection {
+        self.recent_connections.count_window(now);
         if let Some(ramp_rates) = self.slow_start.due_ramp_rates(&self.view(now)) {
             self.slow_start.set_ramp_rates(now, ramp_rates);
         }
--- a/crates/policy/src/slow_start.rs
+++ b/crates/policy/src/slow_start.rs
@@ -214,11 +214,11 @@
     /// Adds the rate at which attempts connected recently to these servers.
     fn add_connect_rates(&self, machines: &mut BTreeMap<u64, WarmServers>, view: &FleetView) {
         let span = view.recent_connections.counted_span(view.now);
-        for server_id in view.recent_connections.servers_within(view.now, span) {
+        for (server_id, count) in view.recent_connections.by_server() {
             let server = view.endpoints.servers.get(&server_id);
             if let Some(server) = server.filter(|server| self.is_ready_and_warm(view.now, server)) {
                 let warm = machines.entry(server.endpoint.machine).or_default();
-                warm.connect_rate += CONNECT_RATE_FRACTION / span as f64;
+                warm.connect_rate += count as f64 * CONNECT_RATE_FRACTION / span as f64;
             }
         }
     }
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::{Duration, Instant};
+
 use common::*;
 use nettlemux_policy::*;
 
@@ -189,3 +191,60 @@
     });
     assert!(sent.count() > 0, "no flow was sent to the warming server");
 }
+
+/// Returns how long it takes to place flows while a server is warming up, after this many flows that
+/// were connected and have ended.
+fn time_to_place_flows_after(ended_flows: u64) -> Duration {
+    const PLACED_FLOWS: u64 = 200;
+    let mut policy = balancer();
+    policy.update_endpoints(T0, &[ready(1), ready(2)], true);
+    for id in 0..ended_flows {
+        let now = T0 + id * 100_000;
+        if id % 4 == 0 {
+            (1..=2).for_each(|server_id| {
+                drop(report_utilization(&mut policy, now, server_id, 0.1));
+            });
+        }
+        let server_id = place_one(&mut policy, now, id);
+        let connect_duration = MS;
+        policy.on_event(
+            now,
+            PolicyEvent::Connected {
+                flow: id,
+                connect_duration,
+            },
+        );
+        policy.on_event(
+            now,
+            PolicyEvent::AttemptEnded {
+                flow: id,
+                server_id,
+                end: AttemptEnd::Done,
+                unanswered: None,
+            },
+        );
+    }
+    let now = T0 + 10 * SEC;
+    let warming = Endpoint {
+        started: now,
+        ..ready(3)
+    };
+    policy.update_endpoints(now, &[warming], false);
+    let since = Instant::now();
+    for id in ended_flows..ended_flows + PLACED_FLOWS {
+        let _ = policy.place(now, &flow(now, id));
+    }
+    since.elapsed()
+}
+
+/// Guards against clients that are answered late while a server warms up, because each placement
+/// looks at every connection that others have opened and closed in the last 20 s.
+#[test]
+fn placement_takes_no_longer_after_many_recent_connections() {
+    const SLOWDOWN_MAX: u32 = 10;
+    let (few, many) = (
+        time_to_place_flows_after(200),
+        time_to_place_flows_after(15_000),
+    );
+    assert!(many < few * SLOWDOWN_MAX, "{few:?}, then {many:?}");
+}
