Drop the commands of a killed balancer with the balancer in the adapter

Cause: the host collected an instance's commands outside it, by its name, and wrote them at the next ON or at the end of the batch. TEARDOWN removed the instance and left them there.

The new test plays nine orders of lines, also with two blocks of an instance in a batch and two kills; it failed before from the first order with a kill and a creation on, and passes now.

Fix: an instance owns its commands, and the reply is written at the end of the batch from the instances that are alive then, in the order of their first events.

--- a/crates/adapter/src/balancer.rs
+++ b/crates/adapter/src/balancer.rs
@@ -1,5 +1,7 @@
 //! A simulated balancer: its flow table and its timer.
 
+use std::mem;
+
 use nettlemux_flow_table::{AdmissionAttributes, EndedAttempt, FlowTable, PolicyCommand};
 use nettlemux_policy::{Flow, FlowId, MS, SEC, Time, TrafficClass};
 use nettlemux_settings::{DrainMigration, LoadReportFormat, Settings};
@@ -22,6 +24,9 @@
     timer_number: u64,
     /// When that timer expires; `None` if it has expired.
     timer_expires_at: Option<Time>,
+    /// The commands of the current batch, as lines of the reply. They are dropped with the balancer:
+    /// one that is created later under the same name must not issue them.
+    commands: String,
 }
 
 impl SimulatedBalancer {
@@ -38,6 +43,7 @@
             traffic_classes: settings.traffic_classes()?,
             timer_number: 0,
             timer_expires_at: None,
+            commands: String::new(),
         })
     }
 
@@ -51,21 +57,21 @@
         &self.traffic_classes
     }
 
-    /// Handles an event and appends the resulting commands to `out`.
-    pub fn handle(&mut self, now: Time, event: SimulatorEvent, out: &mut String) {
+    /// Handles an event. [`take_commands`](Self::take_commands) returns the resulting commands.
+    pub fn handle(&mut self, now: Time, event: SimulatorEvent) {
         let table = &mut self.flow_table;
         match event {
             // The host handles this event.
             SimulatorEvent::Removed => {}
             SimulatorEvent::EndpointsUpdated(update) => self.update_endpoints(now, update),
-            SimulatorEvent::FlowArrived(flow) => self.accept(now, flow, out),
+            SimulatorEvent::FlowArrived(flow) => self.accept(now, flow),
             SimulatorEvent::ConnectionAdopted { flow, server_id } => {
                 table.adopt_connection(flow, server_id);
             }
             SimulatorEvent::Connected { flow, took } => {
                 let mut commands = Vec::new();
                 table.attempt_connected(now, flow, took, &mut commands);
-                self.write_commands(commands, out);
+                self.write_commands(commands);
             }
             SimulatorEvent::ConnectionLoad { flow, load } => {
                 table.update_connection_load(flow, load);
@@ -74,9 +80,9 @@
             SimulatorEvent::AttemptEnded {
                 outcome,
                 is_answered,
-            } => self.attempt_ended(now, outcome, is_answered, out),
-            SimulatorEvent::ClientLeft { flow } => self.client_left(now, flow, out),
-            SimulatorEvent::TimerExpired { number } => self.timer_expired(now, number, out),
+            } => self.attempt_ended(now, outcome, is_answered),
+            SimulatorEvent::ClientLeft { flow } => self.client_left(now, flow),
+            SimulatorEvent::TimerExpired { number } => self.timer_expired(now, number),
             SimulatorEvent::HealthChecked {
                 server_id,
                 passed,
@@ -84,7 +90,7 @@
             } => {
                 let mut commands = Vec::new();
                 table.health_checked(now, server_id, passed, report, &mut commands);
-                self.write_commands(commands, out);
+                self.write_commands(commands);
             }
             // A message of another protocol version is ignored.
             SimulatorEvent::GossipReceived { placement } => {
@@ -104,48 +110,48 @@
         }
     }
 
-    fn accept(&mut self, now: Time, flow: Flow, out: &mut String) {
+    fn accept(&mut self, now: Time, flow: Flow) {
         let mut commands = Vec::new();
         let identity = AdmissionAttributes::default();
         self.flow_table.accept(now, flow, identity, &mut commands);
-        self.write_commands(commands, out);
+        self.write_commands(commands);
     }
 
-    fn attempt_ended(
-        &mut self,
-        now: Time,
-        attempt: EndedAttempt,
-        is_answered: bool,
-        out: &mut String,
-    ) {
+    fn attempt_ended(&mut self, now: Time, attempt: EndedAttempt, is_answered: bool) {
         let flow = attempt.flow;
         if is_answered {
             self.flow_table.mark_answered(flow);
         }
         let mut commands = Vec::new();
         self.flow_table.attempt_ended(now, attempt, &mut commands);
-        self.write_commands(commands, out);
+        self.write_commands(commands);
         self.remove_if_finished(flow);
     }
 
-    fn client_left(&mut self, now: Time, flow: FlowId, out: &mut String) {
+    fn client_left(&mut self, now: Time, flow: FlowId) {
         let mut commands = Vec::new();
         self.flow_table.client_left(now, flow, &mut commands);
-        self.write_commands(commands, out);
+        self.write_commands(commands);
         self.remove_if_finished(flow);
     }
 
-    fn timer_expired(&mut self, now: Time, number: u64, out: &mut String) {
+    fn timer_expired(&mut self, now: Time, number: u64) {
         if number == self.timer_number {
             self.timer_expires_at = None;
         }
         let mut commands = Vec::new();
         self.flow_table.timer_expired(now, &mut commands);
-        self.write_commands(commands, out);
+        self.write_commands(commands);
+    }
+
+    /// Returns the commands of the batch, and sets a timer if the flow table needs an earlier one than
+    /// is set.
+    pub fn take_commands(&mut self, now: Time) -> String {
+        self.schedule_timer(now);
+        mem::take(&mut self.commands)
     }
 
-    /// Sets a timer if none is set or the flow table needs an earlier one.
-    pub fn schedule_timer(&mut self, now: Time, out: &mut String) {
+    fn schedule_timer(&mut self, now: Time) {
         let Some(wait) = self.flow_table.time_to_next_timer(now) else {
             return;
         };
@@ -154,11 +160,11 @@
         if self.timer_expires_at.is_none_or(|at| expires_at < at) {
             self.timer_number += 1;
             self.timer_expires_at = Some(expires_at);
-            wire::write_timer(out, self.timer_number, wait);
+            wire::write_timer(&mut self.commands, self.timer_number, wait);
         }
     }
 
-    fn write_commands(&mut self, commands: Vec<PolicyCommand>, out: &mut String) {
+    fn write_commands(&mut self, commands: Vec<PolicyCommand>) {
         for command in commands {
             match command {
                 PolicyCommand::Reject { flow, .. } | PolicyCommand::Fail { flow } => {
@@ -171,7 +177,7 @@
                 }
                 _ => {}
             }
-            wire::write_command(out, command);
+            wire::write_command(&mut self.commands, command);
         }
     }
 
--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::BufRead;
 
+use indexmap::IndexSet;
 use nettlemux_policy::Time;
 
 use crate::balancer::SimulatedBalancer;
@@ -20,10 +21,28 @@
     endpoint_tables: EndpointTables,
 }
 
-/// The balancer that events are for, and the commands in reply to them.
-struct SelectedBalancer {
-    name: String,
-    commands: String,
+/// The balancers that a batch is about.
+#[derive(Default)]
+struct BatchScope {
+    /// The balancer that the following events are for.
+    selected: Option<String>,
+    /// The balancers that had an event, in the order of their first ones. Only these may act. What
+    /// their commands are is known to the balancers alone.
+    with_events: IndexSet<String>,
+}
+
+impl BatchScope {
+    /// Returns the name of the selected balancer and records that it has an event.
+    fn record_event(&mut self) -> Result<&str, WireError> {
+        let name = self
+            .selected
+            .as_deref()
+            .ok_or_else(|| WireError::new("balancer", WireProblem::NoBalancerSelected))?;
+        if !self.with_events.contains(name) {
+            self.with_events.insert(name.to_string());
+        }
+        Ok(name)
+    }
 }
 
 impl SimulatorHost {
@@ -37,52 +56,30 @@
         now: Time,
         lines: &mut Lines<R>,
     ) -> Result<String, WireError> {
-        let mut reply = String::new();
-        let mut selected: Option<SelectedBalancer> = None;
+        let mut scope = BatchScope::default();
         loop {
             let line = lines.expect_line(wire::BATCH_END)?;
             match BatchLine::parse(&line)? {
-                BatchLine::End => {
-                    self.finish_reply_part(now, selected, &mut reply);
-                    wire::write_batch_end(&mut reply);
-                    return Ok(reply);
-                }
-                BatchLine::SelectBalancer(name) => {
-                    self.finish_reply_part(now, selected.take(), &mut reply);
-                    selected = Some(SelectedBalancer {
-                        name: name.to_string(),
-                        commands: String::new(),
-                    });
-                }
+                BatchLine::End => return Ok(self.reply(now, &scope)),
+                BatchLine::SelectBalancer(name) => scope.selected = Some(name.to_string()),
                 BatchLine::EndpointTable { number, count } => {
                     let endpoints = wire::read_endpoints(lines, count)?;
                     self.endpoint_tables.insert(number, endpoints);
                 }
-                BatchLine::Event(event) => {
-                    let selected = selected.as_mut().ok_or_else(|| {
-                        WireError::new("balancer", WireProblem::NoBalancerSelected)
-                    })?;
-                    self.handle_event(now, event, selected)?;
-                }
+                BatchLine::Event(event) => self.handle_event(now, event, scope.record_event()?)?,
             }
         }
     }
 
-    fn handle_event(
-        &mut self,
-        now: Time,
-        event: EventLine,
-        selected: &mut SelectedBalancer,
-    ) -> Result<(), WireError> {
-        let name = &selected.name;
+    fn handle_event(&mut self, now: Time, event: EventLine, name: &str) -> Result<(), WireError> {
         if event.creates_balancer() {
             let creation = event.parse_creation()?;
             let balancer = SimulatedBalancer::new(creation.seed, &creation.settings)?;
-            self.balancers.insert(name.clone(), balancer);
+            self.balancers.insert(name.to_string(), balancer);
             return Ok(());
         }
         let balancer = self.balancers.get_mut(name).ok_or_else(|| {
-            let problem = WireProblem::BalancerNotRunning(name.clone());
+            let problem = WireProblem::BalancerNotRunning(name.to_string());
             WireError::new("balancer", problem)
         })?;
         let event = event.parse(EventContext {
@@ -95,23 +92,20 @@
             self.balancers.remove(name);
             return Ok(());
         }
-        balancer.handle(now, event, &mut selected.commands);
+        balancer.handle(now, event);
         Ok(())
     }
 
-    /// Sets the timer of the selected balancer if needed and appends its commands to the reply.
-    fn finish_reply_part(
-        &mut self,
-        now: Time,
-        selected: Option<SelectedBalancer>,
-        reply: &mut String,
-    ) {
-        let Some(mut selected) = selected else {
-            return;
-        };
-        if let Some(balancer) = self.balancers.get_mut(&selected.name) {
-            balancer.schedule_timer(now, &mut selected.commands);
-            wire::write_balancer_commands(reply, &selected.name, &selected.commands);
+    /// Returns the reply to a batch: the commands of the balancers that are alive at its end.
+    fn reply(&mut self, now: Time, scope: &BatchScope) -> String {
+        let mut reply = String::new();
+        for name in &scope.with_events {
+            if let Some(balancer) = self.balancers.get_mut(name) {
+                let commands = balancer.take_commands(now);
+                wire::write_balancer_commands(&mut reply, name, &commands);
+            }
         }
+        wire::write_batch_end(&mut reply);
+        reply
     }
 }
--- a/crates/adapter/tests/exchange.rs
+++ b/crates/adapter/tests/exchange.rs
@@ -28,13 +28,19 @@
 /// Returns a batch that creates a balancer with a ready server 51, a draining server 52 and an
 /// adopted connection to server 51.
 fn create_balancer(name: &str, settings: &str) -> String {
-    let settings = settings.replace('\n', " ");
     format!(
         "BEGIN_BATCH 1000000\nTABLE 0 2\nM 51 0 0 0 active 1 -\nM 52 0 0 0 leaving 1 -\nON {name}\n\
-         CREATE 9 {settings}\nVIEW stale_copy 1 0\nTAKEN_OVER 5 - 0 k 0 - 0 - 0 - 51\nEND\n"
+         {}TAKEN_OVER 5 - 0 k 0 - 0 - 0 - 51\nEND\n",
+        creation(settings)
     )
 }
 
+/// Returns the events that create the selected balancer with the servers of table 0.
+fn creation(settings: &str) -> String {
+    let settings = settings.replace('\n', " ");
+    format!("CREATE 9 {settings}\nVIEW stale_copy 1 0\n")
+}
+
 #[test]
 fn unreachable_server_leads_to_a_retry_and_too_short_deadline_to_a_rejection() {
     let script = create_balancer("balancer-0", CONF)
@@ -106,6 +112,48 @@
     assert!(reply(script("balancer-0") + &script("balancer-1")).ends_with(&alone));
 }
 
+/// Guards against a balancer that issues commands of a killed balancer of the same name, whichever
+/// lines of a batch lie between the event that caused them and the new balancer's last event.
+#[test]
+fn commands_of_a_killed_balancer_are_not_issued_by_its_successor() {
+    let arrival = |flow: u64| format!("KNOCK {flow} 0 0 k 1800000 - - 0 0 0\n");
+    let kill = "TEARDOWN\n";
+    let create = creation(CONF);
+    let other = format!("ON balancer-1\n{}", arrival(9));
+    let again = "ON balancer-0\n";
+    // The events for balancer-0 and others, and the flows for which attempts may be started.
+    for (events, flows) in [
+        (arrival(7), vec![7]),
+        (arrival(7) + kill, vec![]),
+        (arrival(7) + kill + &create, vec![]),
+        (arrival(7) + kill + &create + &arrival(8), vec![8]),
+        (arrival(7) + &other + again + kill + &create, vec![9]),
+        (arrival(7) + &other + again + kill, vec![9]),
+        (arrival(7) + &other + again + &arrival(8), vec![7, 8, 9]),
+        (
+            arrival(7) + kill + &create + &other + again + &arrival(8),
+            vec![8, 9],
+        ),
+        (
+            arrival(7) + kill + &create + &arrival(6) + &other + again + kill + &create,
+            vec![9],
+        ),
+    ] {
+        let script = create_balancer("balancer-0", CONF)
+            + &create_balancer("balancer-1", CONF)
+            + &format!("BEGIN_BATCH 1002000\nON balancer-0\n{events}END\n");
+        let text = String::from_utf8(run(&script).stdout).expect("text");
+        let reply = text.split_inclusive("NEXT\n").nth(2).expect("a reply");
+        let mut started: Vec<u64> = reply
+            .lines()
+            .filter_map(|line| line.strip_prefix("SUBMIT_TO ")?.split(' ').next())
+            .map(|flow| flow.parse().expect("a flow"))
+            .collect();
+        started.sort_unstable();
+        assert_eq!(started, flows, "{events}{reply}");
+    }
+}
+
 #[test]
 fn malformed_input_fails_with_an_error_that_names_line_and_field() {
     let created = create_balancer("balancer-0", CONF);
