Forget what an earlier discovery agent was asked for when discovery moves

What callers would have seen, by reading: SIGHUP moves discovery from an agent that was restarted less than a minute ago to one that is restarted then, and comes back with another list under the same version. A server that drains in it gets new requests for up to a minute.

Cause: the time of the next complete list, which limits such lists to one a minute, was kept across agents, and so was the suspicion of a restart. A watch that the supervisor starts again took the version of the configuration's list, as old as the process.

Evidence: restart_of_an_agent_is_followed_although_the_agent_before_it_was_restarted failed before. The restarted watch is by reading: a panic can't be forced from outside.

Fix: version, suspicion and time are one value that is replaced with the agent, and only the first watch of a process begins with the known version.

--- a/crates/balancer/src/assembly.rs
+++ b/crates/balancer/src/assembly.rs
@@ -4,6 +4,7 @@
 //! endpoints are sent before the first client can connect. Signals are handled only after
 //! everything that they act on exists.
 
+use std::cell::Cell;
 use std::hash::{BuildHasher, RandomState};
 use std::net::TcpListener;
 use std::panic::catch_unwind;
@@ -329,9 +330,12 @@
     known_version: Option<u64>,
     dispatcher: Sender<DispatcherMessage>,
 ) {
+    // A watch that is started again asks for the complete list: what the one before it has learned of
+    // the agent is lost, and the agent may have restarted its version numbers since the start.
+    let known_version = Cell::new(known_version);
     may::go!(
         move || supervisor::supervise(Service::Discovery, &dispatcher, || discovery::watch(
-            known_version,
+            known_version.take(),
             &context,
             &dispatcher
         ))
--- a/crates/dataplane/src/discovery/list_version.rs
+++ b/crates/dataplane/src/discovery/list_version.rs
@@ -45,9 +45,9 @@
         }
     }
 
-    /// Forgets the version, since another agent is called from now on.
+    /// Forgets all that is known of the list, since another agent is called from now on.
     pub fn change_agent(&mut self) {
-        self.known = None;
+        *self = ListVersion::default();
     }
 
     /// Records that the agent may have been restarted.
@@ -90,3 +90,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
