Pass over health checks of a server's earlier incarnation

What callers would have seen, by reading: a server leaves the list and returns under its name, or is restarted, while a health check of it is in flight. The old one's load report, or its failure, is taken for the new one's, which new flows pass over for up to 2 s.

Cause: a result carried the server's number only, a hash of its name.

Fix: a result names the incarnation that was checked, and the dispatcher passes it on only if that is the present one. The policy checks a new server soon by itself.

Evidence: incarnation_is_not_present_after_the_server_has_left_and_returned plays nine orders of updates. It tests a new type, so it can't be built on the code before.

--- a/crates/dataplane/src/attempt/tests.rs
+++ b/crates/dataplane/src/attempt/tests.rs
@@ -69,6 +69,7 @@
             name: "s-0".into(),
             address,
             ready: AtomicBool::new(true),
+            started: AtomicU64::new(0),
         });
         let deadline = clock::now() + SEC / 5;
         let target = AttemptTarget {
--- a/crates/dataplane/src/dispatcher.rs
+++ b/crates/dataplane/src/dispatcher.rs
@@ -172,10 +172,18 @@
                     flow_table.client_left(now, flow, commands)
                 }),
             DispatcherMessage::FlowClosed { flow } => self.flow_closed(now, flow),
+            // A check that was begun before the server was restarted, or listed again, tells nothing of
+            // the present one.
+            DispatcherMessage::HealthChecked {
+                server_id,
+                incarnation,
+                ..
+            } if !self.servers.is_present(server_id, &incarnation) => {}
             DispatcherMessage::HealthChecked {
                 server_id,
                 passed,
                 report,
+                ..
             } => self.call_flow_table(now, |flow_table, commands| {
                 flow_table.health_checked(now, server_id, passed, report, commands)
             }),
--- a/crates/dataplane/src/dispatcher/server_directory.rs
+++ b/crates/dataplane/src/dispatcher/server_directory.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use nettlemux_policy::{Endpoint, EndpointState, ServerId, Time};
 use tracing::info;
 
 use super::name_table::NameTable;
-use crate::messages::{DiscoveredEndpoint, Server};
+use crate::messages::{DiscoveredEndpoint, Server, ServerIncarnation};
 use crate::start_times::StartTimes;
 
 /// Whether an update of the endpoint list names all servers.
@@ -49,6 +49,12 @@
         self.servers.get(&server_id)
     }
 
+    /// Returns whether this is the present incarnation of a listed server.
+    pub fn is_present(&self, server_id: ServerId, incarnation: &ServerIncarnation) -> bool {
+        self.get(server_id)
+            .is_some_and(|listed| incarnation.is_present(listed))
+    }
+
     /// Returns whether the server is listed.
     pub fn contains(&self, server_id: ServerId) -> bool {
         self.servers.contains_key(&server_id)
@@ -87,7 +93,7 @@
         let mut endpoints = Vec::new();
         for entry in entries {
             let endpoint = self.endpoint(now, &entry);
-            self.update_server(endpoint.server_id, entry);
+            self.update_server(&endpoint, entry);
             endpoints.push(endpoint);
         }
         if scope == ListScope::Complete {
@@ -120,12 +126,14 @@
         }
     }
 
-    /// Adds a server or updates its state and address.
-    fn update_server(&mut self, server_id: ServerId, entry: DiscoveredEndpoint) {
+    /// Adds a server or updates its state, address and start.
+    fn update_server(&mut self, endpoint: &Endpoint, entry: DiscoveredEndpoint) {
+        let server_id = endpoint.server_id;
         let is_ready = entry.state == EndpointState::Ready;
         match self.servers.get(&server_id) {
             // An entry without an address doesn't change the server's address.
             Some(server) if server.address == entry.address || entry.address.port() == 0 => {
+                server.started.store(endpoint.started, Ordering::Release);
                 if server.ready.swap(is_ready, Ordering::AcqRel) != is_ready {
                     info!(server = server.name, state = ?entry.state, "endpoint state changed");
                 }
@@ -145,6 +153,7 @@
                     name: entry.name,
                     address: entry.address,
                     ready: AtomicBool::new(is_ready),
+                    started: AtomicU64::new(endpoint.started),
                 };
                 self.servers.insert(server_id, Arc::new(server));
             }
@@ -165,3 +174,6 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/dataplane/src/health_check/session.rs
+++ b/crates/dataplane/src/health_check/session.rs
@@ -14,7 +14,7 @@
 use crate::connection::{Connection, ConnectionError};
 use crate::descriptors::DescriptorPermit;
 use crate::mailbox::Mailbox;
-use crate::messages::{DispatcherMessage, Server};
+use crate::messages::{DispatcherMessage, Server, ServerIncarnation};
 use crate::wire::HealthCheckAnswer;
 
 /// The time without an answer after which a check has failed. Well below the policy's shortest
@@ -70,8 +70,9 @@
     pub(super) fn run(mut self, server: Arc<Server>) {
         let mut next = Some(server);
         while let Some(server) = next {
+            let incarnation = ServerIncarnation::of(&server);
             let result = self.check(&server);
-            self.report(&server, result);
+            self.report(incarnation, &server, result);
             next = self.next_request();
         }
     }
@@ -124,7 +125,12 @@
     }
 
     /// Sends the result of a check to the dispatcher.
-    fn report(&self, server: &Server, result: Result<HealthCheckAnswer, HealthCheckError>) {
+    fn report(
+        &self,
+        incarnation: ServerIncarnation,
+        server: &Server,
+        result: Result<HealthCheckAnswer, HealthCheckError>,
+    ) {
         let answer = match result {
             Ok(answer) => answer,
             // The balancer's own lack of descriptors must not count against the server. The server
@@ -148,6 +154,7 @@
             .dispatcher
             .send(DispatcherMessage::HealthChecked {
                 server_id: self.server_id,
+                incarnation,
                 passed: answer.passed,
                 report: answer.report,
             });
--- a/crates/dataplane/src/health_check/tests.rs
+++ b/crates/dataplane/src/health_check/tests.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -95,6 +95,7 @@
         name: "s-7".into(),
         address,
         ready: AtomicBool::new(true),
+        started: AtomicU64::new(0),
     })
 }
 
--- a/crates/dataplane/src/messages.rs
+++ b/crates/dataplane/src/messages.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use nettlemux_admission::AdmissionConfig;
 use nettlemux_flow_table::{AdmissionAttributes, EndedAttempt};
@@ -134,6 +134,8 @@
     HealthChecked {
         /// The server that was checked.
         server_id: ServerId,
+        /// The incarnation of the server that was checked.
+        incarnation: ServerIncarnation,
         /// Whether the server passed.
         passed: bool,
         /// The load report in its answer; empty if there was none.
@@ -243,6 +245,8 @@
     /// The address that it listens on.
     pub address: SocketAddr,
     pub(crate) ready: AtomicBool,
+    /// The server's last start by the balancer's clock; 0 means long ago.
+    pub(crate) started: AtomicU64,
 }
 
 impl Server {
@@ -251,3 +255,26 @@
         self.ready.load(Ordering::Acquire)
     }
 }
+
+/// One run of a listed server. A server that was unlisted and is listed again, or that was restarted
+/// or moved to another address, is another incarnation.
+#[derive(Clone)]
+pub struct ServerIncarnation {
+    server: Arc<Server>,
+    started: Time,
+}
+
+impl ServerIncarnation {
+    /// Returns the present incarnation of a server.
+    pub fn of(server: &Arc<Server>) -> Self {
+        ServerIncarnation {
+            server: server.clone(),
+            started: server.started.load(Ordering::Acquire),
+        }
+    }
+
+    /// Returns whether this is the present incarnation of a listed server.
+    pub fn is_present(&self, listed: &Arc<Server>) -> bool {
+        Arc::ptr_eq(&self.server, listed) && self.started == listed.started.load(Ordering::Acquire)
+    }
+}
