--- a/crates/dataplane/src/dispatcher.rs
+++ b/crates/dataplane/src/dispatcher.rs
@@ -29,7 +29,7 @@
 use crate::mailbox::{Mailbox, Sender};
 use crate::messages::{
     AttemptTarget, CoroutineEvent, DiscoveredEndpoint, DispatcherMessage, FlowCommand,
-    GossipMessage,
+    GossipMessage, HealthCheckResult,
 };
 
 /// Longest wait for a message while no timer is set.
@@ -172,21 +172,7 @@
                     flow_table.client_left(now, flow, commands)
                 }),
             DispatcherMessage::FlowClosed { flow } => self.flow_closed(now, flow),
-            // A check that was begun before the server was restarted, or listed again, tells nothing of
-            // the present one.
-            DispatcherMessage::HealthChecked {
-                server_id,
-                incarnation,
-                ..
-            } if !self.servers.is_present(server_id, &incarnation) => {}
-            DispatcherMessage::HealthChecked {
-                server_id,
-                passed,
-                report,
-                ..
-            } => self.call_flow_table(now, |flow_table, commands| {
-                flow_table.health_checked(now, server_id, passed, report, commands)
-            }),
+            DispatcherMessage::HealthChecked(result) => self.health_checked(now, result),
             DispatcherMessage::StoredEndpoints(entries) => {
                 self.update_endpoints(now, entries, ListScope::Complete)
             }
@@ -261,6 +247,22 @@
         });
     }
 
+    /// Passes the result of a health check to the policy. A check that was begun before the server
+    /// was restarted, or listed again, tells nothing of the present one.
+    fn health_checked(&mut self, now: Time, result: HealthCheckResult) {
+        let HealthCheckResult {
+            server_id,
+            incarnation,
+            passed,
+            report,
+        } = result;
+        if self.servers.is_present(server_id, &incarnation) {
+            self.call_flow_table(now, |flow_table, commands| {
+                flow_table.health_checked(now, server_id, passed, report, commands)
+            });
+        }
+    }
+
     fn flow_closed(&mut self, now: Time, flow: FlowId) {
         self.call_flow_table(now, |flow_table, commands| {
             flow_table.remove(now, flow, commands)
--- a/crates/dataplane/src/health_check/session.rs
+++ b/crates/dataplane/src/health_check/session.rs
@@ -14,7 +14,7 @@
 use crate::connection::{Connection, ConnectionError};
 use crate::descriptors::DescriptorPermit;
 use crate::mailbox::Mailbox;
-use crate::messages::{DispatcherMessage, Server, ServerIncarnation};
+use crate::messages::{DispatcherMessage, HealthCheckResult, Server, ServerIncarnation};
 use crate::wire::HealthCheckAnswer;
 
 /// The time without an answer after which a check has failed. Well below the policy's shortest
@@ -150,14 +150,15 @@
                 }
             }
         };
+        let result = HealthCheckResult {
+            server_id: self.server_id,
+            incarnation,
+            passed: answer.passed,
+            report: answer.report,
+        };
         self.context
             .dispatcher
-            .send(DispatcherMessage::HealthChecked {
-                server_id: self.server_id,
-                incarnation,
-                passed: answer.passed,
-                report: answer.report,
-            });
+            .send(DispatcherMessage::HealthChecked(result));
     }
 
     /// Returns the next request, or `None` if the session is to end. Waits for it if a connection
--- a/crates/dataplane/src/health_check/tests.rs
+++ b/crates/dataplane/src/health_check/tests.rs
@@ -66,11 +66,9 @@
     /// Waits for the next result and returns whether that check passed.
     fn next_has_passed(&self) -> bool {
         match self.messages.next(clock::now() + 5 * SEC) {
-            Some(DispatcherMessage::HealthChecked {
-                server_id, passed, ..
-            }) => {
-                assert_eq!(server_id, SERVER_ID);
-                passed
+            Some(DispatcherMessage::HealthChecked(result)) => {
+                assert_eq!(result.server_id, SERVER_ID);
+                result.passed
             }
             Some(_) => panic!("unexpected message"),
             None => panic!("no check ended within 5 s"),
--- a/crates/dataplane/src/messages.rs
+++ b/crates/dataplane/src/messages.rs
@@ -131,16 +131,7 @@
         flow: FlowId,
     },
     /// A health check has ended.
-    HealthChecked {
-        /// The server that was checked.
-        server_id: ServerId,
-        /// The incarnation of the server that was checked.
-        incarnation: ServerIncarnation,
-        /// Whether the server passed.
-        passed: bool,
-        /// The load report in its answer; empty if there was none.
-        report: LoadReport,
-    },
+    HealthChecked(HealthCheckResult),
     /// The complete endpoint list of the balancer's configuration, which may be out of date.
     StoredEndpoints(Vec<DiscoveredEndpoint>),
     /// Discovery has answered with an endpoint list.
@@ -165,6 +156,18 @@
     ServiceFailed(Service),
 }
 
+/// The result of a health check.
+pub struct HealthCheckResult {
+    /// The server that was checked.
+    pub server_id: ServerId,
+    /// The incarnation of the server that was checked.
+    pub incarnation: ServerIncarnation,
+    /// Whether the server passed.
+    pub passed: bool,
+    /// The load report in its answer; empty if there was none.
+    pub report: LoadReport,
+}
+
 /// A command to a flow's coroutine.
 pub enum FlowCommand {
     /// Make an attempt.
