Pass over gossip about a server from before its last start

What callers would have seen, by reading, where gossip is on: a group's flows prefer a server that has been restarted and has lost the group, for up to 40 s, and the group's next placement there isn't announced for 20 s.

Cause: announcements are kept under the server's number, a hash of its name, and outlive the server that they were about.

Fix: an announcement counts only if it came at or after the server's last start.

--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -70,8 +70,14 @@
     }
 
     /// Whether the server holds the group according to its last announcement.
-    pub(crate) fn holds(&self, now: Time, group: u16, server_id: ServerId) -> bool {
-        self.announced_at(group, server_id)
+    pub(crate) fn holds(
+        &self,
+        now: Time,
+        group: u16,
+        server_id: ServerId,
+        endpoints: &Endpoints,
+    ) -> bool {
+        self.announced_at(group, server_id, endpoints)
             .is_some_and(|at| now < at + ANNOUNCEMENT_LIFETIME)
     }
 
@@ -96,7 +102,7 @@
         let group = connections.own.get(&flow)?.group.as_ref();
         let group = group_number(hash_name(group.filter(|_| self.enabled)?));
         let placement = GroupPlacement { group, server_id };
-        let announced_at = self.announced_at(group, server_id);
+        let announced_at = self.announced_at(group, server_id, endpoints);
         if announced_at.is_some_and(|at| now < at + REPEAT_AFTER) {
             return None;
         }
@@ -112,8 +118,12 @@
         Some(placement)
     }
 
-    fn announced_at(&self, group: u16, server_id: ServerId) -> Option<Time> {
-        self.announced.get(&group)?.get(&server_id).copied()
+    /// Returns when the server was last announced as a holder of the group; `None` if that was before
+    /// the server's last start, at which it lost its connections.
+    fn announced_at(&self, group: u16, server_id: ServerId, endpoints: &Endpoints) -> Option<Time> {
+        let announced_at = *self.announced.get(&group)?.get(&server_id)?;
+        let started = endpoints.servers.get(&server_id)?.endpoint.started;
+        (announced_at >= started).then_some(announced_at)
     }
 
     /// Removes announcements that were not repeated, so that groups that no longer exist take no
--- a/crates/policy/src/group_affinity.rs
+++ b/crates/policy/src/group_affinity.rs
@@ -5,6 +5,7 @@
 
 use nettlemux_candidates::{hash, hash_name};
 
+use crate::endpoints::Endpoints;
 use crate::fleet_view::FleetView;
 use crate::gossip::{Gossip, group_number};
 use crate::types::{Flow, ServerId, Time};
@@ -18,6 +19,7 @@
     now: Time,
     hash: u64,
     gossip: &'a Gossip,
+    endpoints: &'a Endpoints,
     own_holders: Option<&'a BTreeMap<ServerId, usize>>,
     /// Whether the flow has a group that no server is known to hold.
     is_unplaced: bool,
@@ -37,6 +39,7 @@
             now: view.now,
             hash,
             gossip,
+            endpoints: view.endpoints,
             own_holders,
             is_unplaced: group.is_some() && own_holders.is_none() && !is_announced,
             is_announced,
@@ -68,7 +71,8 @@
     pub(crate) fn holds(&self, server_id: ServerId) -> bool {
         if self.gossip.is_enabled() {
             let group = group_number(self.hash);
-            self.is_announced && self.gossip.holds(self.now, group, server_id)
+            let endpoints = self.endpoints;
+            self.is_announced && self.gossip.holds(self.now, group, server_id, endpoints)
         } else {
             self.own_holders
                 .is_some_and(|holders| holders.contains_key(&server_id))
--- a/crates/policy/tests/gossip.rs
+++ b/crates/policy/tests/gossip.rs
@@ -89,6 +89,63 @@
     }
 }
 
+/// Guards against flows that follow an announcement to a server that has lost the group since, as it
+/// was restarted, or left the list and came back. The server is warm again at the time of the flow.
+#[test]
+fn group_does_not_follow_gossip_from_before_the_holder_was_restarted() {
+    let endpoint = |server_id, started| Endpoint {
+        zone: u64::from(server_id > 3),
+        started,
+        ..ready(server_id)
+    };
+    let removed = Endpoint {
+        state: EndpointState::Removed,
+        ..endpoint(7, 0)
+    };
+    let restarted = endpoint(7, T0 + 2 * SEC);
+    // The updates of the list after the announcement at `T0`, and whether another one follows them.
+    for (updates, is_repeated, follows) in [
+        (vec![], false, true),
+        (vec![endpoint(7, 0)], false, true),
+        (vec![restarted], false, false),
+        (vec![removed, restarted], false, false),
+        (vec![restarted], true, true),
+    ] {
+        let mut policy = balancer_with(config_with_gossip(1.0));
+        let listed: Vec<_> = (0..9).map(|server_id| endpoint(server_id, 0)).collect();
+        policy.update_endpoints(T0, &listed, true);
+        let group = Some("a".to_string());
+        let mut announcer = balancer_with(config_with_gossip(1.0));
+        announcer.update_endpoints(T0, &[endpoint(7, 0)], true);
+        let announced = Flow {
+            group: group.clone(),
+            ..flow(T0, 1)
+        };
+        announcer.place(T0, &announced);
+        let connected = PolicyEvent::Connected {
+            flow: 1,
+            connect_duration: MS,
+        };
+        let message = announcer.on_event(T0, connected).gossip.unwrap();
+        policy.receive_gossip(T0, message);
+        for update in &updates {
+            policy.update_endpoints(T0 + 2 * SEC, &[*update], false);
+        }
+        if is_repeated {
+            policy.receive_gossip(T0 + 3 * SEC, message);
+        }
+        let now = T0 + 38 * SEC;
+        let new_flow = Flow {
+            group,
+            ..flow(now, 9)
+        };
+        let Placement::Forward { server_id, .. } = policy.place(now, &new_flow) else {
+            panic!("the flow was not forwarded")
+        };
+        assert_eq!(server_id == 7, follows, "{updates:?}, {is_repeated}");
+    }
+}
+
 /// Guards against a message storm: hundreds of balancers announced each client and sent 4 million
 /// messages in 16 s.
 #[test]
